--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# build, test, lint and run
+.PHONY: build test lint check run
+
+build:
+	cargo build --release --locked
+
+test: build
+	cargo test --locked
+
+lint:
+	cargo fmt --check
+	cargo clippy --locked --all-targets -- -D warnings
+
+# The whole verdict, as CI asks for it.
+check: lint test
+
+# PROXY_CONFIG names the configuration.
+run: build
+	target/release/hitchwinch
--- a/src/bin/garnetdrum-drill/main.rs
+++ b/src/bin/hitchwinch-simhost/main.rs
@@ -2,11 +2,12 @@
 
 mod wire;
 
-use garnetdrum::{Action, Controller, Event};
+use hitchwinch::config::Names;
+use hitchwinch::{Action, Controller, Event};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use wire::{In, Member, Names, Out};
+use wire::{In, Member, Out};
 
 struct Instance {
     controller: Controller,
@@ -75,11 +76,11 @@
                         Some(self.tables.get(&list).ok_or_else(|| format!("unknown table {list}"))?)
                     }
                 };
-                let event = self.names(&gateway_id)?.engines(how, members);
+                let event = wire::engines(self.names(&gateway_id)?, how, members);
                 (gateway_id, event)
             }
-            In::Inbound(q) => (q.gateway_id.clone(), self.names(&q.gateway_id)?.query(q)?),
-            In::Ended(e) => (e.gateway_id.clone(), self.names(&e.gateway_id)?.ended(e)),
+            In::Inbound(q) => (q.gateway_id.clone(), wire::query(self.names(&q.gateway_id)?, q)?),
+            In::Ended(e) => (e.gateway_id.clone(), wire::ended(self.names(&e.gateway_id)?, e)),
             In::Health { gateway_id, engine, how, delay_seen, metrics } => {
                 let report = metrics.unwrap_or_default();
                 let probed = Event::Probed { engine, outcome: how.outcome(), latency: delay_seen, report };
@@ -158,7 +159,7 @@
     // A panic of the module becomes its instance's fault; standard error keeps its one plain line.
     std::panic::set_hook(Box::new(|_| {}));
     if let Err(e) = run(std::io::stdin().lock(), std::io::stdout().lock()) {
-        eprintln!("garnetdrum-drill: {e}");
+        eprintln!("hitchwinch-simhost: {e}");
         std::process::exit(1);
     }
 }
--- a/src/bin/garnetdrum-drill/wire.rs
+++ b/src/config.rs
@@ -1,103 +1,136 @@
-//! The wire's types and their translation; no decision is made here.
+//! The one place where configuration is read, checked and given defaults; both programs share the
+//! settings' form. Every message names the faulty key.
 
-use garnetdrum::*;
-use serde::{Deserialize, Serialize};
+use crate::interface::*;
+use serde::Deserialize;
+use std::net::SocketAddr;
 
-#[derive(Deserialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
-pub enum In {
-    Turn { ts: f64 },
-    Commit,
-    Table { list: u64, members: Vec<Member> },
-    Provision { gateway_id: String, prng: u64, profile_data: Box<Profile> },
-    Membership { gateway_id: String, how: How, list: Option<u64> },
-    Inbound(Inbound),
-    Ended(EndedIn),
-    Health { gateway_id: String, engine: String, how: Status, delay_seen: f64, metrics: Option<Vec<f64>> },
-    Progress { gateway_id: String, corr: u32, go: u32, x: Option<f64>, kind: u32 },
-    Message { gateway_id: String },
-    Killed { gateway_id: String },
-    ClientLeft { gateway_id: String, corr: u32 },
-    Ring { gateway_id: String, nonce: u64 },
-    UnderWay { gateway_id: String, corr: u32, go: u32 },
+/// What was wrong with a configuration, with the key that is at fault.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("{what}: {problem}")]
+    Source { what: String, problem: String },
+    #[error("{key}: {problem}")]
+    Key { key: String, problem: String },
 }
 
-#[derive(Clone, Deserialize)]
-pub struct Member {
-    engine: String,
-    class_of_host: Option<String>,
-    ready_at: Option<f64>,
-    az: Option<String>,
-    stripe: Option<i64>,
-    state: MemberState,
+fn bad(key: &str, problem: impl std::fmt::Display) -> ConfigError {
+    ConfigError::Key { key: key.into(), problem: problem.to_string() }
 }
 
-#[derive(Clone, Copy, Deserialize)]
-enum MemberState {
-    #[serde(rename = "IN")]
-    In,
-    #[serde(rename = "LAME")]
-    Lame,
-    #[serde(rename = "OUT")]
-    Out,
+/// Limits and time-outs of the sockets, from the settings' ceilings.
+#[derive(Clone, Debug)]
+pub struct Sockets {
+    pub connect_timeout: Millis,
+    pub idle: Millis,
+    /// Attempts carried together on one connection.
+    pub streams: usize,
+    pub most_open: usize,
+    /// The longest time that a client of any class waits.
+    pub longest: Millis,
 }
 
-#[derive(Clone, Copy, Deserialize, PartialEq)]
-#[serde(rename_all = "snake_case")]
-pub enum How {
-    Patch,
-    Whole,
-    StaleCopy,
-    Broken,
+/// The machine's limits.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Machine {
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
+    #[serde(default = "default_sockets")]
+    pub sockets: usize,
 }
 
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Status {
-    Pass,
-    Fault,
-    NoRoom,
-    TooSlow,
-    NoRoute,
-    Cut,
-    Undone,
-    StaleSend,
+fn default_memory() -> usize {
+    192
 }
 
-#[derive(Deserialize)]
-pub struct Inbound {
-    pub gateway_id: String,
-    corr: u32,
-    data_group: Option<f64>,
-    band: String,
-    object: Option<String>,
-    time_left: f64,
-    footprint_mb: Option<f64>,
-    est_cost: Option<f64>,
-    team: Option<Name>,
+fn default_sockets() -> usize {
+    1024
 }
 
-/// A name, or the number 0 where there is none.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum Name {
-    Text(String),
-    Number(#[allow(dead_code)] f64),
+impl Default for Machine {
+    fn default() -> Self {
+        Machine { memory_mb: default_memory(), sockets: default_sockets() }
+    }
 }
 
 #[derive(Deserialize)]
-pub struct EndedIn {
-    pub gateway_id: String,
-    corr: u32,
-    how: Status,
-    delay_seen: f64,
-    go: u32,
-    #[serde(rename = "final")]
-    last: bool,
-    bill: Option<u64>,
-    metrics: Option<Vec<f64>>,
+struct RawPlatform {
+    name: Option<String>,
+    listen: String,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Machine,
+    journal: String,
+    known: Option<serde_json::Value>,
+    settings: Profile,
+}
+
+/// Everything that the platform tells one dispatcher.
+pub struct Platform {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub limits: Machine,
+    pub journal: SocketAddr,
+    /// The journal's events up to now, not yet read.
+    pub known: serde_json::Value,
+    pub settings: Settings,
+    pub names: Names,
+    pub sockets: Sockets,
 }
 
+/// An address under a key.
+fn address(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|e| bad(key, format!("{text:?} is no address and port ({e})")))
+}
+
+impl Platform {
+    /// Reads the file that `PROXY_CONFIG` names; `PROXY_LISTEN` and `PROXY_NAME` go before what it says.
+    pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = var("PROXY_CONFIG").ok_or_else(|| bad("PROXY_CONFIG", "is not set"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Source {
+            what: format!("PROXY_CONFIG ({path})"),
+            problem: e.to_string(),
+        })?;
+        Self::parse(&text, var)
+    }
+
+    pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let de = &mut serde_json::Deserializer::from_str(text);
+        let raw: RawPlatform =
+            serde_path_to_error::deserialize(de).map_err(|e| bad(&e.path().to_string(), e.inner()))?;
+        let seed = raw.seed.unwrap_or_default();
+        if raw.limits.sockets < 64 {
+            return Err(bad("limits.sockets", "at least 64 are needed"));
+        }
+        let sockets = raw.settings.sockets();
+        for (key, v) in [("connect_timeout", sockets.connect_timeout), ("conn_idle", sockets.idle)] {
+            if !(v.is_finite() && v > 0.0) {
+                return Err(bad(&format!("settings.ceilings.{key}"), "must be above 0"));
+            }
+        }
+        let (settings, names) = raw.settings.settings().map_err(|e| bad("settings", e))?;
+        settings.check().map_err(|e| bad(&format!("settings.{}", e.field), e.problem))?;
+        Ok(Platform {
+            name: var("PROXY_NAME").or(raw.name).unwrap_or_else(|| "hitchwinch".into()),
+            listen: match var("PROXY_LISTEN") {
+                Some(text) => address("PROXY_LISTEN", &text)?,
+                None => address("listen", &raw.listen)?,
+            },
+            seed: u64::from_str_radix(&seed, 16)
+                .or_else(|_| seed.parse())
+                .map_err(|_| bad("seed", format!("{seed:?} is no hexadecimal number")))?,
+            limits: raw.limits,
+            journal: address("journal", &raw.journal)?,
+            known: raw.known.unwrap_or(serde_json::Value::Null),
+            settings,
+            names,
+            sockets,
+        })
+    }
+}
+
+/// The settings as the simulator's first message and the platform's `settings` hold them.
 #[derive(Deserialize)]
 pub struct Profile {
     ceilings: Ceilings,
@@ -119,11 +152,15 @@
 #[derive(Deserialize)]
 struct Ceilings {
     cancel: Option<bool>,
+    conn_idle: Option<f64>,
+    connect_timeout: Option<f64>,
+    max_open: Option<usize>,
     max_retry_after: Option<f64>,
     most_tries: Option<u32>,
     probes: Option<bool>,
     retry_after: Option<bool>,
     second_copies: Option<bool>,
+    streams_per_conn: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -162,6 +199,7 @@
     aim_stretch: Option<f64>,
     dedup_window: Option<f64>,
     effect: String,
+    hard_limit: Option<f64>,
     group: Option<String>,
     late_share: Option<f64>,
     one_at_a_time: Option<bool>,
@@ -192,14 +230,17 @@
 
 /// Names to numbers, as one instance's settings list them.
 pub struct Names {
-    classes: Vec<String>,
-    kinds: Vec<String>,
-    zones: Vec<String>,
-    tenants: Vec<String>,
-    tells_cost: bool,
+    pub classes: Vec<String>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+    pub tenants: Vec<String>,
+    pub tells_cost: bool,
+    /// The names of a load report's values, as the settings list them.
+    pub report_fields: Vec<String>,
 }
 
-fn find(list: &[String], name: &str) -> Option<usize> {
+/// Position of a name in a list.
+pub fn find(list: &[String], name: &str) -> Option<usize> {
     list.iter().position(|n| n == name)
 }
 
@@ -212,6 +253,20 @@
 }
 
 impl Profile {
+    /// What the sockets need to know of the settings.
+    pub fn sockets(&self) -> Sockets {
+        let c = &self.ceilings;
+        let longest = self.grades.iter().filter_map(|g| g.hard_limit).fold(0.0, f64::max);
+        Sockets {
+            connect_timeout: c.connect_timeout.unwrap_or(250.0),
+            idle: c.conn_idle.unwrap_or(30_000.0),
+            streams: c.streams_per_conn.unwrap_or(100).clamp(1, 1024),
+            most_open: c.max_open.unwrap_or(20_000),
+            longest,
+        }
+    }
+
+    /// The module's settings, and the names behind its numbers.
     pub fn settings(self) -> Result<(Settings, Names), String> {
         let x = self.extra.unwrap_or_default();
         let zones = self.zones.unwrap_or_default();
@@ -329,172 +384,8 @@
             zones,
             tenants: tenants.into_iter().map(|t| t.name).collect(),
             tells_cost,
+            report_fields: fields,
         };
         Ok((settings, names))
     }
 }
-
-impl Status {
-    pub fn outcome(self) -> Outcome {
-        match self {
-            Status::Pass => Outcome::Served,
-            Status::Fault => Outcome::Error,
-            Status::NoRoom => Outcome::Full,
-            Status::TooSlow => Outcome::TimedOut,
-            Status::NoRoute => Outcome::Unreachable,
-            Status::Cut => Outcome::Reset,
-            Status::Undone => Outcome::Cancelled,
-            Status::StaleSend => Outcome::Moot,
-        }
-    }
-}
-
-impl Names {
-    pub fn query(&self, q: Inbound) -> Result<Event, String> {
-        let class =
-            find(&self.classes, &q.band).ok_or_else(|| format!("band: class {:?} is not listed", q.band))?;
-        let tenant = match &q.team {
-            Some(Name::Text(t)) => find(&self.tenants, t),
-            _ => None,
-        };
-        Ok(Event::Query(Query {
-            id: q.corr.into(),
-            class,
-            tenant,
-            key: q.object,
-            tables: q.data_group.map(f64::to_bits),
-            time_left: q.time_left,
-            work: q.est_cost.filter(|w| *w > 0.0),
-            memory_mb: q.footprint_mb.filter(|m| *m > 0.0),
-        }))
-    }
-
-    pub fn ended(&self, e: EndedIn) -> Event {
-        // A bill is 4096 x work in milliseconds + memory in steps of 4 MB.
-        let bill = e.bill.filter(|b| self.tells_cost && *b > 0);
-        Event::Ended(Ended {
-            id: e.corr.into(),
-            attempt: e.go,
-            outcome: e.how.outcome(),
-            last: e.last,
-            latency: e.delay_seen,
-            work: bill.map(|b| (b / 4096) as f64),
-            memory_mb: bill.map(|b| (b % 4096 * 4) as f64),
-            report: e.metrics.unwrap_or_default(),
-        })
-    }
-
-    pub fn engines(&self, how: How, members: Option<&Vec<Member>>) -> Event {
-        let update = match how {
-            How::Patch => ListUpdate::Patch,
-            How::Whole => ListUpdate::Whole,
-            How::StaleCopy => ListUpdate::Stale,
-            How::Broken => return Event::DiscoveryFailed,
-        };
-        let entries = members
-            .into_iter()
-            .flatten()
-            .map(|m| EngineEntry {
-                engine: m.engine.clone(),
-                state: match m.state {
-                    MemberState::In => EngineState::Ready,
-                    MemberState::Lame => EngineState::Draining,
-                    MemberState::Out => EngineState::Gone,
-                },
-                started: m.ready_at.filter(|t| *t > 0.0),
-                kind: m.class_of_host.as_deref().and_then(|k| find(&self.kinds, k)),
-                zone: m.az.as_deref().and_then(|z| find(&self.zones, z)),
-                cell: m.stripe.unwrap_or(0),
-            })
-            .collect();
-        Event::Engines { update, entries }
-    }
-}
-
-pub fn note(kind: u32, x: Option<f64>) -> Option<Note> {
-    match kind {
-        1 => x.map(Note::Done),
-        2 => x.map(Note::Spills),
-        3 if x == Some(2.0) => Some(Note::WaitsForLoad),
-        3 => Some(Note::WaitsForMemory),
-        _ => None,
-    }
-}
-
-#[derive(Serialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
-#[allow(clippy::enum_variant_names)] // the names are the wire's
-pub enum Out<'a> {
-    CallOut {
-        gateway_id: &'a str,
-        corr: u64,
-        engine: &'a str,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        try_for: Option<f64>,
-    },
-    Provide {
-        gateway_id: &'a str,
-        corr: u64,
-        rank: u8,
-        mem_mb: f64,
-    },
-    Retract {
-        gateway_id: &'a str,
-        corr: u64,
-        go: u32,
-    },
-    Reject {
-        gateway_id: &'a str,
-        corr: u64,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        not_before_for: Option<f64>,
-    },
-    Fail {
-        gateway_id: &'a str,
-        corr: u64,
-    },
-    SoundOut {
-        gateway_id: &'a str,
-        engine: &'a str,
-    },
-    SetAlarm {
-        gateway_id: &'a str,
-        moment: f64,
-        nonce: u64,
-    },
-    Observe {
-        gateway_id: &'a str,
-        want: bool,
-    },
-    Print {
-        gateway_id: &'a str,
-        text: &'a str,
-    },
-    Fault {
-        gateway_id: &'a str,
-        text: &'a str,
-    },
-    End,
-}
-
-impl<'a> Out<'a> {
-    pub fn new(gateway_id: &'a str, action: &'a Action) -> Self {
-        match action {
-            Action::Send { id, engine, timeout } => {
-                Out::CallOut { gateway_id, corr: *id, engine, try_for: *timeout }
-            }
-            Action::Terms { id, priority, memory_mb } => {
-                Out::Provide { gateway_id, corr: *id, rank: *priority, mem_mb: *memory_mb }
-            }
-            Action::Cancel { id, attempt } => Out::Retract { gateway_id, corr: *id, go: *attempt },
-            Action::Refuse { id, retry_after } => {
-                Out::Reject { gateway_id, corr: *id, not_before_for: *retry_after }
-            }
-            Action::Fail { id } => Out::Fail { gateway_id, corr: *id },
-            Action::Probe { engine } => Out::SoundOut { gateway_id, engine },
-            Action::Timer { at, token } => Out::SetAlarm { gateway_id, moment: *at, nonce: *token },
-            Action::Subscribe => Out::Observe { gateway_id, want: true },
-            Action::Log(text) => Out::Print { gateway_id, text },
-        }
-    }
-}
--- /dev/null
+++ b/src/core/requests.rs
@@ -0,0 +1,409 @@
+use crate::facade::{Decision, Facade, Report};
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+pub type RequestId = QueryId;
+
+/// One attempt of a request, by its place among them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    pub request: RequestId,
+    pub index: u32,
+}
+
+/// A request as a front took it.
+#[derive(Clone, Debug)]
+pub struct NewRequest {
+    pub class: ClassId,
+    pub tenant: Option<usize>,
+    pub group: Option<u64>,
+    /// When its client gives up.
+    pub deadline: Millis,
+    pub work: Option<f64>,
+    pub memory_mb: Option<f64>,
+}
+
+/// The one final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// What this attempt brought.
+    Served(AttemptId),
+    /// A retry is harmless; `later` says when, in milliseconds from now.
+    Refused {
+        later: Option<Millis>,
+        why: &'static str,
+    },
+    Failed {
+        why: &'static str,
+    },
+}
+
+/// What the adapters have to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    Start { attempt: AttemptId, engine: String, until: Millis, memory_mb: f64 },
+    Drop { attempt: AttemptId },
+    Answer { request: RequestId, answer: Answer },
+    Say(String),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Requests open at a time.
+    pub open: usize,
+    /// An answer is due this long before its client gives up: it has to be written and read whole.
+    pub margin: Millis,
+    /// An attempt whose result has begun may stay without its next part for this long.
+    pub page_wait: Millis,
+}
+
+struct Attempt {
+    sent: Millis,
+    until: Millis,
+    out: bool,
+    /// Cleared by an end that proves it never ran.
+    may_have_run: bool,
+    /// When the last part of its result came.
+    answering: Option<Millis>,
+}
+
+struct Request {
+    class: ClassId,
+    due: Millis,
+    answered: bool,
+    attempts: Vec<Attempt>,
+}
+
+/// Moments in order; `f64` times that are finite and positive sort like their bits.
+type Due = BTreeSet<(u64, RequestId)>;
+
+pub struct Core {
+    facade: Facade,
+    /// By class: running it twice would do harm.
+    unsafe_class: Vec<bool>,
+    most_attempts: usize,
+    limits: Limits,
+    requests: BTreeMap<RequestId, Request>,
+    due: Due,
+    next_id: RequestId,
+    pending: VecDeque<Report>,
+    commands: Vec<Command>,
+    /// Requests that may be over.
+    touched: Vec<RequestId>,
+    engines: BTreeMap<String, EngineState>,
+    listed: bool,
+    /// Shutting down: every answer is due by then.
+    stop_by: Option<Millis>,
+}
+
+fn bits(at: Millis) -> u64 {
+    at.max(0.0).to_bits()
+}
+
+impl Core {
+    pub fn new(settings: Settings, seed: u64, limits: Limits) -> Result<Self, SettingsError> {
+        Ok(Core {
+            unsafe_class: settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
+            most_attempts: settings.limits.most_attempts as usize,
+            facade: Facade::new(settings, seed)?,
+            limits,
+            requests: BTreeMap::new(),
+            due: BTreeSet::new(),
+            next_id: 1,
+            pending: VecDeque::new(),
+            commands: vec![],
+            touched: vec![],
+            engines: BTreeMap::new(),
+            listed: false,
+            stop_by: None,
+        })
+    }
+
+    /// What is to be done since the last call.
+    pub fn commands(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Takes a request. Its answer comes as a command, maybe at once.
+    pub fn open(&mut self, now: Millis, r: NewRequest) -> RequestId {
+        let id = self.next_id;
+        self.next_id += 1;
+        let due = (r.deadline - self.limits.margin).min(self.stop_by.unwrap_or(f64::INFINITY));
+        let out_of_range = r.class >= self.unsafe_class.len() || !due.is_finite();
+        let refusal = match () {
+            // Held beyond this, requests would outgrow the memory that the machine gives.
+            () if self.requests.len() >= self.limits.open => Some("too many requests are open"),
+            () if due <= now => Some("too little time is left"),
+            () => None,
+        };
+        if out_of_range || refusal.is_some() {
+            let answer = match refusal {
+                Some(why) if !out_of_range => Answer::Refused { later: None, why },
+                _ => Answer::Failed { why: "the request names no class or deadline" },
+            };
+            self.commands.push(Command::Answer { request: id, answer });
+            return id;
+        }
+        self.requests.insert(id, Request { class: r.class, due, answered: false, attempts: vec![] });
+        self.due.insert((bits(due), id));
+        let query = Query {
+            id,
+            class: r.class,
+            tenant: r.tenant,
+            key: None,
+            tables: r.group.map(|g| (g as f64).to_bits()),
+            time_left: due - now,
+            work: r.work,
+            memory_mb: r.memory_mb,
+        };
+        let decisions = self.facade.pick(now, query);
+        self.carry_out(now, decisions);
+        id
+    }
+
+    /// Its client waits no more: no answer is owed, and what is out is dropped.
+    pub fn leave(&mut self, now: Millis, request: RequestId) {
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        r.answered = true;
+        self.touched.push(request);
+        self.drop_all(now, request);
+        self.report(now, Report::Left(request));
+    }
+
+    /// A part of the attempt's result is here; more parts follow.
+    pub fn answering(&mut self, now: Millis, attempt: AttemptId) {
+        if let Some(a) = self.attempt(attempt) {
+            a.answering = Some(now);
+        }
+    }
+
+    /// An attempt ended. False if it was over already, so that its result counts for nothing.
+    pub fn ended(&mut self, now: Millis, attempt: AttemptId, outcome: Outcome, report: Vec<f64>) -> bool {
+        let Some(r) = self.requests.get_mut(&attempt.request) else { return false };
+        let Some(a) = r.attempts.get_mut(attempt.index as usize).filter(|a| a.out) else { return false };
+        a.out = false;
+        self.touched.push(attempt.request);
+        a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
+        let latency = now - a.sent;
+        if outcome == Outcome::Served && !r.answered {
+            r.answered = true;
+            self.commands.push(Command::Answer { request: attempt.request, answer: Answer::Served(attempt) });
+        }
+        let last = r.answered;
+        let ended = Ended {
+            id: attempt.request,
+            attempt: attempt.index,
+            outcome,
+            last,
+            latency,
+            work: None,
+            memory_mb: None,
+            report,
+        };
+        self.report(now, Report::Ended(ended));
+        true
+    }
+
+    pub fn note(&mut self, now: Millis, attempt: AttemptId, note: Note) {
+        if self.attempt(attempt).is_some() {
+            self.report(now, Report::Progress { query: attempt.request, attempt: attempt.index, note });
+        }
+    }
+
+    pub fn engines(&mut self, now: Millis, update: ListUpdate, entries: Vec<EngineEntry>) {
+        if update != ListUpdate::Patch {
+            self.engines.values_mut().for_each(|s| *s = EngineState::Gone);
+        }
+        self.engines.extend(entries.iter().map(|e| (e.engine.clone(), e.state)));
+        self.listed = true;
+        self.report(now, Report::Engines { update, entries });
+    }
+
+    /// New work may still be written to this engine.
+    pub fn in_service(&self, engine: &str) -> bool {
+        self.engines.get(engine) == Some(&EngineState::Ready)
+    }
+
+    /// Ready for clients: a list of engines is in hand and no end is near.
+    pub fn ready(&self) -> bool {
+        self.listed && self.stop_by.is_none()
+    }
+
+    /// No new life after `by`: every answer still owed is given until then.
+    pub fn stop(&mut self, now: Millis, by: Millis) {
+        self.stop_by = Some(by);
+        for (&id, r) in &mut self.requests {
+            if !r.answered && r.due > by {
+                self.due.remove(&(bits(r.due), id));
+                r.due = by;
+                self.due.insert((bits(by), id));
+            }
+        }
+        self.tick(now);
+    }
+
+    /// Requests that are still owed an answer.
+    pub fn owed(&self) -> usize {
+        self.requests.values().filter(|r| !r.answered).count()
+    }
+
+    pub fn next_wake(&self) -> Option<Millis> {
+        let due = self.due.first().map(|d| f64::from_bits(d.0));
+        [due, self.facade.next_tick()].into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Does what is due by now.
+    pub fn tick(&mut self, now: Millis) {
+        let decisions = self.facade.tick(now);
+        self.carry_out(now, decisions);
+        while let Some(&(at, id)) = self.due.first().filter(|d| d.0 <= bits(now)) {
+            self.due.remove(&(at, id));
+            self.expire(now, id);
+        }
+    }
+
+    /// The last moment of a request: what is out has timed out, and the answer is given in any case.
+    fn expire(&mut self, now: Millis, id: RequestId) {
+        let Some(r) = self.requests.get(&id).filter(|r| !r.answered) else { return };
+        let over = r.due <= now;
+        let late = |k: &u32| {
+            let a = &r.attempts[*k as usize];
+            a.out && (over || a.until <= now)
+        };
+        let out: Vec<u32> = (0..r.attempts.len() as u32).filter(late).collect();
+        for index in out {
+            let attempt = AttemptId { request: id, index };
+            self.commands.push(Command::Drop { attempt });
+            self.ended(now, attempt, Outcome::TimedOut, vec![]);
+        }
+        if over && self.requests.get(&id).is_some_and(|r| !r.answered) {
+            self.finish(id, Answer::Failed { why: "the time is over" });
+            self.drop_all(now, id);
+            self.report(now, Report::Left(id));
+        }
+    }
+
+    fn attempt(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        let r = self.requests.get_mut(&id.request)?;
+        r.attempts.get_mut(id.index as usize).filter(|a| a.out)
+    }
+
+    fn report(&mut self, now: Millis, report: Report) {
+        let decisions = self.facade.report(now, report);
+        self.carry_out(now, decisions);
+    }
+
+    /// Carries the module's decisions out. Ends that follow at once (an attempt called off) are told only
+    /// after all of them, as they would come from outside.
+    fn carry_out(&mut self, now: Millis, decisions: Vec<Decision>) {
+        for d in decisions {
+            match d {
+                Decision::Run { query, engine, memory_mb, timeout } => {
+                    self.run(now, query, engine, memory_mb, timeout)
+                }
+                Decision::Drop { query, attempt } => {
+                    self.call_off(now, AttemptId { request: query, index: attempt })
+                }
+                Decision::Refuse { query, later } => {
+                    let ran =
+                        |r: &Request| self.unsafe_class[r.class] && r.attempts.iter().any(|a| a.may_have_run);
+                    // Guards the rule whatever the module says: a refusal promises that nothing ran.
+                    let answer = match self.requests.get(&query).is_some_and(ran) {
+                        true => Answer::Failed { why: "it may have run" },
+                        false => Answer::Refused { later, why: "the engines have no room for it in time" },
+                    };
+                    self.finish(query, answer);
+                }
+                Decision::Fail { query } => {
+                    self.finish(query, Answer::Failed { why: "no engine answered it" })
+                }
+                Decision::Say(text) => self.commands.push(Command::Say(text)),
+            }
+        }
+        while let Some(report) = self.pending.pop_front() {
+            let decisions = self.facade.report(now, report);
+            self.carry_out(now, decisions);
+        }
+        self.sweep();
+    }
+
+    fn run(&mut self, now: Millis, id: RequestId, engine: String, memory_mb: f64, timeout: Option<Millis>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let index = r.attempts.len() as u32;
+        let repeat = self.unsafe_class[r.class] && r.attempts.iter().any(|a| a.may_have_run);
+        let allowed = !r.answered && !repeat && r.attempts.len() < self.most_attempts && now < r.due;
+        let until = timeout.map_or(r.due, |t| r.due.min(now + t));
+        r.attempts.push(Attempt { sent: now, until, out: allowed, may_have_run: allowed, answering: None });
+        if allowed {
+            if until < r.due {
+                self.due.insert((bits(until), id));
+            }
+            let attempt = AttemptId { request: id, index };
+            self.commands.push(Command::Start { attempt, engine, until, memory_mb });
+        } else {
+            self.pending.push_back(Report::Ended(Ended {
+                id,
+                attempt: index,
+                outcome: Outcome::Moot,
+                last: r.answered,
+                latency: 0.0,
+                work: None,
+                memory_mb: None,
+                report: vec![],
+            }));
+        }
+    }
+
+    /// Calls an attempt off, unless its result is coming in: then that goes on, for a while.
+    fn call_off(&mut self, now: Millis, id: AttemptId) {
+        let Some(r) = self.requests.get_mut(&id.request) else { return };
+        let answered = r.answered;
+        let Some(a) = r.attempts.get_mut(id.index as usize).filter(|a| a.out) else { return };
+        if !answered && a.answering.is_some_and(|at| now < at + self.limits.page_wait) {
+            return;
+        }
+        a.out = false;
+        let latency = now - a.sent;
+        self.touched.push(id.request);
+        self.commands.push(Command::Drop { attempt: id });
+        self.pending.push_back(Report::Ended(Ended {
+            id: id.request,
+            attempt: id.index,
+            outcome: Outcome::Cancelled,
+            last: answered,
+            latency,
+            work: None,
+            memory_mb: None,
+            report: vec![],
+        }));
+    }
+
+    fn drop_all(&mut self, now: Millis, id: RequestId) {
+        let n = self.requests.get(&id).map_or(0, |r| r.attempts.len() as u32);
+        (0..n).for_each(|index| self.call_off(now, AttemptId { request: id, index }));
+    }
+
+    /// Gives the final answer, once.
+    fn finish(&mut self, id: RequestId, answer: Answer) {
+        if let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) {
+            r.answered = true;
+            self.touched.push(id);
+            self.commands.push(Command::Answer { request: id, answer });
+        }
+    }
+
+    /// Forgets requests that are answered and have nothing out.
+    fn sweep(&mut self) {
+        while let Some(id) = self.touched.pop() {
+            let over = |r: &Request| r.answered && r.attempts.iter().all(|a| !a.out);
+            if self.requests.get(&id).is_some_and(over)
+                && let Some(r) = self.requests.remove(&id)
+            {
+                self.due.remove(&(bits(r.due), id));
+                for a in &r.attempts {
+                    self.due.remove(&(bits(a.until), id));
+                }
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,9 @@
-//! garnetdrum makes a query gateway's decisions: what runs, where, with how much memory and at what
+//! hitchwinch makes a query gateway's decisions: what runs, where, with how much memory and at what
 //! priority. The gateway reports events; the [`Controller`] answers with actions. It opens no
 //! socket, reads no clock and keeps no state outside itself.
 //!
 //! ```
-//! use garnetdrum::*;
+//! use hitchwinch::*;
 //!
 //! let class = Class {
 //!     worth: 1.0, aim: 500.0, aim_stretch: 2.0, late_share: 0.0, effect: Effect::Safe,
@@ -38,8 +38,13 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 
+pub mod config;
 mod controller;
+pub mod core;
+pub mod facade;
 mod interface;
+pub mod log;
+pub mod net;
 mod state;
 
 pub use controller::Controller;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,73 @@
+//! The real dispatcher: wiring and signals.
+
+use hitchwinch::config::Platform;
+use hitchwinch::core::{Core, Limits};
+use hitchwinch::net::discovery::{Discovery, journal::Journal};
+use hitchwinch::net::frames::{self, Budget, Front};
+use hitchwinch::net::hub::Hub;
+use hitchwinch::net::pool::Pool;
+use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::{span, unix_ms};
+use hitchwinch::say;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+/// An answer has to be written and read before its client gives up.
+const MARGIN: f64 = 40.0;
+/// A result that has begun may stay without its next page for this long.
+const PAGE_WAIT: f64 = 600.0;
+
+type Error = Box<dyn std::error::Error>;
+
+fn main() {
+    let run = || -> Result<(), Error> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, platform(Platform::from_env(|v| std::env::var(v).ok())?))
+    };
+    if let Err(e) = run() {
+        eprintln!("hitchwinch: {e}");
+        std::process::exit(1);
+    }
+}
+
+/// Serves the platform until SIGTERM and the last answer.
+async fn platform(config: Platform) -> Result<(), Error> {
+    let mut term = signal(SignalKind::terminate())?;
+    let pool = Pool::default();
+    let limits = Limits { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
+    let core = Core::new(config.settings, config.seed, limits)?;
+    let leg = RespLeg::new(config.sockets.clone(), config.names.report_fields.clone(), pool.clone());
+    let hub = Hub::new(core, config.names, leg);
+    let journal = Journal::new(config.journal, config.known).map_err(|e| format!("known: {e}"))?;
+    let listener = TcpListener::bind(config.listen).await?;
+    // A quarter of the memory for statements; clients may hold up to a third of the descriptors, and so
+    // many more are let in before they wait.
+    let budget = Budget::new(config.limits.memory_mb * 1024 * 1024 / 4);
+    let front = Front::new(hub.clone(), pool, budget, config.limits.sockets / 2);
+
+    let sink = hub.clone();
+    spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
+    spawn_local(hub.clone().clock());
+    let accepting = spawn_local(front.clone().accept(listener));
+    say!("{} listens on {}", config.name, config.listen);
+
+    term.recv().await;
+    // Clients go on coming for a while: they are served, told that this dispatcher is not ready, and then
+    // asked to go elsewhere. The last answers are given before the kill can come.
+    say!("SIGTERM: {} requests are open", hub.owed());
+    let began = tokio::time::Instant::now();
+    hub.stop(unix_ms() + frames::stop_span(config.sockets.longest).as_secs_f64() * 1000.0);
+    tokio::time::sleep(frames::ACCEPT_FOR).await;
+    accepting.abort();
+    front.farewell.send_replace(true);
+    tokio::time::sleep(span(300.0)).await;
+    while hub.owed() > 0 && began.elapsed() < Duration::from_secs(30) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The last answers are still being written.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    say!("stopped after {} ms", began.elapsed().as_millis());
+    Ok(())
+}
--- /dev/null
+++ b/src/net/discovery/journal.rs
@@ -0,0 +1,276 @@
+//! The platform's journal service: server-sent events over HTTP, in order, from where the list in hand ends.
+
+use super::{Change, Discovery, Engine, Sink};
+use crate::interface::{EngineState, ListUpdate};
+use crate::say;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A comment comes each second; a stream that is silent for this long is cut off and opened anew, for its
+/// news counts as told after 7 s whether or not it came.
+const SILENCE: Duration = Duration::from_millis(2300);
+const CONNECT: Duration = Duration::from_millis(1000);
+const AGAIN: Duration = Duration::from_millis(100);
+const AGAIN_MOST: Duration = Duration::from_millis(800);
+/// No head or line of the journal is longer: one event carries the whole list at most.
+const LINE_MOST: usize = 1 << 20;
+
+#[derive(Deserialize)]
+struct Known {
+    #[serde(default)]
+    pos: u64,
+    #[serde(default)]
+    entries: Vec<Event>,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    pos: Option<u64>,
+    hosts: Option<Hosts>,
+}
+
+#[derive(Deserialize)]
+struct Hosts {
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Instance>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: Option<String>,
+    zone: Option<String>,
+    machine_type: Option<String>,
+    cell: Option<i64>,
+    lifecycle: String,
+    started_at_ms: Option<f64>,
+}
+
+impl Hosts {
+    fn change(self) -> Change {
+        let update = if self.reset { ListUpdate::Whole } else { ListUpdate::Patch };
+        let engines = self.instances.into_iter().map(|i| Engine {
+            address: i.host_port.as_deref().and_then(|a| a.parse().ok()),
+            state: match i.lifecycle.as_str() {
+                "in_service" => EngineState::Ready,
+                "terminating" => EngineState::Draining,
+                // A state that is not known is no state to send to.
+                _ => EngineState::Gone,
+            },
+            id: i.instance_id,
+            zone: i.zone,
+            kind: i.machine_type,
+            cell: i.cell.unwrap_or(0),
+            started: i.started_at_ms.filter(|t| *t > 0.0),
+        });
+        Change { update, engines: engines.collect() }
+    }
+}
+
+/// The place in the journal, and the rule that no event is applied twice or out of order.
+pub struct Journal {
+    address: SocketAddr,
+    pos: u64,
+    first: Vec<Change>,
+}
+
+impl Journal {
+    /// `known` holds the events up to the start.
+    pub fn new(address: SocketAddr, known: serde_json::Value) -> Result<Self, serde_json::Error> {
+        let mut journal = Journal { address, pos: 0, first: vec![] };
+        if !known.is_null() {
+            let known: Known = serde_json::from_value(known)?;
+            let mut changes: Vec<Change> =
+                known.entries.into_iter().filter_map(|e| e.hosts).map(Hosts::change).collect();
+            if let Some(first) = changes.first_mut() {
+                // What the configuration holds is a list as of the start, whatever its first event says.
+                first.update = ListUpdate::Stale;
+            }
+            journal.pos = known.pos;
+            journal.first = changes;
+        }
+        Ok(journal)
+    }
+
+    /// One event of the stream; `id` is its number, or what its data says.
+    fn event(&mut self, id: Option<u64>, data: &str) -> Option<Change> {
+        let event: Event = match serde_json::from_str(data) {
+            Ok(event) => event,
+            Err(e) => {
+                say!("journal: an event cannot be read: {e}");
+                return None;
+            }
+        };
+        let pos = id.or(event.pos)?;
+        if pos <= self.pos {
+            return None;
+        }
+        self.pos = pos;
+        event.hosts.map(Hosts::change)
+    }
+
+    /// Reads one stream to its end.
+    async fn follow(&mut self, sink: &Sink) -> std::io::Result<()> {
+        let mut tcp = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await??;
+        let request = format!(
+            "GET /journal HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
+            self.address, self.pos
+        );
+        tcp.write_all(request.as_bytes()).await?;
+        let mut reader = Reader::default();
+        let mut buffer = vec![0; 16 * 1024];
+        loop {
+            let n = tokio::time::timeout(SILENCE, tcp.read(&mut buffer)).await??;
+            if n == 0 {
+                return Ok(());
+            }
+            for (id, data) in reader.feed(&buffer[..n])? {
+                if let Some(change) = self.event(id, &data) {
+                    sink(change);
+                }
+            }
+        }
+    }
+}
+
+impl Discovery for Journal {
+    async fn run(mut self, sink: Sink) {
+        std::mem::take(&mut self.first).into_iter().for_each(&sink);
+        let mut wait = AGAIN;
+        loop {
+            let before = self.pos;
+            if let Err(e) = self.follow(&sink).await {
+                say!("journal {}: {e}; asking again from {}", self.address, self.pos);
+            }
+            // News shows that the service is well; without any, ask ever more slowly.
+            wait = if self.pos > before { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
+            tokio::time::sleep(wait).await;
+        }
+    }
+}
+
+/// An HTTP response of server-sent events, fed in pieces as they come, cut anywhere.
+#[derive(Default)]
+struct Reader {
+    raw: Vec<u8>,
+    chunked: Option<bool>,
+    /// Left of the chunk in hand.
+    chunk: usize,
+    line: Vec<u8>,
+    id: Option<u64>,
+    data: Option<String>,
+}
+
+fn broken(what: &str) -> std::io::Error {
+    std::io::Error::new(std::io::ErrorKind::InvalidData, what.to_string())
+}
+
+impl Reader {
+    fn feed(&mut self, bytes: &[u8]) -> std::io::Result<Vec<(Option<u64>, String)>> {
+        self.raw.extend_from_slice(bytes);
+        let mut events = vec![];
+        if self.chunked.is_none() && !self.head()? {
+            return Ok(events);
+        }
+        if self.chunked == Some(true) {
+            self.chunks(&mut events)?;
+        } else {
+            let raw = std::mem::take(&mut self.raw);
+            self.text(&raw, &mut events)?;
+        }
+        Ok(events)
+    }
+
+    fn head(&mut self) -> std::io::Result<bool> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut response = httparse::Response::new(&mut headers);
+        match response.parse(&self.raw).map_err(|e| broken(&e.to_string()))? {
+            httparse::Status::Partial if self.raw.len() > 16 * 1024 => Err(broken("the head is too long")),
+            httparse::Status::Partial => Ok(false),
+            httparse::Status::Complete(end) => {
+                if response.code != Some(200) {
+                    return Err(broken(&format!("status {:?}", response.code)));
+                }
+                let chunked = response.headers.iter().any(|h| {
+                    h.name.eq_ignore_ascii_case("transfer-encoding")
+                        && h.value.to_ascii_lowercase().ends_with(b"chunked")
+                });
+                self.chunked = Some(chunked);
+                self.raw.drain(..end);
+                Ok(true)
+            }
+        }
+    }
+
+    fn chunks(&mut self, events: &mut Vec<(Option<u64>, String)>) -> std::io::Result<()> {
+        loop {
+            if self.chunk > 0 {
+                let n = self.chunk.min(self.raw.len());
+                let part: Vec<u8> = self.raw.drain(..n).collect();
+                self.chunk -= n;
+                self.text(&part, events)?;
+                if self.chunk > 0 {
+                    return Ok(());
+                }
+            }
+            // The line feed that ends the chunk before is passed over with the next size.
+            while self.raw.starts_with(b"\r\n") {
+                self.raw.drain(..2);
+            }
+            match httparse::parse_chunk_size(&self.raw) {
+                Ok(httparse::Status::Complete((used, size))) => {
+                    self.raw.drain(..used);
+                    if size == 0 {
+                        return Ok(());
+                    }
+                    self.chunk = usize::try_from(size).map_err(|_| broken("a chunk is too long"))?;
+                }
+                Ok(httparse::Status::Partial) => return Ok(()),
+                Err(_) => return Err(broken("a chunk size cannot be read")),
+            }
+        }
+    }
+
+    fn text(&mut self, part: &[u8], events: &mut Vec<(Option<u64>, String)>) -> std::io::Result<()> {
+        for &b in part {
+            if b != b'\n' {
+                if self.line.len() >= LINE_MOST {
+                    return Err(broken("a line is too long"));
+                }
+                self.line.push(b);
+                continue;
+            }
+            let line = std::mem::take(&mut self.line);
+            let line = line.strip_suffix(b"\r").unwrap_or(&line);
+            if line.is_empty() {
+                let (id, data) = (self.id.take(), self.data.take());
+                events.extend(data.map(|d| (id, d)));
+                continue;
+            }
+            let text = String::from_utf8_lossy(line);
+            let (name, value) = text.split_once(':').unwrap_or((&text, ""));
+            let value = value.strip_prefix(' ').unwrap_or(value);
+            match name {
+                "id" => self.id = value.trim().parse().ok(),
+                "data" => match &mut self.data {
+                    Some(data) if data.len() + value.len() >= LINE_MOST => {
+                        return Err(broken("an event is too long"));
+                    }
+                    Some(data) => {
+                        data.push('\n');
+                        data.push_str(value);
+                    }
+                    None => self.data = Some(value.to_string()),
+                },
+                _ => {} // a comment, or a field that is not used here
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/discovery/mod.rs
@@ -0,0 +1,37 @@
+//! Where the list of engines comes from: the platform's journal or a Eureka registry. Both tell the same
+//! changes, in order, through one trait.
+
+pub mod journal;
+
+use crate::interface::{EngineState, ListUpdate, Millis};
+use std::net::SocketAddr;
+
+/// One engine as a source lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Its own id: an address may pass to another engine.
+    pub id: String,
+    /// Absent in news of one that is gone.
+    pub address: Option<SocketAddr>,
+    pub state: EngineState,
+    pub zone: Option<String>,
+    pub kind: Option<String>,
+    pub cell: i64,
+    /// When its process last started, on the Unix clock.
+    pub started: Option<Millis>,
+}
+
+/// What has changed, or the whole list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    pub update: ListUpdate,
+    pub engines: Vec<Engine>,
+}
+
+/// Takes changes as they come.
+pub type Sink = Box<dyn Fn(Change)>;
+
+/// A source of changes: runs for ever, and survives the outages of what it asks.
+pub trait Discovery {
+    fn run(self, sink: Sink) -> impl Future<Output = ()>;
+}
--- /dev/null
+++ b/src/net/hub.rs
@@ -0,0 +1,198 @@
+//! Joins the core to its adapters: carries the core's commands out and keeps its clock.
+
+use crate::config::{Names, find};
+use crate::core::{Answer, AttemptId, Command, Core, NewRequest, RequestId};
+use crate::interface::*;
+use crate::net::discovery::Change;
+use crate::net::{span, unix_ms};
+use crate::say;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// What an engine leg is told to start.
+pub struct Start {
+    pub attempt: AttemptId,
+    pub engine: String,
+    pub until: Millis,
+    pub memory_mb: f64,
+}
+
+/// The way to the engines on one wire.
+pub trait Leg: Sized + 'static {
+    /// What a front hands over with a request.
+    type Work: 'static;
+    /// What an engine brings back.
+    type Output: 'static;
+
+    fn start(&self, hub: &Rc<Hub<Self>>, start: Start, work: Rc<Self::Work>);
+    /// The attempt is given up; no end of it is wanted.
+    fn drop_attempt(&self, attempt: AttemptId);
+    fn change(&self, change: &Change);
+}
+
+/// The final answer as a front gets it.
+pub enum Reply<O> {
+    Served(O),
+    Refused { later: Option<Millis>, why: &'static str },
+    Failed { why: &'static str },
+}
+
+type Answerer<O> = Box<dyn FnOnce(Reply<O>)>;
+
+struct Open<L: Leg> {
+    work: Rc<L::Work>,
+    output: Option<L::Output>,
+    answer: Answerer<L::Output>,
+}
+
+pub struct Hub<L: Leg> {
+    core: RefCell<Core>,
+    open: RefCell<HashMap<RequestId, Open<L>>>,
+    names: Names,
+    leg: L,
+    wake: Notify,
+    stopping: Cell<bool>,
+    /// Tells connections that the dispatcher ends.
+    pub farewell: Notify,
+}
+
+impl<L: Leg> Hub<L> {
+    pub fn new(core: Core, names: Names, leg: L) -> Rc<Self> {
+        Rc::new(Hub {
+            core: RefCell::new(core),
+            open: RefCell::new(HashMap::new()),
+            names,
+            leg,
+            wake: Notify::new(),
+            stopping: Cell::new(false),
+            farewell: Notify::new(),
+        })
+    }
+
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    pub fn open(self: &Rc<Self>, r: NewRequest, work: L::Work, answer: Answerer<L::Output>) -> RequestId {
+        let id = self.core.borrow_mut().open(unix_ms(), r);
+        self.open.borrow_mut().insert(id, Open { work: Rc::new(work), output: None, answer });
+        self.carry_out();
+        id
+    }
+
+    pub fn leave(self: &Rc<Self>, id: RequestId) {
+        drop(self.open.borrow_mut().remove(&id));
+        self.core.borrow_mut().leave(unix_ms(), id);
+        self.carry_out();
+    }
+
+    /// A part of the result is here, and more is to come.
+    pub fn answering(self: &Rc<Self>, attempt: AttemptId) {
+        self.core.borrow_mut().answering(unix_ms(), attempt);
+    }
+
+    pub fn served(self: &Rc<Self>, attempt: AttemptId, report: Vec<f64>, output: L::Output) {
+        if let Some(open) = self.open.borrow_mut().get_mut(&attempt.request) {
+            open.output = Some(output);
+        }
+        self.ended(attempt, Outcome::Served, report);
+    }
+
+    pub fn ended(self: &Rc<Self>, attempt: AttemptId, outcome: Outcome, report: Vec<f64>) {
+        self.core.borrow_mut().ended(unix_ms(), attempt, outcome, report);
+        self.carry_out();
+    }
+
+    pub fn note(self: &Rc<Self>, attempt: AttemptId, note: Note) {
+        self.core.borrow_mut().note(unix_ms(), attempt, note);
+        self.carry_out();
+    }
+
+    /// Still listed as in service: checked again right before an attempt is written.
+    pub fn in_service(&self, engine: &str) -> bool {
+        self.core.borrow().in_service(engine)
+    }
+
+    /// A change of the engine list, in the order told.
+    pub fn change(self: &Rc<Self>, change: &Change) {
+        let entries = change.engines.iter().map(|e| EngineEntry {
+            engine: e.id.clone(),
+            state: e.state,
+            started: e.started,
+            kind: e.kind.as_deref().and_then(|k| find(&self.names.kinds, k)),
+            zone: e.zone.as_deref().and_then(|z| find(&self.names.zones, z)),
+            cell: e.cell,
+        });
+        let entries = entries.collect();
+        // The module hears of it first, so that connections that drop find it informed.
+        self.core.borrow_mut().engines(unix_ms(), change.update, entries);
+        self.leg.change(change);
+        self.carry_out();
+    }
+
+    pub fn ready(&self) -> bool {
+        !self.stopping.get() && self.core.borrow().ready()
+    }
+
+    /// From now on: not ready, and every answer is given by `by`.
+    pub fn stop(self: &Rc<Self>, by: Millis) {
+        self.stopping.set(true);
+        self.core.borrow_mut().stop(unix_ms(), by);
+        self.carry_out();
+    }
+
+    pub fn owed(&self) -> usize {
+        self.core.borrow().owed()
+    }
+
+    fn carry_out(self: &Rc<Self>) {
+        loop {
+            let commands = self.core.borrow_mut().commands();
+            if commands.is_empty() {
+                break;
+            }
+            commands.into_iter().for_each(|c| self.command(c));
+        }
+        self.wake.notify_one();
+    }
+
+    fn command(self: &Rc<Self>, command: Command) {
+        match command {
+            Command::Start { attempt, engine, until, memory_mb } => {
+                let work = self.open.borrow().get(&attempt.request).map(|o| o.work.clone());
+                if let Some(work) = work {
+                    self.leg.start(self, Start { attempt, engine, until, memory_mb }, work);
+                }
+            }
+            Command::Drop { attempt } => self.leg.drop_attempt(attempt),
+            Command::Answer { request, answer } => {
+                let Some(open) = self.open.borrow_mut().remove(&request) else { return };
+                let reply = match (answer, open.output) {
+                    (Answer::Served(_), Some(output)) => Reply::Served(output),
+                    (Answer::Served(_), None) => Reply::Failed { why: "the result was lost" },
+                    (Answer::Refused { later, why }, _) => Reply::Refused { later, why },
+                    (Answer::Failed { why }, _) => Reply::Failed { why },
+                };
+                (open.answer)(reply);
+            }
+            Command::Say(text) => say!("module: {text}"),
+        }
+    }
+
+    /// Rings for the core when it asked to be; runs for ever.
+    pub async fn clock(self: Rc<Self>) {
+        loop {
+            let next = self.core.borrow().next_wake();
+            let sleep = span(next.map_or(1000.0, |at| at - unix_ms()));
+            tokio::select! {
+                () = tokio::time::sleep(sleep) => {
+                    self.core.borrow_mut().tick(unix_ms());
+                    self.carry_out();
+                }
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,20 @@
+//! The adapters: fronts, engine legs and discovery, on tokio, round the core. All run on one thread.
+
+pub mod discovery;
+pub mod frames;
+pub mod hub;
+pub mod pool;
+pub mod resp;
+pub mod statement;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The machine's Unix clock, in milliseconds: all rules run on it, the module too.
+pub fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+}
+
+/// A span for the runtime's timers; absurd ones are cut.
+pub fn span(ms: f64) -> std::time::Duration {
+    std::time::Duration::from_micros((ms.clamp(0.0, 86_400_000.0) * 1000.0) as u64)
+}
--- /dev/null
+++ b/src/net/pool.rs
@@ -0,0 +1,74 @@
+//! Buffers of one size, used again: results and the connections' own buffers come from here.
+
+use bytes::BytesMut;
+use std::cell::RefCell;
+use std::ops::{Deref, DerefMut};
+use std::rc::Rc;
+
+/// Holds the largest result (48,000 bytes) with its frame.
+pub const SIZE: usize = 64 * 1024;
+/// Idle buffers kept; more are given back to the machine.
+const KEPT: usize = 64;
+
+#[derive(Clone, Default)]
+pub struct Pool(Rc<RefCell<Vec<BytesMut>>>);
+
+impl Pool {
+    pub fn take(&self) -> Buffer {
+        let bytes = self.0.borrow_mut().pop().unwrap_or_else(|| BytesMut::with_capacity(SIZE));
+        Buffer { bytes, home: self.clone() }
+    }
+
+    fn give(&self, mut bytes: BytesMut) {
+        bytes.clear();
+        let mut idle = self.0.borrow_mut();
+        // One that a large frame has grown is not kept: all kept ones have the one size.
+        if idle.len() < KEPT && (SIZE..=SIZE + SIZE / 8).contains(&bytes.capacity()) {
+            idle.push(bytes);
+        }
+    }
+}
+
+/// A buffer on loan.
+pub struct Buffer {
+    bytes: BytesMut,
+    home: Pool,
+}
+
+impl Deref for Buffer {
+    type Target = BytesMut;
+    fn deref(&self) -> &BytesMut {
+        &self.bytes
+    }
+}
+
+impl DerefMut for Buffer {
+    fn deref_mut(&mut self) -> &mut BytesMut {
+        &mut self.bytes
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.home.give(std::mem::take(&mut self.bytes));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_buffer_is_used_again_unless_it_has_grown() {
+        let pool = Pool::default();
+        let mut a = pool.take();
+        a.extend_from_slice(&[1; 100]);
+        let place = a.as_ptr();
+        drop(a);
+        let mut b = pool.take();
+        assert!(b.is_empty() && b.as_ptr() == place, "the same buffer, emptied");
+        b.reserve(4 * SIZE);
+        drop(b);
+        assert!(pool.0.borrow().is_empty(), "a grown one is not kept");
+    }
+}
--- /dev/null
+++ b/src/net/resp.rs
@@ -0,0 +1,564 @@
+//! The engine leg on the platform: RESP over pooled connections, results page by page, notes.
+
+use crate::config::Sockets;
+use crate::core::AttemptId;
+use crate::interface::*;
+use crate::net::discovery::Change;
+use crate::net::frames::Work;
+use crate::net::hub::{Hub, Leg, Start};
+use crate::net::pool::{Buffer, Pool};
+use crate::net::{span, unix_ms};
+use crate::say;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_util::SinkExt;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_stream::StreamExt;
+use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
+
+/// Connections to one engine.
+const CONNECTIONS: usize = 8;
+/// Words of an array, and bytes of one word, that an engine may send.
+const WORDS: usize = 16;
+const WORD: usize = 64 * 1024;
+/// A result is 48,000 bytes at most; rows are whole in a page, so pages may be small.
+const RESULT: usize = 48_000;
+const PAGES: usize = 1024;
+/// An engine that takes no bytes for this long is cut off.
+const WRITE: Duration = Duration::from_secs(2);
+/// Ids given up on a connection that it remembers; beyond, a new connection is taken.
+const REMEMBERED: usize = 4096;
+/// Commands on their way to one connection.
+const QUEUE: usize = 1024;
+
+#[derive(Debug, thiserror::Error)]
+pub enum RespError {
+    #[error("not a RESP array of bulk strings")]
+    Form,
+    #[error("a length of {0} is too large")]
+    Length(usize),
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// Arrays of bulk strings, both ways.
+pub struct RespCodec;
+
+/// A number between a mark and the line's end: its value and the place after it.
+fn number(src: &[u8], mark: u8, most: usize) -> Result<Option<(usize, usize)>, RespError> {
+    let Some((first, rest)) = src.split_first() else { return Ok(None) };
+    if *first != mark {
+        return Err(RespError::Form);
+    }
+    let Some(end) = rest.iter().take(12).position(|&b| b == b'\r') else {
+        return if rest.len() >= 12 { Err(RespError::Form) } else { Ok(None) };
+    };
+    let text = std::str::from_utf8(&rest[..end]).map_err(|_| RespError::Form)?;
+    let n: usize = text.parse().map_err(|_| RespError::Form)?;
+    if n > most {
+        return Err(RespError::Length(n));
+    }
+    match rest.get(end + 1) {
+        None => Ok(None),
+        Some(b'\n') => Ok(Some((n, end + 3))),
+        Some(_) => Err(RespError::Form),
+    }
+}
+
+impl Decoder for RespCodec {
+    type Item = Vec<Bytes>;
+    type Error = RespError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
+        let Some((words, mut at)) = number(src, b'*', WORDS)? else { return Ok(None) };
+        let mut places = [(0, 0); WORDS];
+        for place in &mut places[..words] {
+            let Some((size, used)) = number(&src[at..], b'$', WORD)? else { return Ok(None) };
+            at += used;
+            if src.len() < at + size + 2 {
+                return Ok(None);
+            }
+            if &src[at + size..at + size + 2] != b"\r\n" {
+                return Err(RespError::Form);
+            }
+            *place = (at, size);
+            at += size + 2;
+        }
+        let array = places[..words].iter().map(|&(at, n)| Bytes::copy_from_slice(&src[at..at + n]));
+        let array = array.collect();
+        src.advance(at);
+        Ok(Some(array))
+    }
+}
+
+impl Encoder<&[&[u8]]> for RespCodec {
+    type Error = RespError;
+
+    fn encode(&mut self, words: &[&[u8]], dst: &mut BytesMut) -> Result<(), RespError> {
+        dst.put_slice(format!("*{}\r\n", words.len()).as_bytes());
+        for w in words {
+            dst.put_slice(format!("${}\r\n", w.len()).as_bytes());
+            dst.put_slice(w);
+            dst.put_slice(b"\r\n");
+        }
+        Ok(())
+    }
+}
+
+/// The fields of an answer: `name=value,name=value` or `-`.
+fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields.split(',').find_map(|f| f.split_once('=').filter(|f| f.0 == name).map(|f| f.1))
+}
+
+/// A load report in the order of the settings' names: `inflight:7;util:0.61`.
+fn report(fields: &str, names: &[String]) -> Vec<f64> {
+    // The settings name the values as the simulator's wire does, the engines as the operators do.
+    let alias = |name: &str| {
+        match name {
+            "rif" => "inflight",
+            "q" => "queue",
+            "busy" => "util",
+            "lat_ms" => "latency_ms",
+            "rate" => "qps",
+            "fail_rate" => "eps",
+            _ => "",
+        }
+        .to_string()
+    };
+    let Some(meter) = field(fields, "meter") else { return vec![] };
+    let told: HashMap<&str, f64> = meter
+        .split(';')
+        .filter_map(|f| f.split_once(':'))
+        .filter_map(|(n, v)| Some((n, v.parse().ok()?)))
+        .collect();
+    let value = |n: &String| told.get(n.as_str()).or_else(|| told.get(alias(n).as_str())).copied();
+    // A report that lacks a value tells nothing that could be trusted.
+    names.iter().map(value).collect::<Option<Vec<f64>>>().unwrap_or_default()
+}
+
+fn note(fields: &str) -> Option<Note> {
+    let value: f64 = field(fields, "datum")?.parse().ok()?;
+    match field(fields, "tell")? {
+        "frac" => Some(Note::Done(value)),
+        "missing" => Some(Note::Spills(value)),
+        "parked" if value == 2.0 => Some(Note::WaitsForLoad),
+        "parked" => Some(Note::WaitsForMemory),
+        _ => None,
+    }
+}
+
+enum Do {
+    Get(String),
+    Drop(String),
+}
+
+/// How far an attempt is on its connection.
+enum Stage {
+    /// Not a byte is written: its end proves that it never ran.
+    Waiting(Start, Rc<Work>),
+    Written,
+    /// Its first page is here.
+    Paging {
+        pages: Vec<Option<Bytes>>,
+        missing: usize,
+        size: usize,
+        report: Vec<f64>,
+    },
+}
+
+struct Pending {
+    attempt: AttemptId,
+    stage: Stage,
+}
+
+struct Connection {
+    number: u64,
+    address: SocketAddr,
+    opened: Millis,
+    orders: mpsc::Sender<Do>,
+    pending: RefCell<HashMap<String, Pending>>,
+    /// Ids given up here: a late answer to one must not pass for that of a new attempt.
+    given_up: RefCell<HashSet<String>>,
+    closing: Cell<bool>,
+    /// Told to end at once.
+    cut: tokio::sync::Notify,
+}
+
+#[derive(Default)]
+struct Slot {
+    address: Option<SocketAddr>,
+    connections: Vec<Rc<Connection>>,
+}
+
+struct Shared {
+    engines: RefCell<HashMap<String, Slot>>,
+    /// Where each attempt is: its connection and its id there.
+    attempts: RefCell<HashMap<AttemptId, (Rc<Connection>, String)>>,
+    sockets: Sockets,
+    report_fields: Vec<String>,
+    pool: Pool,
+    next: Cell<u64>,
+}
+
+pub struct RespLeg(Rc<Shared>);
+
+impl RespLeg {
+    pub fn new(sockets: Sockets, report_fields: Vec<String>, pool: Pool) -> Self {
+        RespLeg(Rc::new(Shared {
+            engines: RefCell::default(),
+            attempts: RefCell::default(),
+            sockets,
+            report_fields,
+            pool,
+            next: Cell::new(0),
+        }))
+    }
+
+    /// A connection to the engine with room for this id, or a new one.
+    fn connection(&self, hub: &Rc<Hub<Self>>, engine: &str, txn: &str) -> Option<Rc<Connection>> {
+        let mut engines = self.0.engines.borrow_mut();
+        let slot = engines.get_mut(engine)?;
+        let address = slot.address?;
+        let fits = |c: &&Rc<Connection>| {
+            let (pending, given_up) = (c.pending.borrow(), c.given_up.borrow());
+            !c.closing.get()
+                && pending.len() < self.0.sockets.streams
+                && !pending.contains_key(txn)
+                && !given_up.contains(txn)
+                && given_up.len() < REMEMBERED
+        };
+        if let Some(c) = slot.connections.iter().find(fits) {
+            return Some(c.clone());
+        }
+        if slot.connections.len() >= CONNECTIONS {
+            return None;
+        }
+        let (orders, inbox) = mpsc::channel(QUEUE);
+        let number = self.0.next.get();
+        self.0.next.set(number + 1);
+        let connection = Rc::new(Connection {
+            number,
+            address,
+            opened: unix_ms(),
+            orders,
+            pending: RefCell::default(),
+            given_up: RefCell::default(),
+            closing: Cell::new(false),
+            cut: tokio::sync::Notify::new(),
+        });
+        slot.connections.push(connection.clone());
+        let (shared, hub, mine) = (self.0.clone(), Rc::downgrade(hub), connection.clone());
+        let engine = engine.to_string();
+        tokio::task::spawn_local(async move {
+            if let Err(e) = shared.run(&hub, &engine, &mine, inbox).await {
+                say!("engine {engine} at {}: {e}", mine.address);
+            }
+            shared.close(&hub, &engine, &mine);
+        });
+        Some(connection)
+    }
+}
+
+impl Leg for RespLeg {
+    type Work = Work;
+    type Output = Buffer;
+
+    fn start(&self, hub: &Rc<Hub<Self>>, start: Start, work: Rc<Work>) {
+        let attempt = start.attempt;
+        let Some(c) = self.connection(hub, &start.engine, &work.txn) else {
+            return hub.ended(attempt, Outcome::Unreachable, vec![]);
+        };
+        let txn = work.txn.clone();
+        let pending = Pending { attempt, stage: Stage::Waiting(start, work) };
+        if c.orders.try_send(Do::Get(txn.clone())).is_err() {
+            return hub.ended(attempt, Outcome::Unreachable, vec![]);
+        }
+        c.pending.borrow_mut().insert(txn.clone(), pending);
+        self.0.attempts.borrow_mut().insert(attempt, (c, txn));
+    }
+
+    fn drop_attempt(&self, attempt: AttemptId) {
+        let Some((c, txn)) = self.0.attempts.borrow_mut().remove(&attempt) else { return };
+        let pending = c.pending.borrow_mut().remove(&txn);
+        if let Some(Pending { stage: Stage::Written | Stage::Paging { .. }, .. }) = pending {
+            c.given_up.borrow_mut().insert(txn.clone());
+            if c.orders.try_send(Do::Drop(txn)).is_err() {
+                // It takes no orders any more: closing gives up all that is on it.
+                c.closing.set(true);
+                c.cut.notify_one();
+            }
+        }
+    }
+
+    /// An address may pass to another engine, or a process start again under its id: connections from before
+    /// lead to nobody.
+    fn change(&self, change: &Change) {
+        let mut engines = self.0.engines.borrow_mut();
+        if change.update != ListUpdate::Patch {
+            let listed: HashSet<&str> = change.engines.iter().map(|e| e.id.as_str()).collect();
+            for (_, slot) in engines.iter_mut().filter(|(id, _)| !listed.contains(id.as_str())) {
+                slot.address = None;
+            }
+        }
+        for e in &change.engines {
+            if let Some(address) = e.address {
+                for (id, slot) in engines.iter_mut() {
+                    if *id != e.id && slot.address == Some(address) && e.state != EngineState::Gone {
+                        slot.address = None;
+                        slot.connections.iter().for_each(|c| c.end());
+                    }
+                }
+            }
+            let slot = engines.entry(e.id.clone()).or_default();
+            for c in &slot.connections {
+                let moved = e.address.is_some_and(|a| a != c.address);
+                if moved || e.started.is_some_and(|t| c.opened < t) || e.state == EngineState::Gone {
+                    c.end();
+                }
+            }
+            slot.address = match e.state {
+                EngineState::Gone => None,
+                _ => e.address.or(slot.address),
+            };
+        }
+        engines.retain(|_, s| s.address.is_some() || !s.connections.is_empty());
+    }
+}
+
+impl Connection {
+    fn end(&self) {
+        self.closing.set(true);
+        self.cut.notify_one();
+    }
+}
+
+type Wire = Framed<TcpStream, RespCodec>;
+
+impl Shared {
+    async fn run(
+        &self,
+        hub: &Weak<Hub<RespLeg>>,
+        engine: &str,
+        c: &Connection,
+        mut inbox: mpsc::Receiver<Do>,
+    ) -> Result<(), RespError> {
+        let connect = tokio::time::timeout(span(self.sockets.connect_timeout), TcpStream::connect(c.address));
+        let tcp = tokio::select! {
+            tcp = connect => tcp.map_err(io::Error::from)??,
+            () = c.cut.notified() => return Ok(()),
+        };
+        tcp.set_nodelay(true)?;
+        let (mut read_buffer, mut write_buffer) = (self.pool.take(), self.pool.take());
+        let mut parts = FramedParts::new::<&[&[u8]]>(tcp, RespCodec);
+        parts.read_buf = std::mem::take(&mut *read_buffer);
+        parts.write_buf = std::mem::take(&mut *write_buffer);
+        let mut framed = Framed::from_parts(parts);
+        let result = self.converse(hub, engine, c, &mut inbox, &mut framed).await;
+        let parts = framed.into_parts();
+        *read_buffer = parts.read_buf;
+        *write_buffer = parts.write_buf;
+        result
+    }
+
+    async fn converse(
+        &self,
+        hub: &Weak<Hub<RespLeg>>,
+        engine: &str,
+        c: &Connection,
+        inbox: &mut mpsc::Receiver<Do>,
+        framed: &mut Wire,
+    ) -> Result<(), RespError> {
+        // Closed by us well before the engine does: a request must not cross its close.
+        let idle = span(self.sockets.idle * 0.8);
+        loop {
+            tokio::select! {
+                biased;
+                () = c.cut.notified() => return Ok(()),
+                order = inbox.recv() => {
+                    let Some(order) = order else { return Ok(()) };
+                    self.order(hub, engine, c, order, framed).await?;
+                    while let Ok(order) = inbox.try_recv() {
+                        self.order(hub, engine, c, order, framed).await?;
+                    }
+                    self.flush(framed).await?;
+                }
+                answer = framed.next() => {
+                    let Some(answer) = answer else { return Ok(()) };
+                    if self.answer(hub, c, &answer?, framed).await? {
+                        self.flush(framed).await?;
+                    }
+                }
+                () = tokio::time::sleep(idle), if c.pending.borrow().is_empty() => {
+                    c.closing.set(true);
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    async fn flush(&self, framed: &mut Wire) -> Result<(), RespError> {
+        let flush = SinkExt::<&[&[u8]]>::flush(framed);
+        tokio::time::timeout(WRITE, flush).await.map_err(io::Error::from)?
+    }
+
+    async fn feed(&self, framed: &mut Wire, words: &[&[u8]]) -> Result<(), RespError> {
+        tokio::time::timeout(WRITE, framed.feed(words)).await.map_err(io::Error::from)?
+    }
+
+    async fn order(
+        &self,
+        hub: &Weak<Hub<RespLeg>>,
+        engine: &str,
+        c: &Connection,
+        order: Do,
+        framed: &mut Wire,
+    ) -> Result<(), RespError> {
+        let txn = match order {
+            Do::Drop(txn) => return self.feed(framed, &[b"DROP", txn.as_bytes()]).await,
+            Do::Get(txn) => txn,
+        };
+        let Some(hub) = hub.upgrade() else { return Ok(()) };
+        let (start, work) = {
+            let mut pending = c.pending.borrow_mut();
+            // Given up before a byte of it was written.
+            let Some(p) = pending.get_mut(&txn) else { return Ok(()) };
+            // From here on it counts as reached, even if the write breaks off half way.
+            match std::mem::replace(&mut p.stage, Stage::Written) {
+                Stage::Waiting(start, work) => (start, work),
+                other => {
+                    p.stage = other;
+                    return Ok(());
+                }
+            }
+        };
+        let left = start.until - unix_ms();
+        // The connection took its time: the engine may drain by now, or the time be over. It never ran.
+        if left < 1.0 || !hub.in_service(engine) {
+            self.forget(c, &txn, start.attempt);
+            let outcome = if left < 1.0 { Outcome::Moot } else { Outcome::Unreachable };
+            hub.ended(start.attempt, outcome, vec![]);
+            return Ok(());
+        }
+        let mut fields = format!("cls={},limit={}", work.class, left as u64);
+        if start.memory_mb >= 1.0 {
+            fields.push_str(&format!(",pool={}", start.memory_mb.round() as u64));
+        }
+        self.feed(framed, &[b"GET", txn.as_bytes(), fields.as_bytes(), &work.statement]).await
+    }
+
+    fn forget(&self, c: &Connection, txn: &str, attempt: AttemptId) {
+        c.pending.borrow_mut().remove(txn);
+        self.attempts.borrow_mut().remove(&attempt);
+    }
+
+    /// Takes an engine's answer; true if something was written in return.
+    async fn answer(
+        &self,
+        hub: &Weak<Hub<RespLeg>>,
+        c: &Connection,
+        words: &[Bytes],
+        framed: &mut Wire,
+    ) -> Result<bool, RespError> {
+        let Some(hub) = hub.upgrade() else { return Ok(false) };
+        let [id, word, rest @ ..] = words else { return Err(RespError::Form) };
+        let (Ok(txn), Ok(word)) = (std::str::from_utf8(id), std::str::from_utf8(word)) else {
+            return Err(RespError::Form);
+        };
+        let fields = rest.first().map(|f| String::from_utf8_lossy(f)).unwrap_or_default();
+        let body = rest.get(1).cloned().unwrap_or_default();
+        // Late: nobody waits for it any more.
+        let Some(attempt) = c.pending.borrow().get(txn).map(|p| p.attempt) else { return Ok(false) };
+        let told = || report(&fields, &self.report_fields);
+        let outcome = match word {
+            "EVENT" => {
+                if let Some(note) = note(&fields) {
+                    hub.note(attempt, note);
+                }
+                return Ok(false);
+            }
+            "ACK" => {
+                let total = field(&fields, "total").and_then(|t| t.parse().ok()).unwrap_or(1usize);
+                if !(1..=PAGES).contains(&total) || body.len() > RESULT {
+                    return Err(RespError::Length(total));
+                }
+                let (size, mut pages) = (body.len(), vec![None; total]);
+                pages[0] = Some(body);
+                let stage = Stage::Paging { pages, missing: total - 1, size, report: told() };
+                if let Some(p) = c.pending.borrow_mut().get_mut(txn) {
+                    p.stage = stage;
+                }
+                for n in 1..total {
+                    self.feed(framed, &[b"PAGE", id, n.to_string().as_bytes()]).await?;
+                }
+                hub.answering(attempt);
+                self.whole(&hub, c, txn, attempt);
+                return Ok(total > 1);
+            }
+            "BLOCK" => {
+                let index = field(&fields, "index").and_then(|t| t.parse::<usize>().ok());
+                if let Some(Pending { stage: Stage::Paging { pages, missing, size, .. }, .. }) =
+                    c.pending.borrow_mut().get_mut(txn)
+                    && let Some(place) = index.and_then(|i| pages.get_mut(i))
+                    && place.is_none()
+                {
+                    *size += body.len();
+                    if *size > RESULT {
+                        return Err(RespError::Length(*size));
+                    }
+                    *place = Some(body);
+                    *missing -= 1;
+                }
+                hub.answering(attempt);
+                self.whole(&hub, c, txn, attempt);
+                return Ok(false);
+            }
+            "AGAIN" => Outcome::Full,
+            "STALE" => Outcome::Moot,
+            "EIO" => Outcome::Error,
+            "READY" => return Ok(false),
+            other => {
+                say!("engine at {}: unknown word {other:?}", c.address);
+                Outcome::Error
+            }
+        };
+        self.forget(c, txn, attempt);
+        hub.ended(attempt, outcome, told());
+        Ok(false)
+    }
+
+    /// Once all pages are here, the result goes on in one piece.
+    fn whole(&self, hub: &Rc<Hub<RespLeg>>, c: &Connection, txn: &str, attempt: AttemptId) {
+        let whole = |p: &Pending| matches!(p.stage, Stage::Paging { missing: 0, .. });
+        if !c.pending.borrow().get(txn).is_some_and(whole) {
+            return;
+        }
+        let pending = c.pending.borrow_mut().remove(txn);
+        self.attempts.borrow_mut().remove(&attempt);
+        if let Some(Pending { stage: Stage::Paging { pages, report, .. }, .. }) = pending {
+            let mut result = self.pool.take();
+            pages.iter().flatten().for_each(|p| result.extend_from_slice(p));
+            hub.served(attempt, report, result);
+        }
+    }
+
+    /// The connection has ended: what was written on it may have run, the rest never did.
+    fn close(&self, hub: &Weak<Hub<RespLeg>>, engine: &str, c: &Rc<Connection>) {
+        c.closing.set(true);
+        if let Some(slot) = self.engines.borrow_mut().get_mut(engine) {
+            slot.connections.retain(|o| o.number != c.number);
+        }
+        let pending = std::mem::take(&mut *c.pending.borrow_mut());
+        let Some(hub) = hub.upgrade() else { return };
+        for p in pending.into_values() {
+            self.attempts.borrow_mut().remove(&p.attempt);
+            let never = matches!(p.stage, Stage::Waiting(..));
+            hub.ended(p.attempt, if never { Outcome::Unreachable } else { Outcome::Reset }, vec![]);
+        }
+    }
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -13,7 +13,7 @@
 const COMMIT: &str = r#"{"type":"commit"}"#;
 
 fn run(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_garnetdrum-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hitchwinch-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Scripted events for one gateway.
 #![allow(dead_code)]
 
-use garnetdrum::*;
+use hitchwinch::*;
 
 pub fn class(worth: f64, aim: f64) -> Class {
     Class {
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use garnetdrum::*;
+use hitchwinch::*;
 
 fn two_classes() -> Vec<Class> {
     vec![class(1.0, 800.0), Class { threads: 3.0, ..class(4.0, 2000.0) }]
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use garnetdrum::*;
+use hitchwinch::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use garnetdrum::*;
+use hitchwinch::*;
 
 fn draining(engine: &str) -> Event {
     let entries = vec![EngineEntry { state: EngineState::Draining, ..entry(engine) }];
