--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -36,6 +36,8 @@
     Failed {
         why: &'static str,
     },
+    /// The time is over; `harmless` tells that a retry does no harm.
+    TimedOut { harmless: bool },
 }
 
 /// What the adapters have to do.
@@ -71,6 +73,8 @@
     class: ClassId,
     due: Millis,
     answered: bool,
+    /// Its time is over: whatever final answer the module words now tells the client that.
+    expired: bool,
     attempts: Vec<Attempt>,
 }
 
@@ -144,7 +148,7 @@
             self.commands.push(Command::Answer { request: id, answer });
             return id;
         }
-        self.requests.insert(id, Request { class: r.class, due, answered: false, attempts: vec![] });
+        self.requests.insert(id, Request { class: r.class, due, answered: false, expired: false, attempts: vec![] });
         self.due.insert((bits(due), id));
         let query = Query {
             id,
@@ -264,8 +268,9 @@
 
     /// The last moment of a request: what is out has timed out, and the answer is given in any case.
     fn expire(&mut self, now: Millis, id: RequestId) {
-        let Some(r) = self.requests.get(&id).filter(|r| !r.answered) else { return };
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         let over = r.due <= now;
+        r.expired |= over;
         let late = |k: &u32| {
             let a = &r.attempts[*k as usize];
             a.out && (over || a.until <= now)
@@ -388,6 +393,13 @@
         if let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) {
             r.answered = true;
             self.touched.push(id);
+            // Guards the rule whatever the module says: only what cannot have run twice is called harmless.
+            let harmless = !self.unsafe_class[r.class] || r.attempts.iter().all(|a| !a.may_have_run);
+            let answer = match answer {
+                Answer::Refused { .. } | Answer::Failed { .. } if r.expired => Answer::TimedOut { harmless },
+                Answer::Refused { .. } if !harmless => Answer::Failed { why: "it may have run" },
+                other => other,
+            };
             self.commands.push(Command::Answer { request: id, answer });
         }
     }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -1,8 +1,10 @@
 //! Where the list of engines comes from: the platform's journal or a Eureka registry. Both tell the same
 //! changes, in order, through one trait.
 
+pub mod eureka;
 pub mod journal;
 
+use crate::config::FixedEngine;
 use crate::interface::{EngineState, ListUpdate, Millis};
 use std::net::SocketAddr;
 
@@ -35,3 +37,17 @@
 pub trait Discovery {
     fn run(self, sink: Sink) -> impl Future<Output = ()>;
 }
+
+/// The one change that a list in a file makes.
+pub fn fixed(engines: &[FixedEngine]) -> Change {
+    let engine = |e: &FixedEngine| Engine {
+        id: e.id.clone(),
+        address: Some(e.address),
+        state: EngineState::Ready,
+        zone: e.zone.clone(),
+        kind: e.kind.clone(),
+        cell: 0,
+        started: None,
+    };
+    Change { update: ListUpdate::Whole, engines: engines.iter().map(engine).collect() }
+}
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -3,7 +3,7 @@
 use crate::config::find;
 use crate::core::{NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
-use crate::net::pool::{Buffer, Pool};
+use crate::net::pool::{self, Buffer, Pool};
 use crate::net::{span, statement, unix_ms};
 use crate::say;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
-use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
+use tokio_util::codec::{Decoder, Encoder};
 
 pub const REQUEST: u8 = 2;
 pub const ANSWER: u8 = 4;
@@ -287,19 +287,10 @@
     tcp: TcpStream,
 ) -> Result<(), FrameError> {
     tcp.set_nodelay(true)?;
-    let (mut read_buffer, mut write_buffer) = (front.pool.take(), front.pool.take());
-    let mut parts = FramedParts::new::<Send<'_>>(tcp, FrameCodec);
-    parts.read_buf = std::mem::take(&mut *read_buffer);
-    parts.write_buf = std::mem::take(&mut *write_buffer);
-    let mut framed = Framed::from_parts(parts);
-    let result = converse(front, &mut framed).await;
-    let parts = framed.into_parts();
-    *read_buffer = parts.read_buf;
-    *write_buffer = parts.write_buf;
-    result
+    converse(front, &mut Wire::new(&front.pool, tcp, FrameCodec)).await
 }
 
-type Wire = Framed<TcpStream, FrameCodec>;
+type Wire = pool::Wire<FrameCodec>;
 
 async fn send(framed: &mut Wire, frame: Send<'_>) -> Result<(), FrameError> {
     tokio::time::timeout(WRITE, framed.send(frame)).await.map_err(io::Error::from)?
@@ -376,6 +367,8 @@
             (REFUSED, why.as_bytes())
         }
         Reply::Failed { why } => (FAILED, why.as_bytes()),
+        Reply::TimedOut { harmless: true } => (REFUSED, b"the time is over"),
+        Reply::TimedOut { harmless: false } => (FAILED, b"the time is over; it may have run"),
     };
     send(framed, Send { kind: ANSWER, stream, code: Some(code), fields, body }).await
 }
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -37,6 +37,8 @@
     Served(O),
     Refused { later: Option<Millis>, why: &'static str },
     Failed { why: &'static str },
+    /// The time is over; `harmless` tells that a retry does no harm.
+    TimedOut { harmless: bool },
 }
 
 type Answerer<O> = Box<dyn FnOnce(Reply<O>)>;
@@ -174,6 +176,7 @@
                     (Answer::Served(_), None) => Reply::Failed { why: "the result was lost" },
                     (Answer::Refused { later, why }, _) => Reply::Refused { later, why },
                     (Answer::Failed { why }, _) => Reply::Failed { why },
+                    (Answer::TimedOut { harmless }, _) => Reply::TimedOut { harmless },
                 };
                 (open.answer)(reply);
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod discovery;
 pub mod frames;
 pub mod hub;
+pub mod mysql;
 pub mod pool;
 pub mod resp;
 pub mod statement;
--- /dev/null
+++ b/src/net/mysql/leg.rs
@@ -0,0 +1,550 @@
+//! The engine leg of MySQL: pooled connections that carry one command at a time. Statements are prepared on
+//! each connection when it first needs them.
+
+use super::packet::*;
+use super::{Execute, Job, Packets, SqlError, Work, auth, code};
+use crate::config::{Access, Sockets};
+use crate::core::AttemptId;
+use crate::interface::*;
+use crate::net::discovery::Change;
+use crate::net::hub::{Hub, Leg, Start};
+use crate::net::pool::{Pool, Wire};
+use crate::net::{span, unix_ms};
+use crate::say;
+use bytes::{BufMut, Bytes};
+use futures_util::{FutureExt, SinkExt};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio_stream::StreamExt;
+
+/// Statements that one connection keeps prepared; the oldest makes room.
+const STATEMENTS: usize = 64;
+/// Kills under way at a time; beyond, closing the connection has to do.
+const KILLS: usize = 16;
+
+type Key = (Option<String>, Bytes);
+
+struct Connection {
+    wire: Wire<PacketCodec>,
+    /// Its number at the engine, by which it can be killed.
+    number: u32,
+    address: SocketAddr,
+    schema: Option<String>,
+    statements: HashMap<Key, u32>,
+    oldest: VecDeque<Key>,
+    opened: Millis,
+    used: Instant,
+}
+
+#[derive(Default)]
+struct Slot {
+    address: Option<SocketAddr>,
+    idle: Vec<Connection>,
+    /// Connections, idle or not.
+    open: usize,
+}
+
+struct Running {
+    task: AbortHandle,
+    engine: String,
+    opened: Millis,
+    /// The connection's address and number, once a byte of the command is written.
+    written: Rc<Cell<Option<(SocketAddr, u32)>>>,
+    /// Its connection leads to nobody any more.
+    cut: Rc<Notify>,
+}
+
+struct Shared {
+    engines: RefCell<HashMap<String, Slot>>,
+    running: RefCell<HashMap<AttemptId, Running>>,
+    kills: Cell<usize>,
+    access: Access,
+    sockets: Sockets,
+    pool: Pool,
+}
+
+pub struct MysqlLeg(Rc<Shared>);
+
+/// One of an engine's connections; gives its place back when it ends, however its task ends.
+struct Place<'a> {
+    shared: &'a Shared,
+    engine: &'a str,
+    kept: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if !self.kept
+            && let Some(slot) = self.shared.engines.borrow_mut().get_mut(self.engine)
+        {
+            slot.open = slot.open.saturating_sub(1);
+        }
+    }
+}
+
+impl MysqlLeg {
+    pub fn new(access: Access, sockets: Sockets, pool: Pool) -> Self {
+        MysqlLeg(Rc::new(Shared {
+            engines: RefCell::default(),
+            running: RefCell::default(),
+            kills: Cell::new(0),
+            access,
+            sockets,
+            pool,
+        }))
+    }
+}
+
+impl Leg for MysqlLeg {
+    type Work = Work;
+    type Output = Packets;
+
+    fn start(&self, hub: &Rc<Hub<Self>>, start: Start, work: Rc<Work>) {
+        let attempt = start.attempt;
+        let written = Rc::new(Cell::new(None));
+        let cut = Rc::new(Notify::new());
+        let (shared, weak, mark) = (self.0.clone(), Rc::downgrade(hub), written.clone());
+        let cut_here = cut.clone();
+        let engine = start.engine.clone();
+        let task = spawn_local(async move {
+            let end = shared.attempt(&start, &work, &mark, &cut_here, || {
+                weak.upgrade().is_some_and(|hub| hub.in_service(&start.engine))
+            });
+            let end = end.await;
+            shared.running.borrow_mut().remove(&attempt);
+            let Some(hub) = weak.upgrade() else { return };
+            match end {
+                Ok(packets) => hub.served(attempt, vec![], packets),
+                Err(outcome) => hub.ended(attempt, outcome, vec![]),
+            }
+        });
+        let running = Running { task: task.abort_handle(), engine, opened: unix_ms(), written, cut };
+        self.0.running.borrow_mut().insert(attempt, running);
+    }
+
+    /// Ends the attempt's connection. An engine goes on with a statement whose client has gone, so a written
+    /// one is also killed from beside.
+    fn drop_attempt(&self, attempt: AttemptId) {
+        let Some(running) = self.0.running.borrow_mut().remove(&attempt) else { return };
+        running.task.abort();
+        let Some((address, number)) = running.written.get() else { return };
+        if self.0.kills.get() < KILLS {
+            let shared = self.0.clone();
+            shared.kills.set(shared.kills.get() + 1);
+            spawn_local(async move {
+                let limit = span(4.0 * shared.sockets.connect_timeout);
+                let kill = tokio::time::timeout(limit, shared.kill(address, number)).await;
+                shared.kills.set(shared.kills.get() - 1);
+                if !matches!(kill, Ok(Ok(()))) {
+                    say!("engine at {address}: connection {number} could not be killed");
+                }
+            });
+        }
+    }
+
+    fn change(&self, change: &Change) {
+        let mut engines = self.0.engines.borrow_mut();
+        let mut lost: HashMap<String, Millis> = HashMap::new();
+        if change.update != ListUpdate::Patch {
+            let listed: HashSet<&str> = change.engines.iter().map(|e| e.id.as_str()).collect();
+            for (_, slot) in engines.iter_mut().filter(|(id, _)| !listed.contains(id.as_str())) {
+                slot.address = None;
+                slot.idle.clear();
+            }
+        }
+        for e in &change.engines {
+            // Its address may have been another engine's until now: what is open there leads to nobody.
+            for (id, slot) in engines.iter_mut().filter(|(id, _)| **id != e.id) {
+                if e.address.is_some() && slot.address == e.address && e.state != EngineState::Gone {
+                    slot.address = None;
+                    slot.idle.clear();
+                    lost.insert(id.clone(), f64::INFINITY);
+                }
+            }
+            let slot = engines.entry(e.id.clone()).or_default();
+            if slot.address.is_some() && e.address.is_some() && slot.address != e.address {
+                slot.idle.clear();
+                lost.insert(e.id.clone(), f64::INFINITY);
+            }
+            if let Some(started) = e.started {
+                slot.idle.retain(|c| c.opened >= started);
+                lost.entry(e.id.clone()).or_insert(started);
+            }
+            slot.address = (e.state != EngineState::Gone).then(|| e.address.or(slot.address)).flatten();
+            if e.state != EngineState::Ready {
+                slot.idle.clear();
+            }
+        }
+        let running = self.0.running.borrow();
+        for r in running.values().filter(|r| lost.get(&r.engine).is_some_and(|t| r.opened < *t)) {
+            r.cut.notify_one();
+        }
+    }
+}
+
+impl Shared {
+    /// Carries one attempt out; an error is its outcome.
+    async fn attempt(
+        &self,
+        start: &Start,
+        work: &Work,
+        written: &Cell<Option<(SocketAddr, u32)>>,
+        cut: &Notify,
+        in_service: impl Fn() -> bool,
+    ) -> Result<Packets, Outcome> {
+        let idle = self.take(&start.engine, work)?;
+        let place = Place { shared: self, engine: &start.engine, kept: false };
+        let mut c = match idle {
+            Some(c) => c,
+            None => match self.connect(&start.engine).await {
+                Ok(c) => c,
+                Err(e) => {
+                    say!("engine {}: {e}", start.engine);
+                    let full = matches!(&e, PacketError::Sql(e) if full(e.code));
+                    return Err(if full { Outcome::Full } else { Outcome::Unreachable });
+                }
+            },
+        };
+        let result = tokio::select! {
+            result = self.run(&mut c, work, written, &in_service, start.until) => result,
+            () = cut.notified() => Err(io::Error::from(io::ErrorKind::ConnectionReset).into()),
+        };
+        let wrote = written.take().is_some();
+        match result {
+            Ok(packets) => {
+                let outcome = verdict(&packets);
+                c.used = Instant::now();
+                self.give(place, c);
+                outcome.map_or(Ok(packets), Err)
+            }
+            // The statement ran and a second run would bring as much: that is the answer.
+            Err(PacketError::Length(n)) if wrote => {
+                let mut packets = Packets::default();
+                let text = format!("the result is above the bound of {} bytes", self.access.most_result);
+                say!("engine {}: a result of {n} bytes or more", start.engine);
+                packets.push(&err(&SqlError::new(code::RESULT, text)));
+                Ok(packets)
+            }
+            Err(PacketError::Sql(e)) if !wrote && !full(e.code) && !passing(e.code) => {
+                // The schema or the statement is wrong: no other engine would say otherwise.
+                let mut packets = Packets::default();
+                packets.push(&err(&e));
+                self.give(place, c);
+                Ok(packets)
+            }
+            Err(e) => {
+                say!("engine {}: {e}", start.engine);
+                Err(match (wrote, &e) {
+                    (false, PacketError::Sql(e)) if full(e.code) => Outcome::Full,
+                    (false, _) => Outcome::Unreachable,
+                    (true, PacketError::Io(_)) => Outcome::Reset,
+                    (true, _) => Outcome::Error,
+                })
+            }
+        }
+    }
+
+    /// An idle connection, preferably one that knows the statement; none, if a new one may be opened.
+    fn take(&self, engine: &str, work: &Work) -> Result<Option<Connection>, Outcome> {
+        let mut engines = self.engines.borrow_mut();
+        let slot = engines.get_mut(engine).ok_or(Outcome::Unreachable)?;
+        let idle = span(self.sockets.idle * 0.8);
+        let before = slot.idle.len();
+        // One that the engine has closed meanwhile, or has said something on, must not get a statement: what
+        // breaks after the write may have run.
+        slot.idle.retain_mut(|c| c.used.elapsed() < idle && c.wire.next().now_or_never().is_none());
+        slot.open -= before - slot.idle.len();
+        let key = (work.schema.clone(), work.sql.clone());
+        // A connection cannot leave all schemas again: a session without one needs a fresh connection.
+        let fits = |c: &Connection| work.schema.is_some() || c.schema.is_none();
+        let known = slot.idle.iter().rposition(|c| fits(c) && c.statements.contains_key(&key));
+        if let Some(i) = known.or_else(|| slot.idle.iter().rposition(fits)) {
+            return Ok(Some(slot.idle.swap_remove(i)));
+        }
+        if slot.open >= self.access.connections {
+            // One that does not fit makes room for one that does.
+            if slot.idle.pop().is_none() {
+                return Err(Outcome::Full);
+            }
+            slot.open -= 1;
+        }
+        slot.open += 1;
+        Ok(None)
+    }
+
+    /// Keeps a connection for later, if its engine is still where it was.
+    fn give(&self, mut place: Place<'_>, c: Connection) {
+        let mut engines = self.engines.borrow_mut();
+        if let Some(slot) = engines.get_mut(place.engine).filter(|s| s.address == Some(c.address)) {
+            slot.idle.push(c);
+            place.kept = true;
+        }
+    }
+
+    async fn connect(&self, engine: &str) -> Result<Connection, PacketError> {
+        let address = self.engines.borrow().get(engine).and_then(|s| s.address);
+        let address = address.ok_or(PacketError::Protocol("it has no address"))?;
+        self.open(address).await
+    }
+
+    /// Connects and logs in, each within the time for a connection.
+    async fn open(&self, address: SocketAddr) -> Result<Connection, PacketError> {
+        let limit = span(self.sockets.connect_timeout);
+        let opened = unix_ms();
+        let tcp = tokio::time::timeout(limit, TcpStream::connect(address)).await.map_err(io::Error::from)??;
+        tcp.set_nodelay(true)?;
+        let codec = PacketCodec { most: self.access.most_packet, sequence: 0 };
+        let mut wire = Wire::new(&self.pool, tcp, codec);
+        let login = tokio::time::timeout(limit, self.log_in(&mut wire));
+        let number = login.await.map_err(io::Error::from)??;
+        Ok(Connection {
+            wire,
+            number,
+            address,
+            schema: None,
+            statements: HashMap::new(),
+            oldest: VecDeque::new(),
+            opened,
+            used: Instant::now(),
+        })
+    }
+
+    async fn log_in(&self, wire: &mut Wire<PacketCodec>) -> Result<u32, PacketError> {
+        let greeting = Greeting::read(next(wire).await?)?;
+        let a = &self.access;
+        let known = auth::proof(&greeting.plugin, &a.password, &greeting.nonce);
+        let (plugin, proof) = match known {
+            Some(proof) => (greeting.plugin, proof),
+            None => (
+                auth::NATIVE.into(),
+                auth::proof(auth::NATIVE, &a.password, &greeting.nonce).unwrap_or_default(),
+            ),
+        };
+        let login = Login { user: a.user.clone(), auth: proof, schema: None, plugin };
+        wire.send(&login.write(a.most_packet as u32)[..]).await?;
+        loop {
+            let p = next(wire).await?;
+            match p.first() {
+                Some(0) => return Ok(greeting.connection),
+                Some(0xff) => return Err(PacketError::Sql(read_err(&p))),
+                Some(0xfe) => {
+                    let mut r = Reader(p.slice(1..));
+                    let plugin = r.text();
+                    let nonce = r.0.strip_suffix(&[0]).unwrap_or(&r.0);
+                    let proof = auth::proof(&plugin, &a.password, nonce)
+                        .ok_or(PacketError::Protocol("it asks for an unknown way of authentication"))?;
+                    wire.send(&proof[..]).await?;
+                }
+                Some(1) if p.get(1) == Some(&3) => {}
+                _ => return Err(PacketError::Protocol("it asks for a password over an open line")),
+            }
+        }
+    }
+
+    async fn kill(&self, address: SocketAddr, number: u32) -> Result<(), PacketError> {
+        let mut c = self.open(address).await?;
+        let sql = format!("KILL {number}");
+        command(&mut c.wire, QUERY, &[sql.as_bytes()]).await?;
+        next(&mut c.wire).await?;
+        command(&mut c.wire, QUIT, &[]).await
+    }
+
+    /// Runs the work on a connection. `written` is set right before the first byte that may make it run:
+    /// whatever fails earlier proves that it never did.
+    async fn run(
+        &self,
+        c: &mut Connection,
+        work: &Work,
+        written: &Cell<Option<(SocketAddr, u32)>>,
+        in_service: &impl Fn() -> bool,
+        until: Millis,
+    ) -> Result<Packets, PacketError> {
+        if work.schema.is_some() && c.schema != work.schema {
+            let schema = work.schema.as_deref().unwrap_or_default();
+            command(&mut c.wire, INIT_DB, &[schema.as_bytes()]).await?;
+            let p = next(&mut c.wire).await?;
+            if p.first() == Some(&0xff) {
+                return Err(PacketError::Sql(read_err(&p)));
+            }
+            c.schema = work.schema.clone();
+        } else if work.schema.is_none() && c.schema.is_some() {
+            return Err(PacketError::Protocol("the connection stands in a schema"));
+        }
+        let mark = (c.address, c.number);
+        let gate = || -> Result<(), PacketError> {
+            // The connection took its time: the engine may drain by now, or the time be over.
+            if !in_service() || unix_ms() >= until {
+                return Err(PacketError::Protocol("no longer in service, or too late"));
+            }
+            Ok(())
+        };
+        match &work.job {
+            Job::Query => {
+                gate()?;
+                written.set(Some(mark));
+                command(&mut c.wire, QUERY, &[&work.sql]).await?;
+                self.result(&mut c.wire).await
+            }
+            Job::Prepare => {
+                gate()?;
+                written.set(Some(mark));
+                self.prepare(c, work).await
+            }
+            Job::Execute(e) => {
+                // An engine that no longer knows the statement has not run it: once more, newly prepared.
+                for again in [false, true] {
+                    let key = (work.schema.clone(), work.sql.clone());
+                    let id = match c.statements.get(&key) {
+                        Some(&id) => id,
+                        None => {
+                            let packets = self.prepare(c, work).await?;
+                            if let Some(p) = packets.iter().next().filter(|p| p.first() == Some(&0xff)) {
+                                return Err(PacketError::Sql(read_err(&Bytes::copy_from_slice(p))));
+                            }
+                            *c.statements.get(&key).ok_or(PacketError::Protocol("not prepared"))?
+                        }
+                    };
+                    gate()?;
+                    written.set(Some(mark));
+                    let packets = self.execute(c, id, e).await?;
+                    let unknown = packets.iter().next().is_some_and(|p| {
+                        p.first() == Some(&0xff) && p.get(1..3) == Some(&code::NO_STATEMENT.0.to_le_bytes())
+                    });
+                    if again || !unknown {
+                        return Ok(packets);
+                    }
+                    written.set(None);
+                    c.statements.remove(&key);
+                }
+                Err(PacketError::Protocol("the statement is never known"))
+            }
+        }
+    }
+
+    async fn prepare(&self, c: &mut Connection, work: &Work) -> Result<Packets, PacketError> {
+        command(&mut c.wire, STMT_PREPARE, &[&work.sql]).await?;
+        let mut packets = Packets::default();
+        let first = next(&mut c.wire).await?;
+        packets.push(&first);
+        if first.first() != Some(&0) {
+            return Ok(packets);
+        }
+        let mut r = Reader(first.slice(1..));
+        let (id, columns, params) = (r.u32()?, r.u16()?, r.u16()?);
+        for n in [params, columns] {
+            for _ in 0..if n == 0 { 0 } else { usize::from(n) + 1 } {
+                let p = next(&mut c.wire).await?;
+                packets.push(&p);
+                self.bound(&packets)?;
+            }
+        }
+        // The oldest make room, so that an engine's own bound is never reached.
+        while c.oldest.len() >= STATEMENTS {
+            if let Some(old) = c.oldest.pop_front().and_then(|k| c.statements.remove(&k)) {
+                command(&mut c.wire, STMT_CLOSE, &[&old.to_le_bytes()]).await?;
+            }
+        }
+        let key = (work.schema.clone(), work.sql.clone());
+        c.oldest.retain(|k| *k != key);
+        if let Some(old) = c.statements.insert(key.clone(), id) {
+            command(&mut c.wire, STMT_CLOSE, &[&old.to_le_bytes()]).await?;
+        }
+        c.oldest.push_back(key);
+        Ok(packets)
+    }
+
+    async fn execute(&self, c: &mut Connection, id: u32, e: &Execute) -> Result<Packets, PacketError> {
+        for (parameter, data) in &e.long {
+            let head = [&id.to_le_bytes()[..], &parameter.to_le_bytes()].concat();
+            command(&mut c.wire, STMT_SEND_LONG_DATA, &[&head, data]).await?;
+        }
+        // No cursor, one iteration.
+        let head = [&id.to_le_bytes()[..], &[0, 1, 0, 0, 0]].concat();
+        command(&mut c.wire, STMT_EXECUTE, &[&head, &e.body]).await?;
+        self.result(&mut c.wire).await
+    }
+
+    fn bound(&self, packets: &Packets) -> Result<(), PacketError> {
+        match packets.size() > self.access.most_result {
+            true => Err(PacketError::Length(packets.size())),
+            false => Ok(()),
+        }
+    }
+
+    /// Reads a whole result: an OK, an ERR, or columns and rows up to their end.
+    async fn result(&self, wire: &mut Wire<PacketCodec>) -> Result<Packets, PacketError> {
+        const SEVERAL: PacketError = PacketError::Protocol("several results at once are not carried");
+        let mut packets = Packets::default();
+        let first = next(wire).await?;
+        packets.push(&first);
+        match first.first() {
+            None => return Err(PacketError::Short),
+            Some(0xff) => return Ok(packets),
+            Some(0xfb) => return Err(PacketError::Protocol("it asks for a local file")),
+            Some(0) if ok_status(&first)? & MORE_RESULTS != 0 => return Err(SEVERAL),
+            Some(0) => return Ok(packets),
+            Some(_) => {}
+        }
+        // Columns end with one EOF, rows with another, or with an error.
+        for rows in [false, true] {
+            loop {
+                let p = next(wire).await?;
+                packets.push(&p);
+                self.bound(&packets)?;
+                if let Some(status) = eof_status(&p) {
+                    if status & MORE_RESULTS != 0 {
+                        return Err(SEVERAL);
+                    }
+                    break;
+                }
+                if rows && p.first() == Some(&0xff) {
+                    return Ok(packets);
+                }
+            }
+        }
+        Ok(packets)
+    }
+}
+
+/// The engine had no room: nothing ran.
+fn full(code: u16) -> bool {
+    matches!(code, 1040 | 1203 | 1226)
+}
+
+/// The engine's own trouble, which may have come while it ran: shutdown, a kill, its time limit, a deadlock.
+fn passing(code: u16) -> bool {
+    matches!(code, 1053 | 1205 | 1213 | 1317 | 3024 | 3168)
+}
+
+/// What an engine's error makes of the attempt; none, if it is the statement's own answer.
+fn verdict(packets: &Packets) -> Option<Outcome> {
+    let error = |p: &&[u8]| p.first() == Some(&0xff);
+    let ends = [packets.iter().next(), packets.iter().last()];
+    let p = ends.into_iter().flatten().find(error)?;
+    let number = read_err(&Bytes::copy_from_slice(p)).code;
+    match number {
+        n if full(n) && packets.iter().count() == 1 => Some(Outcome::Full),
+        n if passing(n) => Some(Outcome::Error),
+        _ => None,
+    }
+}
+
+pub async fn next(wire: &mut Wire<PacketCodec>) -> Result<Bytes, PacketError> {
+    wire.next().await.unwrap_or_else(|| Err(io::Error::from(io::ErrorKind::ConnectionReset).into()))
+}
+
+/// Writes one command; a peer that takes no bytes for a while has broken off.
+pub async fn command(wire: &mut Wire<PacketCodec>, kind: u8, parts: &[&[u8]]) -> Result<(), PacketError> {
+    let mut p = Vec::with_capacity(1 + parts.iter().map(|p| p.len()).sum::<usize>());
+    p.put_u8(kind);
+    parts.iter().for_each(|part| p.put_slice(part));
+    wire.codec_mut().sequence = 0;
+    tokio::time::timeout(Duration::from_secs(2), wire.send(&p[..])).await.map_err(io::Error::from)?
+}
--- /dev/null
+++ b/src/net/mysql/mod.rs
@@ -0,0 +1,138 @@
+//! The MySQL front and its engine leg. Sessions belong to the client, connections to the engines, and no
+//! state of a session lives on an engine: that is what lets a session move when its engine drains.
+
+pub mod auth;
+pub mod front;
+pub mod leg;
+pub mod packet;
+pub mod values;
+
+use crate::net::hub::Reply;
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// What a client asked for, as an engine connection can carry it out alone.
+#[derive(Debug)]
+pub struct Work {
+    /// The schema that the session stands in.
+    pub schema: Option<String>,
+    pub sql: Bytes,
+    pub job: Job,
+}
+
+#[derive(Debug)]
+pub enum Job {
+    /// COM_QUERY.
+    Query,
+    /// COM_STMT_PREPARE: brings the statement's parameters and columns.
+    Prepare,
+    /// COM_STMT_EXECUTE, with all that an engine connection needs to run it for the first time.
+    Execute(Execute),
+}
+
+#[derive(Debug)]
+pub struct Execute {
+    /// Null bitmap, `new types` flag, types and values.
+    pub body: Bytes,
+    /// Parameters sent ahead in pieces.
+    pub long: Vec<(u16, Bytes)>,
+}
+
+/// The packets of an engine's answer, without their headers: each behind its length.
+#[derive(Default)]
+pub struct Packets {
+    bytes: BytesMut,
+}
+
+impl Packets {
+    pub fn push(&mut self, payload: &[u8]) {
+        self.bytes.put_u32(payload.len() as u32);
+        self.bytes.put_slice(payload);
+    }
+
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &[u8]> {
+        let mut rest = &self.bytes[..];
+        std::iter::from_fn(move || {
+            let (head, tail) = rest.split_first_chunk::<4>()?;
+            let (payload, tail) = tail.split_at_checked(u32::from_be_bytes(*head) as usize)?;
+            rest = tail;
+            Some(payload)
+        })
+    }
+}
+
+/// An error as a client gets it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SqlError {
+    pub code: u16,
+    pub state: &'static str,
+    pub message: String,
+}
+
+impl SqlError {
+    pub fn new((code, state): (u16, &'static str), message: impl Into<String>) -> Self {
+        SqlError { code, state, message: message.into() }
+    }
+}
+
+/// The codes of this front, all standard ones.
+///
+/// | code | SQLSTATE | when |
+/// | --- | --- | --- |
+/// | 3168 | HY000 | refused: nothing ran, or running it again does no harm; the message says when to come back |
+/// | 3024 | HY000 | the time is over |
+/// | 1317 | 70100 | failed: it may have run |
+/// | 1045 | 28000 | wrong user or password |
+/// | 1040 | 08004 | too many clients |
+/// | 1053 | 08S01 | the dispatcher shuts down |
+/// | 1235 | 42000 | a feature that is not carried: transactions, cursors, LOCAL INFILE, session state |
+/// | 1243 | HY000 | no such prepared statement |
+/// | 1210 | HY000 | parameters that cannot be read |
+/// | 1461 | 42000 | too many prepared statements in the session |
+/// | 1153 | 08S01 | a packet above the bound |
+/// | 1047 | 08S01 | an unknown command |
+/// | 1835 | HY000 | a malformed packet |
+/// | 1104 | 42000 | a result above the bound |
+pub mod code {
+    pub type Code = (u16, &'static str);
+    pub const REFUSED: Code = (3168, "HY000");
+    pub const TIMED_OUT: Code = (3024, "HY000");
+    pub const FAILED: Code = (1317, "70100");
+    pub const ACCESS: Code = (1045, "28000");
+    pub const TOO_MANY: Code = (1040, "08004");
+    pub const SHUTDOWN: Code = (1053, "08S01");
+    pub const NOT_CARRIED: Code = (1235, "42000");
+    pub const NO_STATEMENT: Code = (1243, "HY000");
+    pub const ARGUMENTS: Code = (1210, "HY000");
+    pub const STATEMENTS: Code = (1461, "42000");
+    pub const PACKET: Code = (1153, "08S01");
+    pub const COMMAND: Code = (1047, "08S01");
+    pub const MALFORMED: Code = (1835, "HY000");
+    pub const RESULT: Code = (1104, "42000");
+}
+
+/// How a final answer that brings no result reads to a client.
+pub fn error_of(reply: &Reply<Packets>) -> Option<SqlError> {
+    let again = "sending it again does no harm";
+    Some(match reply {
+        Reply::Served(_) => return None,
+        Reply::Refused { later, why } => {
+            let when = later.map_or(String::new(), |ms| format!(" after {} ms", ms.max(0.0).ceil()));
+            SqlError::new(code::REFUSED, format!("refused: {why}; {again}{when}"))
+        }
+        Reply::TimedOut { harmless: true } => {
+            SqlError::new(code::TIMED_OUT, format!("the statement's time is over; {again}"))
+        }
+        Reply::TimedOut { harmless: false } => SqlError::new(
+            code::TIMED_OUT,
+            "the statement's time is over; it may have run: do not send it again unchecked",
+        ),
+        Reply::Failed { why } => SqlError::new(
+            code::FAILED,
+            format!("failed: {why}; it may have run: do not send it again unchecked"),
+        ),
+    })
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,6 +4,8 @@
 use std::cell::RefCell;
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Decoder, Framed};
 
 /// Holds the largest result (48,000 bytes) with its frame.
 pub const SIZE: usize = 64 * 1024;
@@ -54,6 +56,47 @@
     }
 }
 
+/// A connection whose two buffers are on loan from the pool.
+pub struct Wire<C> {
+    framed: Option<Framed<TcpStream, C>>,
+    pool: Pool,
+}
+
+impl<C> Wire<C> {
+    pub fn new(pool: &Pool, tcp: TcpStream, codec: C) -> Self
+    where
+        C: Decoder,
+    {
+        let mut parts = Framed::new(tcp, codec).into_parts();
+        parts.read_buf = std::mem::take(&mut pool.take().bytes);
+        parts.write_buf = std::mem::take(&mut pool.take().bytes);
+        Wire { framed: Some(Framed::from_parts(parts)), pool: pool.clone() }
+    }
+}
+
+impl<C> Deref for Wire<C> {
+    type Target = Framed<TcpStream, C>;
+    fn deref(&self) -> &Self::Target {
+        self.framed.as_ref().expect("taken only when it is dropped")
+    }
+}
+
+impl<C> DerefMut for Wire<C> {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        self.framed.as_mut().expect("taken only when it is dropped")
+    }
+}
+
+impl<C> Drop for Wire<C> {
+    fn drop(&mut self) {
+        if let Some(framed) = self.framed.take() {
+            let parts = framed.into_parts();
+            self.pool.give(parts.read_buf);
+            self.pool.give(parts.write_buf);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -6,7 +6,7 @@
 use crate::net::discovery::Change;
 use crate::net::frames::Work;
 use crate::net::hub::{Hub, Leg, Start};
-use crate::net::pool::{Buffer, Pool};
+use crate::net::pool::{self, Buffer, Pool};
 use crate::net::{span, unix_ms};
 use crate::say;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_stream::StreamExt;
-use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
+use tokio_util::codec::{Decoder, Encoder};
 
 /// Connections to one engine.
 const CONNECTIONS: usize = 8;
@@ -318,8 +318,11 @@
             let slot = engines.entry(e.id.clone()).or_default();
             for c in &slot.connections {
                 let moved = e.address.is_some_and(|a| a != c.address);
-                if moved || e.started.is_some_and(|t| c.opened < t) || e.state == EngineState::Gone {
+                if moved || e.started.is_some_and(|t| c.opened < t) {
                     c.end();
+                } else if e.state == EngineState::Gone {
+                    // What it still answers counts; a process that has ended resets its connections itself.
+                    c.closing.set(true);
                 }
             }
             slot.address = match e.state {
@@ -338,7 +341,7 @@
     }
 }
 
-type Wire = Framed<TcpStream, RespCodec>;
+type Wire = pool::Wire<RespCodec>;
 
 impl Shared {
     async fn run(
@@ -354,16 +357,8 @@
             () = c.cut.notified() => return Ok(()),
         };
         tcp.set_nodelay(true)?;
-        let (mut read_buffer, mut write_buffer) = (self.pool.take(), self.pool.take());
-        let mut parts = FramedParts::new::<&[&[u8]]>(tcp, RespCodec);
-        parts.read_buf = std::mem::take(&mut *read_buffer);
-        parts.write_buf = std::mem::take(&mut *write_buffer);
-        let mut framed = Framed::from_parts(parts);
-        let result = self.converse(hub, engine, c, &mut inbox, &mut framed).await;
-        let parts = framed.into_parts();
-        *read_buffer = parts.read_buf;
-        *write_buffer = parts.write_buf;
-        result
+        let mut framed = Wire::new(&self.pool, tcp, RespCodec);
+        self.converse(hub, engine, c, &mut inbox, &mut framed).await
     }
 
     async fn converse(
@@ -403,7 +398,7 @@
     }
 
     async fn flush(&self, framed: &mut Wire) -> Result<(), RespError> {
-        let flush = SinkExt::<&[&[u8]]>::flush(framed);
+        let flush = SinkExt::<&[&[u8]]>::flush(&mut **framed);
         tokio::time::timeout(WRITE, flush).await.map_err(io::Error::from)?
     }
 
--- a/src/net/statement.rs
+++ b/src/net/statement.rs
@@ -173,10 +173,205 @@
     }
 }
 
+/// What a MySQL statement is to a dispatcher.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kind {
+    /// Plainly reads, and needs nothing that an earlier statement left behind.
+    Read,
+    /// May write, for all that can be seen.
+    Write,
+    /// `use schema`
+    Use(String),
+    /// Asks for what holds anyway.
+    Nothing,
+    /// Cannot be carried, and why: sessions move between engines, and each statement stands alone.
+    NotCarried(&'static str),
+}
+
+/// Functions that plainly read. Any other may be stored on the engine and write.
+const FUNCTIONS: &str = " abs acos adddate addtime ascii asin atan avg bin bit_and bit_count bit_or bit_xor \
+    cast ceil ceiling char char_length character_length coalesce concat concat_ws conv convert convert_tz cos \
+    cot count crc32 cume_dist curdate current_date current_time current_timestamp curtime database date \
+    date_add date_format date_sub datediff day dayname dayofmonth dayofweek dayofyear degrees dense_rank elt \
+    exp extract field find_in_set first_value floor format from_base64 from_days from_unixtime greatest \
+    group_concat hex hour if ifnull inet_aton inet_ntoa insert instr json_array json_arrayagg json_contains \
+    json_extract json_keys json_length json_object json_objectagg json_search json_unquote json_valid lag \
+    last_day last_value lcase lead least left length ln locate log log10 log2 lower lpad ltrim makedate \
+    maketime max md5 microsecond mid min minute mod month monthname now nth_value ntile nullif oct \
+    octet_length ord percent_rank period_add period_diff pi position pow power quarter quote radians rand \
+    rank regexp_instr regexp_like regexp_replace regexp_substr repeat replace reverse right round row \
+    row_number rpad rtrim schema sec_to_time second sha1 sha2 sign sin soundex space sqrt std stddev \
+    stddev_pop stddev_samp str_to_date strcmp subdate substr substring substring_index subtime sum sysdate \
+    tan time time_format time_to_sec timediff timestamp timestampadd timestampdiff to_base64 to_days \
+    to_seconds trim truncate ucase unhex unix_timestamp upper user utc_date utc_time utc_timestamp uuid \
+    values var_pop var_samp variance version week weekday weekofyear year yearweek ";
+/// Words that may stand before a bracket without calling anything.
+const NO_CALL: &str = " all and any as between by case distinct div else end except exists from group having \
+    in intersect interval is join like limit not offset on only or order over partition regexp rlike select \
+    some then union using when where with window xor lateral inner outer cross straight_join returning \
+    index key force use ignore decimal char varchar binary signed unsigned table ";
+/// Words of which one makes a statement more than a read.
+const WRITES: &str = " alter analyze call create delete drop execute grant handler insert into load lock \
+    merge optimize prepare procedure rename repair replace revoke truncate update ";
+
+fn listed(list: &str, word: &str) -> bool {
+    let padded = format!(" {word} ");
+    list.contains(&padded)
+}
+
+/// What a MySQL statement is. Doubt counts as a write.
+pub fn kind(statement: &[u8]) -> Kind {
+    let all: Vec<Token> = tokens(statement).collect();
+    let word = |i: usize| match all.get(i) {
+        Some(Token::Name { text, quoted: false }) => text.to_ascii_lowercase(),
+        _ => String::new(),
+    };
+    let mark = |i: usize, m: u8| all.get(i) == Some(&Token::Mark(m));
+    let start = (0..all.len()).find(|&i| !mark(i, b'(')).unwrap_or(0);
+    let end = (0..all.len()).rev().find(|&i| !mark(i, b';')).map_or(0, |i| i + 1);
+    let first = word(start);
+    let words: Vec<String> = (0..end).map(word).collect();
+    let has = |w: &str| words.iter().any(|x| x == w);
+    match first.as_str() {
+        "begin" | "start" | "commit" | "rollback" | "savepoint" | "release" | "xa" => {
+            return Kind::NotCarried("transactions are not carried: each statement commits by itself");
+        }
+        "lock" | "unlock" => return Kind::NotCarried("table locks are not carried"),
+        "prepare" | "execute" | "deallocate" => {
+            return Kind::NotCarried("statements are prepared by the protocol, not by SQL");
+        }
+        "handler" | "declare" | "open" | "fetch" | "close" => {
+            return Kind::NotCarried("cursors are not carried");
+        }
+        "kill" | "shutdown" | "restart" | "flush" | "reset" | "install" | "uninstall" | "clone" => {
+            return Kind::NotCarried("engines are not administered through the dispatcher");
+        }
+        "call" | "do" => return Kind::NotCarried("stored procedures are not carried"),
+        "load" if has("local") => return Kind::NotCarried("LOCAL INFILE is not carried"),
+        "use" => {
+            return match all.get(start + 1) {
+                Some(Token::Name { text, .. }) if end == start + 2 => Kind::Use(text.clone()),
+                _ => Kind::NotCarried("USE takes the name of a schema"),
+            };
+        }
+        "set" => {
+            let names = word(start + 1) == "names" && end <= start + 3;
+            let on = word(start + 1) == "autocommit" && mark(start + 2, b'=') && end == start + 4;
+            let one = statement.trim_ascii_end().trim_ascii_end().ends_with(b"1");
+            return match names || on && (one || word(start + 3) == "on") {
+                true => Kind::Nothing,
+                false => Kind::NotCarried("settings of a session are not carried"),
+            };
+        }
+        _ => {}
+    }
+    if has("temporary") {
+        return Kind::NotCarried("temporary tables are not carried");
+    }
+    let calls = |w: &str| (0..end).any(|i| words[i] == w && mark(i + 1, b'('));
+    if ["last_insert_id", "found_rows", "row_count", "get_lock", "release_lock", "release_all_locks"]
+        .into_iter()
+        .any(calls)
+    {
+        return Kind::NotCarried("what a session remembers or locks is not carried");
+    }
+    // One @ is a variable of the session, two are the engine's own.
+    let variable = |i: usize| mark(i, b'@') && !mark(i + 1, b'@') && (i == 0 || !mark(i - 1, b'@'));
+    if (0..end).any(variable) {
+        return Kind::NotCarried("variables of a session are not carried");
+    }
+    if (0..end).any(|i| mark(i, b';')) {
+        return Kind::NotCarried("several statements at once are not carried");
+    }
+    if has("for") && (has("share") || words.windows(2).any(|w| w[0] == "for" && w[1] == "update")) {
+        return Kind::NotCarried("row locks are not carried: they would end with the statement");
+    }
+    let reads = matches!(
+        first.as_str(),
+        "select" | "with" | "show" | "describe" | "desc" | "explain" | "values" | "table"
+    );
+    let function = |i: usize| mark(i + 1, b'(') && listed(FUNCTIONS, &words[i]);
+    let writes = (0..end).any(|i| listed(WRITES, &words[i]) && !function(i));
+    let calls_unknown = (1..end).any(|i| {
+        let name = matches!(all[i], Token::Name { .. }) && mark(i + 1, b'(');
+        // A name behind WITH or a comma, with its columns, is a table of the statement's own.
+        let own = words.get(1..i).is_some_and(|w| w.iter().all(|x| x != "select")) && first == "with";
+        name && !own && (words[i].is_empty() || !listed(FUNCTIONS, &words[i]) && !listed(NO_CALL, &words[i]))
+    });
+    let heeded = all.contains(&Token::Heeded) || all[..end].windows(2).any(|w| w == ASSIGN);
+    if reads && !writes && !calls_unknown && !heeded { Kind::Read } else { Kind::Write }
+}
+
+const ASSIGN: [Token; 2] = [Token::Mark(b':'), Token::Mark(b'=')];
+
+/// The `name=value` words of a leading comment: `/* class=report limit=1500 */ select ...`.
+pub fn hints(statement: &[u8]) -> Vec<(String, String)> {
+    let text = statement.trim_ascii_start();
+    let Some(rest) = text.strip_prefix(b"/*").filter(|r| !matches!(r.first(), Some(b'!' | b'+'))) else {
+        return vec![];
+    };
+    let end = rest.windows(2).position(|w| w == b"*/").unwrap_or(0);
+    let words = String::from_utf8_lossy(&rest[..end]).into_owned();
+    words
+        .split_ascii_whitespace()
+        .filter_map(|w| w.split_once(['=', ':']))
+        .map(|(n, v)| (n.to_ascii_lowercase(), v.trim_matches(',').to_string()))
+        .collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn only_what_plainly_reads_is_a_read() {
+        let cases = [
+            ("select a, count(*) from x where b in (1, 2) group by a;", "read"),
+            ("(select 1) union (select 2)", "read"),
+            ("with w(a) as (select 1) select max(a) from w", "read"),
+            ("select replace(a, 'x', 'y'), `update` from t", "read"),
+            ("select 'delete', \"into\" from t -- drop", "read"),
+            ("select @@version_comment limit 1", "read"),
+            ("show tables", "read"),
+            ("insert into t values (1)", "write"),
+            ("with w as (select 1) delete from t", "write"),
+            ("select * into outfile '/x' from t", "write"),
+            ("select /*! sql_no_cache */ 1", "write"),
+            ("select my_function(1)", "write"),
+            ("select db.f(1)", "write"),
+            ("explain analyze delete from t", "write"),
+            ("replace into t values (1)", "write"),
+            ("/* class=lookup */ update t set a = 1", "write"),
+            ("", "write"),
+            ("begin", "no"),
+            ("START TRANSACTION", "no"),
+            ("set autocommit=0", "no"),
+            ("select @x", "no"),
+            ("select @x := 1", "no"),
+            ("select 1; delete from t", "no"),
+            ("select * from t for update", "no"),
+            ("create temporary table x (a int)", "no"),
+            ("select last_insert_id()", "no"),
+            ("load data local infile 'x' into table t", "no"),
+            ("set names utf8mb4", "nothing"),
+            ("SET autocommit = 1", "nothing"),
+            ("use `a b`", "use"),
+        ];
+        for (text, wanted) in cases {
+            let found = match kind(text.as_bytes()) {
+                Kind::Read => "read",
+                Kind::Write => "write",
+                Kind::Use(_) => "use",
+                Kind::Nothing => "nothing",
+                Kind::NotCarried(_) => "no",
+            };
+            assert_eq!(found, wanted, "{text}");
+        }
+        let hint = hints(b" /* class=report, limit:1500 */ select 1");
+        assert_eq!(hint, [("class".into(), "report".into()), ("limit".into(), "1500".into())]);
+        assert!(hints(b"select 1 /* class=report */").is_empty());
+    }
+
     #[test]
     fn the_group_is_read_off_awkward_statements() {
         let cases: [(&str, Option<u64>); 17] = [
