MySQL front: prepared statements over the same core, played against stand-ins

One whole path: login (1045 on a wrong password), queries, prepare, execute, long data, reset and close on the session; engine connections with statements of their own, prepared on demand; KILL from beside for what a client has left. A scenario language (tests/scenario) drives stand-in clients and engines; eleven scenarios come out alike on frames and on prepared statements: broken-off and half-answered loads are failed and counted once at the engines, lookups move, full engines are passed, the deadline and a leaving client drop what is out.

Seen while building: a close over unread bytes reset the connection and took the error packet along; now the rest is read away for a moment first.

--- a/src/config.rs
+++ b/src/config.rs
@@ -152,6 +152,16 @@
 }
 
 impl ClassRules {
+    /// `contains` gives a class to reads that hold a text, first match first.
+    pub fn new(
+        write: ClassId,
+        read: ClassId,
+        classes: Vec<String>,
+        contains: Vec<(String, ClassId)>,
+    ) -> Self {
+        ClassRules { write, read, classes, contains }
+    }
+
     /// A comment or a rule chooses among the classes of a read; a write stays a write, whatever it claims.
     pub fn class(&self, reads: bool, claimed: Option<&str>, sql: &[u8]) -> ClassId {
         if !reads {
@@ -346,8 +356,8 @@
 
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
         let de = toml::Deserializer::parse(text).map_err(|e| bad("toml", e.message()))?;
-        let raw: RawMysql =
-            serde_path_to_error::deserialize(de).map_err(|e| bad(&e.path().to_string(), e.inner().message()))?;
+        let raw: RawMysql = serde_path_to_error::deserialize(de)
+            .map_err(|e| bad(&e.path().to_string(), e.inner().message()))?;
         let classes: Vec<String> = raw.class.iter().map(|c| c.name.clone()).collect();
         let class = |key: &str, name: &str| {
             find(&classes, name).ok_or_else(|| bad(key, format!("no class is named {name:?}")))
@@ -380,7 +390,11 @@
         }
         let in_range = |key: &str, v: Option<usize>, default: usize, least: usize, most: usize| {
             let v = v.unwrap_or(default);
-            if (least..=most).contains(&v) { Ok(v) } else { Err(bad(key, format!("{v} is not in {least} to {most}"))) }
+            if (least..=most).contains(&v) {
+                Ok(v)
+            } else {
+                Err(bad(key, format!("{v} is not in {least} to {most}")))
+            }
         };
         let connect_timeout = raw.connect_timeout_ms.unwrap_or(250.0);
         if !(connect_timeout.is_finite() && connect_timeout > 0.0) {
@@ -502,7 +516,7 @@
                 idle: Duration::from_secs(raw.idle_s.unwrap_or(600).max(1)),
                 version: raw.server_version.unwrap_or_else(|| "8.0.0-hitchwinch".into()),
                 users,
-                rules: ClassRules { write, read, classes: classes.clone(), contains },
+                rules: ClassRules::new(write, read, classes.clone(), contains),
                 deadlines,
             },
             names: Names { classes, kinds, zones, tenants, tells_cost: false, report_fields: vec![] },
@@ -771,3 +785,68 @@
         Ok((settings, names))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MYSQL: &str = include_str!("../deploy/mysql.toml");
+    const PLATFORM: &str = r#"{"listen":"127.0.0.1:1","seed":"8c1f30d27a5be964","journal":"127.0.0.1:2",
+        "settings":{"ceilings":{"connect_timeout":250.0},"fleet_size":1,"grades":[{"name":"lookup",
+        "aim":800.0,"effect":"retryable","worth":1.0}],"machine_types":["std"],"rules":{"cold_from":0.3,
+        "drain_grace":250.0,"fall_multiple":3.0,"grace_to_answer":20.0,"overload_for":1500.0,
+        "warm_within":14000.0},"step":5.0}}"#;
+
+    #[test]
+    fn the_file_under_deploy_is_good_and_a_faulty_key_is_named() {
+        let good = Mysql::parse(MYSQL).map_err(|e| e.to_string()).unwrap();
+        assert_eq!((good.front.rules.read, good.front.rules.write), (0, 2));
+        let cases = [
+            ("listen = \"127", "listen = \"x127", "listen"),
+            ("read_class = \"lookup\"", "read_class = \"look\"", "read_class"),
+            ("write_class = \"load\"", "write_class = \"report\"", "write_class"),
+            ("tenant = \"ti-marmite\"", "tenant = \"x\"", "user[0].tenant"),
+            ("threads = 3", "threads = 0", "classes[1].threads"),
+            ("deadline_ms = 25000.0", "deadline_ms = -1.0", "class[1].deadline_ms"),
+            ("deadline_ms = 25000.0", "deadline_ms = \"x\"", "class[1].deadline_ms"),
+            ("class = \"report\"", "class = \"rep\"", "rule[0].class"),
+            ("connections = 32", "connections = 0", "engines.connections"),
+            ("connections = 32", "conections = 32", "conections"),
+            ("address = \"127.0.0.1:4002\"", "address = \"there\"", "engine[1].address"),
+        ];
+        for (good, faulty, key) in cases {
+            assert!(MYSQL.contains(good), "{good}");
+            let told = Mysql::parse(&MYSQL.replace(good, faulty)).map(|_| ()).unwrap_err().to_string();
+            assert!(told.contains(key), "{faulty}: {told}");
+        }
+    }
+
+    #[test]
+    fn the_platforms_file_goes_behind_its_variables_and_a_faulty_key_is_named() {
+        let none = |_: &str| None;
+        let var = |v: &str| (v == "PROXY_LISTEN").then(|| "127.0.0.1:9".to_string());
+        assert_eq!(Platform::parse(PLATFORM, var).map(|p| p.listen.port()).unwrap(), 9);
+        let cases = [
+            ("8c1f30d27a5be964", "xyz", "seed"),
+            ("\"connect_timeout\":250.0", "\"connect_timeout\":0.0", "settings.ceilings.connect_timeout"),
+            ("\"worth\":1.0", "\"worth\":\"x\"", "settings.grades[0].worth"),
+            ("\"retryable\"", "\"odd\"", "grades[0].effect"),
+            ("\"step\":5.0", "\"step\":-5.0", "settings.step"),
+            ("127.0.0.1:2", "there", "journal"),
+        ];
+        for (good, faulty, key) in cases {
+            assert!(PLATFORM.contains(good), "{good}");
+            let told = Platform::parse(&PLATFORM.replace(good, faulty), none).map(|_| ()).unwrap_err();
+            assert!(told.to_string().contains(key), "{faulty}: {told}");
+        }
+    }
+
+    #[test]
+    fn a_write_stays_a_write_whatever_it_claims() {
+        let rules = Mysql::parse(MYSQL).map(|m| m.front.rules).unwrap();
+        assert_eq!(rules.class(false, Some("lookup"), b"delete from t"), 2);
+        assert_eq!(rules.class(true, Some("report"), b"select 1"), 1);
+        assert_eq!(rules.class(true, Some("unknown"), b"select a from t GROUP BY a"), 1);
+        assert_eq!(rules.class(true, None, b"select 1"), 0);
+    }
+}
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -37,7 +37,9 @@
         why: &'static str,
     },
     /// The time is over; `harmless` tells that a retry does no harm.
-    TimedOut { harmless: bool },
+    TimedOut {
+        harmless: bool,
+    },
 }
 
 /// What the adapters have to do.
@@ -148,7 +150,8 @@
             self.commands.push(Command::Answer { request: id, answer });
             return id;
         }
-        self.requests.insert(id, Request { class: r.class, due, answered: false, expired: false, attempts: vec![] });
+        self.requests
+            .insert(id, Request { class: r.class, due, answered: false, expired: false, attempts: vec![] });
         self.due.insert((bits(due), id));
         let query = Query {
             id,
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -312,6 +312,7 @@
     let mut fault: Option<FrameError> = None;
     loop {
         if fault.is_some() && open.borrow().is_empty() {
+            framed.part().await;
             return fault.map_or(Ok(()), Err);
         }
         tokio::select! {
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -35,10 +35,17 @@
 /// The final answer as a front gets it.
 pub enum Reply<O> {
     Served(O),
-    Refused { later: Option<Millis>, why: &'static str },
-    Failed { why: &'static str },
+    Refused {
+        later: Option<Millis>,
+        why: &'static str,
+    },
+    Failed {
+        why: &'static str,
+    },
     /// The time is over; `harmless` tells that a retry does no harm.
-    TimedOut { harmless: bool },
+    TimedOut {
+        harmless: bool,
+    },
 }
 
 type Answerer<O> = Box<dyn FnOnce(Reply<O>)>;
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -111,14 +111,7 @@
         let Some((tenant, schema)) = login.map_err(|e| PacketError::from(io::Error::from(e)))?? else {
             return Ok(());
         };
-        let session = Session {
-            front: self,
-            wire,
-            tenant,
-            schema,
-            statements: BTreeMap::new(),
-            next: 1,
-        };
+        let session = Session { front: self, wire, tenant, schema, statements: BTreeMap::new(), next: 1 };
         session.serve().await
     }
 
@@ -172,6 +165,7 @@
     tokio::time::timeout(WRITE, wire.send(&err(&SqlError::new(code, text))[..]))
         .await
         .map_err(|e| PacketError::from(io::Error::from(e)))??;
+    wire.part().await;
     Ok(())
 }
 
@@ -403,7 +397,10 @@
                 return Err(SqlError::new(code::ARGUMENTS, "the number of iterations is not 1"));
             }
             let execute = values::complete(s.parameters, r.0, &mut s.bound, &long)?;
-            Ok((s.kind.clone(), Work { schema: s.schema.clone(), sql: s.sql.clone(), job: Job::Execute(execute) }))
+            Ok((
+                s.kind.clone(),
+                Work { schema: s.schema.clone(), sql: s.sql.clone(), job: Job::Execute(execute) },
+            ))
         });
         match ready {
             Ok((kind, work)) => {
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -298,7 +298,8 @@
     async fn open(&self, address: SocketAddr) -> Result<Connection, PacketError> {
         let limit = span(self.sockets.connect_timeout);
         let opened = unix_ms();
-        let tcp = tokio::time::timeout(limit, TcpStream::connect(address)).await.map_err(io::Error::from)??;
+        let tcp =
+            tokio::time::timeout(limit, TcpStream::connect(address)).await.map_err(io::Error::from)??;
         tcp.set_nodelay(true)?;
         let codec = PacketCodec { most: self.access.most_packet, sequence: 0 };
         let mut wire = Wire::new(&self.pool, tcp, codec);
--- a/src/net/mysql/values.rs
+++ b/src/net/mysql/values.rs
@@ -12,11 +12,11 @@
 /// Reads over one value of this type.
 fn skip(r: &mut Reader, kind: u8) -> Result<(), PacketError> {
     match kind {
-        0x06 => {}                                  // NULL
-        0x01 => drop(r.take(1)?),                   // TINY
-        0x02 | 0x0d => drop(r.take(2)?),            // SHORT, YEAR
-        0x03 | 0x04 | 0x09 => drop(r.take(4)?),     // LONG, FLOAT, INT24
-        0x05 | 0x08 => drop(r.take(8)?),            // DOUBLE, LONGLONG
+        0x06 => {}                              // NULL
+        0x01 => drop(r.take(1)?),               // TINY
+        0x02 | 0x0d => drop(r.take(2)?),        // SHORT, YEAR
+        0x03 | 0x04 | 0x09 => drop(r.take(4)?), // LONG, FLOAT, INT24
+        0x05 | 0x08 => drop(r.take(8)?),        // DOUBLE, LONGLONG
         0x07 | 0x0a..=0x0c => match r.u8()? {
             n @ (0 | 4 | 7 | 8 | 11 | 12) => drop(r.take(n.into())?), // dates and times
             _ => return Err(PacketError::Protocol("a date has no such length")),
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,6 +4,8 @@
 use std::cell::RefCell;
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Framed};
 
@@ -74,6 +76,20 @@
     }
 }
 
+impl<C> Wire<C> {
+    /// Ends a conversation whose peer may still be sending: what it sends is read away for a moment, since a
+    /// close over unread bytes would reset the connection and take the last words with it.
+    pub async fn part(&mut self) {
+        let Some(framed) = &mut self.framed else { return };
+        let tcp = framed.get_mut();
+        let parting = async {
+            tcp.shutdown().await?;
+            tokio::io::copy(&mut tcp.take(16 << 20), &mut tokio::io::sink()).await
+        };
+        drop(tokio::time::timeout(Duration::from_millis(500), parting).await);
+    }
+}
+
 impl<C> Deref for Wire<C> {
     type Target = Framed<TcpStream, C>;
     fn deref(&self) -> &Self::Target {
--- /dev/null
+++ b/tests/frames.rs
@@ -0,0 +1,207 @@
+//! The platform's front and engine leg against stand-in clients and engines.
+
+mod scenario;
+
+use hitchwinch::net::frames::{Budget, Front};
+use hitchwinch::net::hub::Hub;
+use hitchwinch::net::pool::Pool;
+use hitchwinch::net::resp::RespLeg;
+use scenario::*;
+use std::collections::HashMap;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+/// Reads commands and reports them; answers as ordered.
+async fn engine(number: usize, tcp: TcpStream, seen: mpsc::UnboundedSender<Seen>) {
+    let (read, mut write) = tcp.into_split();
+    let mut read = BufReader::new(read);
+    let (orders, mut inbox) = mpsc::unbounded_channel::<&'static str>();
+    let mut id = String::new();
+    loop {
+        tokio::select! {
+            words = command(&mut read) => {
+                let Some(words) = words else { return };
+                let class = match words[0].as_str() {
+                    "GET" => {
+                        id = words[1].clone();
+                        words[2].split(',').find_map(|f| f.strip_prefix("cls=")).unwrap().to_string()
+                    }
+                    "DROP" => "dropped".to_string(),
+                    "PAGE" if words[2] == "1" => continue, // the second page never comes
+                    other => panic!("engine got {other}"),
+                };
+                seen.send(Seen { engine: number, class, orders: orders.clone() }).unwrap();
+            }
+            Some(order) = inbox.recv() => {
+                let answer: [&str; 3] = match order {
+                    "rows" => ["ACK", "total=1", "1\ta\tb\n"],
+                    "half" => ["ACK", "total=2", "1\ta\tb\n"],
+                    "full" => ["AGAIN", "-", ""],
+                    "error" => ["EIO", "-", ""],
+                    _ => return,
+                };
+                let words = [&[id.as_str()][..], &answer].concat();
+                let bulk = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect::<String>();
+                // Cut in the middle: an answer may come in any pieces.
+                let bytes = format!("*4\r\n{bulk}").into_bytes();
+                let (a, b) = bytes.split_at(bytes.len() / 2);
+                write.write_all(a).await.unwrap();
+                tokio::task::yield_now().await;
+                write.write_all(b).await.unwrap();
+            }
+        }
+    }
+}
+
+async fn command(read: &mut BufReader<tokio::net::tcp::OwnedReadHalf>) -> Option<Vec<String>> {
+    let number = async |read: &mut BufReader<_>| {
+        let mut line = String::new();
+        read.read_line(&mut line).await.ok()?;
+        line.get(1..)?.trim().parse::<usize>().ok()
+    };
+    let mut words = vec![];
+    for _ in 0..number(read).await? {
+        let mut word = vec![0; number(read).await? + 2];
+        read.read_exact(&mut word).await.ok()?;
+        words.push(String::from_utf8_lossy(&word[..word.len() - 2]).into_owned());
+    }
+    Some(words)
+}
+
+struct FramesClient {
+    write: Option<OwnedWriteHalf>,
+    answers: mpsc::UnboundedReceiver<(u8, u32, Vec<u8>)>,
+    early: HashMap<u32, Vec<u8>>,
+    streams: HashMap<String, u32>,
+}
+
+impl FramesClient {
+    async fn new(address: std::net::SocketAddr) -> Self {
+        let (mut read, write) = TcpStream::connect(address).await.unwrap().into_split();
+        let (tx, answers) = mpsc::unbounded_channel();
+        spawn_local(async move {
+            while let Ok(n) = read.read_u32().await {
+                let mut frame = vec![0; n as usize];
+                read.read_exact(&mut frame).await.unwrap();
+                let stream = u32::from_be_bytes(frame[1..5].try_into().unwrap());
+                let _ = tx.send((frame[0], stream, frame[5..].to_vec()));
+            }
+        });
+        FramesClient { write: Some(write), answers, early: HashMap::new(), streams: HashMap::new() }
+    }
+
+    async fn frame(&mut self, kind: u8, stream: u32, payload: &[u8]) {
+        let mut f = (payload.len() as u32 + 5).to_be_bytes().to_vec();
+        f.push(kind);
+        f.extend(stream.to_be_bytes());
+        f.extend(payload);
+        self.write.as_mut().unwrap().write_all(&f).await.unwrap();
+    }
+
+    async fn request(&mut self, stream: u32, fields: &[(&str, &str)], body: &str) {
+        let mut p = vec![fields.len() as u8];
+        for (n, v) in fields {
+            p.push(n.len() as u8);
+            p.extend(n.bytes());
+            p.extend((v.len() as u16).to_be_bytes());
+            p.extend(v.bytes());
+        }
+        p.extend(body.bytes());
+        self.frame(2, stream, &p).await;
+    }
+
+    /// The payload of the next frame on this stream; the end of the connection is none.
+    async fn next(&mut self, stream: u32) -> Option<Vec<u8>> {
+        while !self.early.contains_key(&stream) {
+            let (_, s, payload) = self.answers.recv().await?;
+            assert!(self.early.insert(s, payload).is_none(), "a second answer on stream {s}");
+        }
+        self.early.remove(&stream)
+    }
+}
+
+impl Client for FramesClient {
+    async fn send(&mut self, name: &str, class: &str, ms: u64) {
+        let stream = self.streams.len() as u32 + 1;
+        self.streams.insert(name.into(), stream);
+        let (txn, limit) = (format!("{stream:016x}"), ms.to_string());
+        let fields = [("verb", class), ("txn", &txn), ("limit", &limit), ("team", "acme")];
+        self.request(stream, &fields, "select * from sales_17.orders").await;
+    }
+
+    async fn answer(&mut self, name: &str) -> &'static str {
+        let payload = self.next(self.streams[name]).await.expect("an answer");
+        let late = String::from_utf8_lossy(&payload).contains("the time is over");
+        match payload[0] {
+            _ if late => "late",
+            0 => {
+                assert_eq!(
+                    &payload[1..],
+                    b"\x001\ta\tb\n",
+                    "no fields, and the rows as the engine sent them"
+                );
+                "served"
+            }
+            14 => "refused",
+            _ => "failed",
+        }
+    }
+
+    fn leave(&mut self) {
+        self.write = None;
+    }
+}
+
+/// A client before the front, with both engines behind it.
+async fn set_up()
+-> (std::rc::Rc<Hub<RespLeg>>, FramesClient, Vec<std::net::SocketAddr>, mpsc::UnboundedReceiver<Seen>) {
+    let (addresses, seen) = engines(engine).await;
+    let (core, names, sockets) = core();
+    let pool = Pool::default();
+    let hub = Hub::new(core, names, RespLeg::new(sockets, vec![], pool.clone()));
+    hub.change(&change(&addresses, None));
+    spawn_local(hub.clone().clock());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(Front::new(hub.clone(), pool, Budget::new(1 << 20), 8).accept(listener));
+    (hub, FramesClient::new(address).await, addresses, seen)
+}
+
+#[test]
+fn the_scenarios_of_both_fronts_come_out_on_frames() {
+    for (tells, script) in ALIKE {
+        println!("{tells}");
+        on_one_thread(async {
+            let (hub, mut client, addresses, mut seen) = set_up().await;
+            play(&hub, &mut client, &addresses, &mut seen, script).await;
+        });
+    }
+}
+
+#[test]
+fn bad_requests_get_one_plain_answer_each_and_bad_frames_the_end() {
+    on_one_thread(async {
+        let (_hub, mut c, _, _seen) = set_up().await;
+        let txn = "0123456789abcdef";
+        let cases: [(&[(&str, &str)], &str); 4] = [
+            (&[("verb", "nonsense"), ("txn", txn), ("limit", "500")], "nonsense"),
+            (&[("txn", txn), ("limit", "500")], "verb"),
+            (&[("verb", "lookup"), ("txn", "12"), ("limit", "500")], "txn"),
+            (&[("verb", "lookup"), ("txn", txn)], "limit"),
+        ];
+        for (i, (fields, message)) in cases.into_iter().enumerate() {
+            c.request(i as u32 + 1, fields, "select 1").await;
+            let payload = c.next(i as u32 + 1).await.unwrap();
+            assert!(payload[0] == 2 && String::from_utf8_lossy(&payload).contains(message), "{payload:?}");
+        }
+        c.frame(16, 77, &[0]).await;
+        assert_eq!(c.next(77).await.unwrap(), [0, 0], "ready");
+        c.frame(8, 99, &[]).await; // a stream that nobody knows
+        c.frame(2, 100, &[3, 200, 1]).await; // fields that end too early
+        assert_eq!(c.next(0).await.unwrap()[0], 2);
+        assert!(c.next(101).await.is_none(), "and the connection ends");
+    });
+}
--- /dev/null
+++ b/tests/mysql.rs
@@ -0,0 +1,326 @@
+//! The MySQL front and engine leg against stand-in clients and engines, on prepared statements.
+
+mod scenario;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use hitchwinch::net::hub::Hub;
+use hitchwinch::net::mysql::front::Front;
+use hitchwinch::net::mysql::leg::MysqlLeg;
+use hitchwinch::net::mysql::packet::*;
+use hitchwinch::net::mysql::{SqlError, auth};
+use hitchwinch::net::pool::Pool;
+use scenario::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio_stream::StreamExt;
+use tokio_util::codec::Framed;
+
+type Wire = Framed<TcpStream, PacketCodec>;
+
+fn wire(tcp: TcpStream) -> Wire {
+    Framed::new(tcp, PacketCodec { most: 1 << 20, sequence: 0 })
+}
+
+/// A result of one column and one row.
+fn rows(row: &[u8], end: bool) -> Vec<Vec<u8>> {
+    let column = [&[3][..], b"def", &[0, 0, 0, 1], b"n", &[0, 0x0c, 45, 0, 9, 0, 0, 0, 0xfd, 0, 0, 0, 0, 0]];
+    let eof = vec![0xfe, 0, 0, 2, 0];
+    let mut all = vec![vec![1], column.concat(), eof.clone(), row.to_vec()];
+    all.extend(end.then_some(eof));
+    all
+}
+
+/// Binary: no NULL, the text `a`.
+const ROW: [u8; 4] = [0, 0, 1, b'a'];
+
+/// Logs clients in, prepares with ids that no other engine has, and reports what it is asked to run.
+async fn engine(number: usize, tcp: TcpStream, seen: mpsc::UnboundedSender<Seen>) {
+    let mut w = wire(tcp);
+    let nonce = vec![number as u8 + 1; 20];
+    let greeting = Greeting { connection: 7, nonce, plugin: auth::SHA2.into(), capabilities: CAPABILITIES };
+    w.send(&greeting.write("8.0.0")[..]).await.unwrap();
+    let Some(Ok(login)) = w.next().await else { return };
+    let login = Login::read(login).unwrap();
+    assert_eq!(login.user, "engine");
+    assert!(auth::proves(&login.plugin, "inner", &greeting.nonce, &login.auth));
+    w.send(&[1u8, 3][..]).await.unwrap();
+    w.send(&ok()[..]).await.unwrap();
+    let (orders, mut inbox) = mpsc::unbounded_channel::<&'static str>();
+    let mut statements: HashMap<u32, String> = HashMap::new();
+    let mut long = String::new();
+    loop {
+        w.codec_mut().sequence = 0;
+        let Some(Ok(p)) = w.next().await else { return };
+        let text = String::from_utf8_lossy(&p[1..]).into_owned();
+        let id = || u32::from_le_bytes(p[1..5].try_into().unwrap());
+        let sql = match p[0] {
+            STMT_PREPARE => {
+                let id = number as u32 * 1000 + statements.len() as u32 + 500;
+                let params = text.matches('?').count() as u8;
+                let head = [&[0][..], &id.to_le_bytes(), &[1, 0, params, 0, 0, 0, 0]].concat();
+                w.feed(&head[..]).await.unwrap();
+                let column = &rows(&ROW, false)[1];
+                let eof: &[u8] = &[0xfe, 0, 0, 2, 0];
+                for p in std::iter::repeat_n(&column[..], params.into()).chain((params > 0).then_some(eof)) {
+                    w.feed(p).await.unwrap();
+                }
+                w.feed(&column[..]).await.unwrap();
+                w.send(eof).await.unwrap();
+                statements.insert(id, text);
+                continue;
+            }
+            STMT_SEND_LONG_DATA => {
+                long.push_str(&text[6..]);
+                continue;
+            }
+            STMT_CLOSE => {
+                statements.remove(&id()).expect("a statement of this connection is closed");
+                continue;
+            }
+            INIT_DB => {
+                w.send(&ok()[..]).await.unwrap();
+                continue;
+            }
+            STMT_EXECUTE => {
+                let sql = statements.get(&id()).expect("a statement of this very connection").clone();
+                if sql.contains('?') {
+                    assert_eq!(&p[11..13], [1, 0xfd], "types are named to every connection");
+                    let sent =
+                        if long.is_empty() { text[13..].to_string() } else { std::mem::take(&mut long) };
+                    assert!(sent.ends_with("par"), "the parameter came along: {sent:?}");
+                }
+                sql
+            }
+            QUERY => text,
+            QUIT => return,
+            other => panic!("engine got command {other}"),
+        };
+        let class = match () {
+            () if sql == "KILL 7" => "dropped",
+            () if sql.contains("select") => "lookup",
+            () => "load",
+        };
+        seen.send(Seen { engine: number, class: class.into(), orders: orders.clone() }).unwrap();
+        if class == "dropped" {
+            w.send(&ok()[..]).await.unwrap();
+            continue;
+        }
+        let mut half = false;
+        loop {
+            let order = tokio::select! {
+                order = inbox.recv() => order,
+                gone = w.next(), if !half => { assert!(gone.is_none()); return }
+            };
+            let answer = match order {
+                Some("rows") if class == "load" => vec![ok()],
+                Some("rows") => rows(&ROW, true),
+                Some("half") => rows(&ROW, false),
+                Some("full") => vec![err(&SqlError::new((1040, "08004"), "Too many connections"))],
+                Some("error") => vec![err(&SqlError::new((1317, "70100"), "interrupted"))],
+                _ => return,
+            };
+            for p in answer {
+                w.send(&p[..]).await.unwrap();
+            }
+            half = order == Some("half");
+            if !half {
+                break;
+            }
+        }
+    }
+}
+
+/// Each request is the execute of a statement that was prepared at the start, on a session of its own; the
+/// first session keeps the statement prepared throughout.
+struct MysqlClient {
+    address: SocketAddr,
+    wire: Option<Wire>,
+    prepared: HashMap<String, u32>,
+}
+
+async fn log_in(address: SocketAddr, user: &str, password: &str) -> Result<Wire, SqlError> {
+    let mut w = wire(TcpStream::connect(address).await.unwrap());
+    let greeting = Greeting::read(w.next().await.unwrap().unwrap()).unwrap();
+    let proof = auth::proof(auth::NATIVE, password, &greeting.nonce).unwrap();
+    let login = Login { user: user.into(), auth: proof, schema: None, plugin: auth::NATIVE.into() };
+    w.send(&login.write(1 << 20)[..]).await.unwrap();
+    let p = w.next().await.unwrap().unwrap();
+    if p[0] == 0xff { Err(read_err(&p)) } else { Ok(w) }
+}
+
+async fn command(w: &mut Wire, kind: u8, parts: &[&[u8]]) {
+    w.codec_mut().sequence = 0;
+    w.send(&[&[kind], &parts.concat()[..]].concat()[..]).await.unwrap();
+}
+
+async fn packet(w: &mut Wire) -> Bytes {
+    w.next().await.unwrap().unwrap()
+}
+
+/// Reads a result: its packets, or the error.
+async fn result(w: &mut Wire) -> Result<Vec<Bytes>, SqlError> {
+    let mut all = vec![packet(w).await];
+    match all[0][0] {
+        0 => return Ok(all),
+        0xff => return Err(read_err(&all[0])),
+        _ => {}
+    }
+    let mut ends = 0;
+    while ends < 2 {
+        let p = packet(w).await;
+        ends += usize::from(eof_status(&p).is_some());
+        all.push(p);
+    }
+    Ok(all)
+}
+
+async fn prepare(w: &mut Wire, sql: &str) -> Result<u32, SqlError> {
+    command(w, STMT_PREPARE, &[sql.as_bytes()]).await;
+    let p = packet(w).await;
+    if p[0] == 0xff {
+        return Err(read_err(&p));
+    }
+    let (columns, params) = (p[5], p[7]);
+    for _ in 0..columns + u8::from(columns > 0) + params + u8::from(params > 0) {
+        packet(w).await;
+    }
+    Ok(u32::from_le_bytes(p[1..5].try_into().unwrap()))
+}
+
+/// With types only the first time: later ones are remembered for the session.
+async fn execute(w: &mut Wire, id: u32, typed: bool) {
+    let types: &[u8] = if typed { &[1, 0xfd, 0] } else { &[0] };
+    command(w, STMT_EXECUTE, &[&id.to_le_bytes(), &[0, 1, 0, 0, 0], &[0], types, b"\x03par"]).await;
+}
+
+impl Client for MysqlClient {
+    async fn send(&mut self, _: &str, class: &str, ms: u64) {
+        if self.wire.is_none() {
+            self.wire = Some(log_in(self.address, "ann", "secret").await.unwrap());
+        }
+        let w = self.wire.as_mut().unwrap();
+        let verb = if class == "lookup" { "select n from" } else { "insert into" };
+        let sql = format!("{verb} sales_17.orders /* ? */ where x = ?").replace(" /* ? */", "");
+        // The limit stands in the leading comment, so a limited one is another statement.
+        let sql = if ms == 5000 { sql } else { format!("/* limit={ms} */ {sql}") };
+        let typed = !self.prepared.contains_key(&sql);
+        if typed {
+            let id = prepare(w, &sql).await.unwrap();
+            self.prepared.insert(sql.clone(), id);
+        }
+        execute(w, self.prepared[&sql], typed).await;
+    }
+
+    async fn answer(&mut self, _: &str) -> &'static str {
+        match result(self.wire.as_mut().unwrap()).await {
+            Ok(all) if all.len() == 1 => "served",
+            Ok(all) => {
+                assert_eq!(all[3][..], ROW, "the row as the engine sent it");
+                "served"
+            }
+            Err(e) if e.code == 3168 => "refused",
+            Err(e) if e.code == 3024 => "late",
+            Err(e) => {
+                assert_eq!(e.code, 1317, "{}", e.message);
+                "failed"
+            }
+        }
+    }
+
+    fn leave(&mut self) {
+        self.wire = None;
+    }
+}
+
+async fn set_up() -> (Rc<Hub<MysqlLeg>>, MysqlClient, Vec<SocketAddr>, mpsc::UnboundedReceiver<Seen>) {
+    let (addresses, seen) = engines(engine).await;
+    let (core, names, sockets) = core();
+    let pool = Pool::default();
+    let hub = Hub::new(core, names, MysqlLeg::new(access(), sockets, pool.clone()));
+    hub.change(&change(&addresses, None));
+    spawn_local(hub.clone().clock());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(Front::new(hub.clone(), pool, mysql_front()).accept(listener));
+    (hub, MysqlClient { address, wire: None, prepared: HashMap::new() }, addresses, seen)
+}
+
+#[test]
+fn the_scenarios_of_both_fronts_come_out_on_prepared_statements() {
+    for (tells, script) in ALIKE {
+        println!("{tells}");
+        on_one_thread(async {
+            let (hub, mut client, addresses, mut seen) = set_up().await;
+            play(&hub, &mut client, &addresses, &mut seen, script).await;
+        });
+    }
+}
+
+#[test]
+fn a_prepared_statement_moves_from_a_draining_engine_and_back() {
+    let script = "send a lookup\n engine lookup\n reply rows\n expect a served\n drain
+        send b lookup\n engine lookup\n moved\n reply rows\n expect b served\n back\n drain
+        send c lookup\n engine lookup\n moved\n reply rows\n expect c served\n back
+        send d load\n engine load\n drain\n reply rows\n expect d served\n ran 4";
+    on_one_thread(async {
+        let (hub, mut client, addresses, mut seen) = set_up().await;
+        play(&hub, &mut client, &addresses, &mut seen, script).await;
+    });
+}
+
+#[test]
+fn what_is_not_carried_gets_a_plain_error_and_the_session_goes_on() {
+    on_one_thread(async {
+        let (_hub, client, _, mut seen) = set_up().await;
+        let wrong = log_in(client.address, "ann", "wrong").await.err().unwrap();
+        assert_eq!(wrong.code, 1045);
+        assert_eq!(log_in(client.address, "bob", "").await.err().unwrap().code, 1045);
+        let mut w = log_in(client.address, "ann", "secret").await.unwrap();
+        for sql in ["begin", "set autocommit=0", "load data local infile 'x' into table t", "select @a"] {
+            command(&mut w, QUERY, &[sql.as_bytes()]).await;
+            assert_eq!(result(&mut w).await.unwrap_err().code, 1235, "{sql}");
+        }
+        for (kind, code) in [(STMT_FETCH, 1235), (0x77, 1047), (STMT_RESET, 1243), (STMT_EXECUTE, 1243)] {
+            command(&mut w, kind, &[&[9, 0, 0, 0]]).await;
+            assert_eq!(result(&mut w).await.unwrap_err().code, code, "command {kind}");
+        }
+        for (kind, body) in [(PING, ""), (INIT_DB, "sales_17"), (QUERY, "set names utf8mb4")] {
+            command(&mut w, kind, &[body.as_bytes()]).await;
+            assert!(result(&mut w).await.is_ok(), "command {kind}");
+        }
+        let id = prepare(&mut w, "select n from t where x = ?").await.unwrap();
+        command(&mut w, STMT_EXECUTE, &[&id.to_le_bytes(), &[1, 1, 0, 0, 0, 0, 1, 0xfd, 0], b"\x03par"])
+            .await;
+        assert_eq!(result(&mut w).await.unwrap_err().code, 1235, "a cursor");
+        command(&mut w, STMT_EXECUTE, &[&id.to_le_bytes(), &[0, 1, 0, 0, 0, 0, 1, 0xfd, 0], b"\x09par"])
+            .await;
+        assert_eq!(result(&mut w).await.unwrap_err().code, 1210, "a parameter that ends early");
+        // Long data in two pieces, then one that has to be forgotten.
+        for piece in [&b"long "[..], b"par"] {
+            command(&mut w, STMT_SEND_LONG_DATA, &[&id.to_le_bytes(), &[0, 0], piece]).await;
+        }
+        let execute = [&id.to_le_bytes()[..], &[0, 1, 0, 0, 0, 0, 1, 0xfd, 0]].concat();
+        command(&mut w, STMT_EXECUTE, &[&execute]).await;
+        let asked = seen.recv().await.unwrap();
+        asked.orders.send("rows").unwrap();
+        assert_eq!(result(&mut w).await.unwrap()[3][..], ROW);
+        command(&mut w, STMT_SEND_LONG_DATA, &[&id.to_le_bytes(), &[0, 0], &[b'x'; 70_000][..65_000]]).await;
+        command(&mut w, STMT_SEND_LONG_DATA, &[&id.to_le_bytes(), &[0, 0], &[b'x'; 1000]]).await;
+        command(&mut w, STMT_EXECUTE, &[&execute]).await;
+        assert_eq!(result(&mut w).await.unwrap_err().code, 1153, "long data above the bound");
+        prepare(&mut w, "select 2").await.unwrap();
+        let third = prepare(&mut w, "select 3").await.unwrap();
+        assert_eq!(prepare(&mut w, "select 4").await.unwrap_err().code, 1461);
+        command(&mut w, STMT_CLOSE, &[&third.to_le_bytes()]).await;
+        prepare(&mut w, "select 4").await.unwrap();
+        assert!(seen.try_recv().is_err(), "nothing of that ran");
+        command(&mut w, QUERY, &[&[b' '; 70_000]]).await;
+        assert_eq!(result(&mut w).await.unwrap_err().code, 1153, "a packet above the bound");
+        assert!(w.next().await.is_none(), "and the session ends");
+    });
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,261 @@
+//! A small language for scenarios on loopback, the same for both fronts. A script is one step a line:
+//!
+//! - `send NAME CLASS [ms]`: a client asks, waiting so many milliseconds (5,000 if not said); names are new
+//!   requests of one client, `CLASS` is `lookup` or `load`;
+//! - `leave`: the client stops waiting and goes;
+//! - `expect NAME served|refused|failed|late`: its one answer;
+//! - `engine CLASS`: a request reaches an engine whole, and that engine is the one spoken of from here on;
+//! - `engine dropped`: that engine is told to give the request up;
+//! - `reply rows|full|error|half`: the engine answers (`half`: it begins a result and does not end it);
+//! - `close`: the engine breaks the request's connection;
+//! - `drain`, `back`: the engine list tells that this engine drains, or is in service again;
+//! - `moved`: the last request went to another engine than the one before;
+//! - `wait ms`: time passes; `ran N`: so many requests reached engines in all.
+#![allow(dead_code)]
+
+use hitchwinch::config::{Access, ClassRules, MysqlFront, Names, Sockets, User};
+use hitchwinch::core::{Core, Limits};
+use hitchwinch::net::discovery::{Change, Engine};
+use hitchwinch::net::hub::{Hub, Leg};
+use hitchwinch::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+
+/// What a stand-in engine saw, and where it answers.
+pub struct Seen {
+    pub engine: usize,
+    pub class: String,
+    pub orders: mpsc::UnboundedSender<&'static str>,
+}
+
+/// A client of one front, by requests of its own names.
+#[allow(async_fn_in_trait)]
+pub trait Client {
+    async fn send(&mut self, name: &str, class: &str, ms: u64);
+    async fn answer(&mut self, name: &str) -> &'static str;
+    fn leave(&mut self);
+}
+
+pub fn core() -> (Core, Names, Sockets) {
+    let class = |worth, effect, threads| Class {
+        worth,
+        aim: 5000.0,
+        aim_stretch: 1.0,
+        late_share: 0.0,
+        effect,
+        in_order: false,
+        only_zones: None,
+        only_kinds: None,
+        threads,
+        holds_tables: false,
+        waits_for_loads: false,
+    };
+    let settings = Settings {
+        gateways: 1,
+        zone: None,
+        step: 5.0,
+        classes: vec![class(1.0, Effect::Safe, 1.0), class(4.0, Effect::Unsafe, 2.0)],
+        tenants: vec![],
+        kinds: vec![Kind { cores: 8.0, memory_mb: 16384.0 }],
+        over_share_worth: 1.0,
+        limits: hitchwinch::Limits {
+            most_attempts: 3,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            retry_advice: true,
+            max_retry_after: 500.0,
+        },
+        engines: EngineFacts {
+            takes_grants: false,
+            takes_priority: false,
+            most_grant: 0.4,
+            tells_cost: false,
+            overcommits: false,
+        },
+        rules: Rules {
+            answer_grace: 20.0,
+            drain_grace: 1000.0,
+            cold_from: 0.3,
+            warm_within: 15000.0,
+            fall_multiple: 4.0,
+            fall_window: 2000.0,
+            order_rest: 0.0,
+            attempt_budget: None,
+        },
+        report_fields: vec![],
+        must_subscribe: false,
+        cross_zone_price: 0.0,
+    };
+    let names = Names {
+        classes: vec!["lookup".into(), "load".into()],
+        kinds: vec!["std".into()],
+        zones: vec![],
+        tenants: vec!["acme".into()],
+        tells_cost: false,
+        report_fields: vec![],
+    };
+    let sockets =
+        Sockets { connect_timeout: 250.0, idle: 30_000.0, streams: 100, most_open: 100, longest: 5000.0 };
+    let limits = Limits { open: 100, margin: 20.0, page_wait: 600.0 };
+    (Core::new(settings, 1, limits).unwrap(), names, sockets)
+}
+
+pub fn change(addresses: &[SocketAddr], drains: Option<usize>) -> Change {
+    let engine = |(i, a): (usize, &SocketAddr)| Engine {
+        id: format!("e{i}"),
+        address: Some(*a),
+        state: if drains == Some(i) { EngineState::Draining } else { EngineState::Ready },
+        zone: None,
+        kind: Some("std".into()),
+        cell: 0,
+        started: None,
+    };
+    Change { update: ListUpdate::Whole, engines: addresses.iter().enumerate().map(engine).collect() }
+}
+
+pub fn access() -> Access {
+    Access {
+        user: "engine".into(),
+        password: "inner".into(),
+        connections: 4,
+        most_packet: 65_536,
+        most_result: 65_536,
+    }
+}
+
+pub fn mysql_front() -> MysqlFront {
+    let classes = vec!["lookup".to_string(), "load".to_string()];
+    MysqlFront {
+        max_clients: 8,
+        max_packet: 65_536,
+        max_statements: 3,
+        idle: Duration::from_secs(60),
+        version: "8.0.0-test".into(),
+        users: [("ann".to_string(), User { password: "secret".into(), tenant: Some(0) })].into(),
+        rules: ClassRules::new(1, 0, classes, vec![]),
+        deadlines: vec![5000.0, 5000.0],
+    }
+}
+
+/// Runs a future on one thread, as the program does.
+pub fn on_one_thread<T>(f: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let timed = async { tokio::time::timeout(Duration::from_secs(20), f).await.expect("it takes too long") };
+    LocalSet::new().block_on(&runtime, timed)
+}
+
+/// Two engines on port 0, each running `serve` for every connection.
+pub async fn engines<F: Future<Output = ()> + 'static>(
+    serve: impl Fn(usize, tokio::net::TcpStream, mpsc::UnboundedSender<Seen>) -> F + 'static + Copy,
+) -> (Vec<SocketAddr>, mpsc::UnboundedReceiver<Seen>) {
+    let (tx, seen) = mpsc::unbounded_channel();
+    let mut addresses = vec![];
+    for engine in 0..2 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap());
+        let tx = tx.clone();
+        spawn_local(async move {
+            while let Ok((tcp, _)) = listener.accept().await {
+                spawn_local(serve(engine, tcp, tx.clone()));
+            }
+        });
+    }
+    (addresses, seen)
+}
+
+/// Plays a script.
+pub async fn play<L: Leg>(
+    hub: &Rc<Hub<L>>,
+    client: &mut impl Client,
+    addresses: &[SocketAddr],
+    seen: &mut mpsc::UnboundedReceiver<Seen>,
+    script: &str,
+) {
+    let (mut last, mut before, mut ran): (Option<Seen>, Option<usize>, usize) = (None, None, 0);
+    for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let engine = || last.as_ref().expect("an engine was spoken of").engine;
+        match words[..] {
+            ["send", name, class] => client.send(name, class, 5000).await,
+            ["send", name, class, ms] => client.send(name, class, ms.parse().unwrap()).await,
+            ["leave"] => client.leave(),
+            ["expect", name, what] => assert_eq!(client.answer(name).await, what, "{line}"),
+            ["engine", class] => {
+                let next = tokio::time::timeout(Duration::from_secs(4), seen.recv()).await;
+                let next = next.unwrap_or_else(|_| panic!("{line}: nothing came")).unwrap();
+                assert_eq!(next.class, class, "{line}");
+                if class != "dropped" {
+                    ran += 1;
+                    before = last.as_ref().map(|s| s.engine);
+                    last = Some(next);
+                }
+            }
+            ["reply", what] => {
+                let what = ["rows", "full", "error", "half"].into_iter().find(|w| *w == what).unwrap();
+                last.as_ref().unwrap().orders.send(what).unwrap();
+            }
+            ["close"] => last.as_ref().unwrap().orders.send("close").unwrap(),
+            ["drain"] => hub.change(&change(addresses, Some(engine()))),
+            ["back"] => hub.change(&change(addresses, None)),
+            ["moved"] => assert_ne!(Some(engine()), before, "{line}"),
+            ["wait", ms] => tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await,
+            ["ran", n] => {
+                assert!(seen.try_recv().is_err(), "{line}: something more came");
+                assert_eq!(ran, n.parse::<usize>().unwrap(), "{line}");
+            }
+            _ => panic!("no such step: {line}"),
+        }
+    }
+}
+
+/// Scenarios that come out alike on both fronts: what each tells, and its script.
+pub const ALIKE: [(&str, &str); 11] = [
+    ("a request is served", "send a lookup\n engine lookup\n reply rows\n expect a served\n ran 1"),
+    (
+        "a lookup that breaks off is sent again, elsewhere",
+        "send a lookup\n engine lookup\n close\n engine lookup\n moved\n reply rows\n expect a served\n ran 2",
+    ),
+    (
+        "a lookup whose result breaks off half way is sent again",
+        "send a lookup\n engine lookup\n reply half\n close\n engine lookup\n reply rows\n expect a served",
+    ),
+    (
+        "a load that breaks off after it was written is failed and never sent again",
+        "send a load\n engine load\n close\n expect a failed\n wait 150\n ran 1",
+    ),
+    (
+        "a load whose result breaks off half way is failed and never sent again",
+        "send a load\n engine load\n reply half\n close\n expect a failed\n wait 150\n ran 1",
+    ),
+    (
+        "a load that its engine reports as an error may have run",
+        "send a load\n engine load\n reply error\n expect a failed\n wait 150\n ran 1",
+    ),
+    (
+        "a load that a full engine turned away never ran and goes elsewhere",
+        "send a load\n engine load\n reply full\n engine load\n moved\n reply rows\n expect a served\n ran 2",
+    ),
+    (
+        "what is asked after an engine drains goes to another",
+        "send a lookup\n engine lookup\n reply rows\n expect a served\n drain
+         send b lookup\n engine lookup\n moved\n reply rows\n expect b served\n ran 2",
+    ),
+    (
+        "a silent engine is dropped at the deadline, and the client told before",
+        "send a lookup 300\n engine lookup\n expect a late\n engine dropped\n ran 1",
+    ),
+    (
+        "when every engine is full the request is refused, for nothing ran",
+        "send a load\n engine load\n reply full\n engine load\n moved\n reply full
+         engine load\n reply full\n expect a refused\n ran 3",
+    ),
+    (
+        "a client that leaves has its attempt dropped",
+        "send a load\n engine load\n leave\n engine dropped\n wait 50\n ran 1",
+    ),
+];
