--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,12 @@
 # PROXY_CONFIG names the configuration.
 run: build
 	target/release/hitchwinch
+
+.PHONY: toys try
+
+# Two toy engines, and a dispatcher before them.
+toys:
+	cargo run --locked --example toy
+
+try: build
+	target/release/hitchwinch --mysql examples/toy/toy.toml
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,4 +7,4 @@
 
 mod requests;
 
-pub use requests::{Answer, AttemptId, Command, Core, Limits, NewRequest, RequestId};
+pub use requests::{Answer, AttemptId, Bounds, Command, Core, NewRequest, RequestId};
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -52,7 +52,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Limits {
+pub struct Bounds {
     /// Requests open at a time.
     pub open: usize,
     /// An answer is due this long before its client gives up: it has to be written and read whole.
@@ -88,7 +88,7 @@
     /// By class: running it twice would do harm.
     unsafe_class: Vec<bool>,
     most_attempts: usize,
-    limits: Limits,
+    bounds: Bounds,
     requests: BTreeMap<RequestId, Request>,
     due: Due,
     next_id: RequestId,
@@ -107,12 +107,12 @@
 }
 
 impl Core {
-    pub fn new(settings: Settings, seed: u64, limits: Limits) -> Result<Self, SettingsError> {
+    pub fn new(settings: Settings, seed: u64, bounds: Bounds) -> Result<Self, SettingsError> {
         Ok(Core {
             unsafe_class: settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
             most_attempts: settings.limits.most_attempts as usize,
             facade: Facade::new(settings, seed)?,
-            limits,
+            bounds,
             requests: BTreeMap::new(),
             due: BTreeSet::new(),
             next_id: 1,
@@ -134,11 +134,11 @@
     pub fn open(&mut self, now: Millis, r: NewRequest) -> RequestId {
         let id = self.next_id;
         self.next_id += 1;
-        let due = (r.deadline - self.limits.margin).min(self.stop_by.unwrap_or(f64::INFINITY));
+        let due = (r.deadline - self.bounds.margin).min(self.stop_by.unwrap_or(f64::INFINITY));
         let out_of_range = r.class >= self.unsafe_class.len() || !due.is_finite();
         let refusal = match () {
             // Held beyond this, requests would outgrow the memory that the machine gives.
-            () if self.requests.len() >= self.limits.open => Some("too many requests are open"),
+            () if self.requests.len() >= self.bounds.open => Some("too many requests are open"),
             () if due <= now => Some("too little time is left"),
             () => None,
         };
@@ -367,7 +367,7 @@
         let Some(r) = self.requests.get_mut(&id.request) else { return };
         let answered = r.answered;
         let Some(a) = r.attempts.get_mut(id.index as usize).filter(|a| a.out) else { return };
-        if !answered && a.answering.is_some_and(|at| now < at + self.limits.page_wait) {
+        if !answered && a.answering.is_some_and(|at| now < at + self.bounds.page_wait) {
             return;
         }
         a.out = false;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 //! serves the MySQL protocol as that file says.
 
 use hitchwinch::config::{Mysql, Platform, Source};
-use hitchwinch::core::{Core, Limits};
+use hitchwinch::core::{Bounds, Core};
 use hitchwinch::net::discovery::{Discovery, fixed, journal::Journal};
 use hitchwinch::net::frames::{self, Budget, Front};
 use hitchwinch::net::hub::{Hub, Leg};
@@ -45,16 +45,16 @@
 async fn platform(config: Platform) -> Result<(), Error> {
     let mut term = signal(SignalKind::terminate())?;
     let pool = Pool::default();
-    let limits = Limits { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
-    let core = Core::new(config.settings, config.seed, limits)?;
+    let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
+    let core = Core::new(config.settings, config.seed, bounds)?;
     let leg = RespLeg::new(config.sockets.clone(), config.names.report_fields.clone(), pool.clone());
     let hub = Hub::new(core, config.names, leg);
     let journal = Journal::new(config.journal, config.known).map_err(|e| format!("known: {e}"))?;
     let listener = TcpListener::bind(config.listen).await?;
-    // A quarter of the memory for statements; clients may hold up to a third of the descriptors, and so
-    // many more are let in before they wait.
+    // A quarter of the memory for statements. Clients hold up to a third of the descriptors, so this many
+    // are let in; further ones wait in the machine's own queue.
     let budget = Budget::new(config.limits.memory_mb * 1024 * 1024 / 4);
-    let front = Front::new(hub.clone(), pool, budget, config.limits.sockets / 2);
+    let front = Front::new(hub.clone(), pool, budget, config.limits.sockets * 2 / 5);
 
     let sink = hub.clone();
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
@@ -73,8 +73,8 @@
 async fn serve_mysql(config: Mysql) -> Result<(), Error> {
     let mut term = signal(SignalKind::terminate())?;
     let pool = Pool::default();
-    let limits = Limits { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
-    let core = Core::new(config.settings, unix_ms() as u64, limits)?;
+    let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
+    let core = Core::new(config.settings, unix_ms() as u64, bounds)?;
     let leg = mysql::leg::MysqlLeg::new(config.access, config.sockets.clone(), pool.clone());
     let hub = Hub::new(core, config.names, leg);
     let listener = TcpListener::bind(config.listen).await?;
--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -78,12 +78,13 @@
     address: SocketAddr,
     pos: u64,
     first: Vec<Change>,
+    silence: Duration,
 }
 
 impl Journal {
     /// `known` holds the events up to the start.
     pub fn new(address: SocketAddr, known: serde_json::Value) -> Result<Self, serde_json::Error> {
-        let mut journal = Journal { address, pos: 0, first: vec![] };
+        let mut journal = Journal { address, pos: 0, first: vec![], silence: SILENCE };
         if !known.is_null() {
             let known: Known = serde_json::from_value(known)?;
             let mut changes: Vec<Change> =
@@ -126,7 +127,7 @@
         let mut reader = Reader::default();
         let mut buffer = vec![0; 16 * 1024];
         loop {
-            let n = tokio::time::timeout(SILENCE, tcp.read(&mut buffer)).await??;
+            let n = tokio::time::timeout(self.silence, tcp.read(&mut buffer)).await??;
             if n == 0 {
                 return Ok(());
             }
@@ -274,3 +275,95 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::RefCell;
+    use std::rc::Rc;
+    use tokio::net::TcpListener;
+
+    fn event(pos: u64, id: &str, state: &str) -> String {
+        format!(
+            "id: {pos}\ndata: {{\"pos\":{pos},\"hosts\":{{\"reset\":false,\"instances\":[{{\"instanceId\":\"{id}\",\
+             \"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"{state}\",\"startedAtMs\":0}}]}}}}\n\n"
+        )
+    }
+
+    const PLAIN: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    #[test]
+    fn a_stream_reads_alike_wherever_it_is_cut() {
+        let text = format!(": hello\n{}\r\n{}", event(4, "a", "in_service"), event(5, "b", "terminating"));
+        let plain = format!("{PLAIN}{text}").into_bytes();
+        let mut chunked = CHUNKED.as_bytes().to_vec();
+        for part in text.as_bytes().chunks(37) {
+            chunked.extend(format!("{:x}\r\n", part.len()).bytes());
+            chunked.extend(part);
+            chunked.extend(b"\r\n");
+        }
+        for stream in [plain, chunked] {
+            for size in [1, 2, 7, 64, stream.len()] {
+                let mut reader = Reader::default();
+                let mut events = vec![];
+                for piece in stream.chunks(size) {
+                    events.extend(reader.feed(piece).unwrap());
+                }
+                let ids: Vec<_> = events.iter().map(|e| e.0).collect();
+                assert_eq!(ids, [Some(4), Some(5)], "pieces of {size}");
+                assert!(events[1].1.contains("terminating"));
+            }
+        }
+        assert!(Reader::default().feed(b"HTTP/1.1 503 No\r\n\r\n").is_err());
+        let endless = [PLAIN.as_bytes(), &vec![b'x'; LINE_MOST + 1]].concat();
+        assert!(Reader::default().feed(&endless).is_err(), "a line without an end");
+    }
+
+    /// Streams that break off, repeat events and fall silent: each event is told once and in order, and each
+    /// new connection asks from where the list in hand ends.
+    #[test]
+    fn the_journal_goes_on_where_it_was_cut_off_and_reopens_what_is_silent() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let known = r#"{"pos":3,"entries":[{"pos":1,"hosts":{"reset":true,"instances":[]}}]}"#;
+            let known = serde_json::from_str(known).unwrap();
+            let mut journal = Journal::new(listener.local_addr().unwrap(), known).unwrap();
+            journal.silence = Duration::from_millis(60);
+            let told = Rc::new(RefCell::new(vec![]));
+            let tell = told.clone();
+            let sink: Sink = Box::new(move |c| {
+                tell.borrow_mut().push((c.update, c.engines.first().map(|e| (e.id.clone(), e.state))));
+            });
+            let half = event(5, "b", "in_service");
+            let half = &half[..half.len() / 2];
+            let streams = [
+                (3, format!("{}{half}", event(4, "a", "in_service")), true), // cut inside an event
+                (4, event(4, "a", "in_service") + &event(5, "b", "terminating"), false), // then silent
+                (5, event(6, "a", "terminated"), true),
+            ];
+            let service = async {
+                let mut silent = vec![];
+                for (from, text, ends) in streams {
+                    let (mut tcp, _) = listener.accept().await.unwrap();
+                    let mut buffer = [0; 1024];
+                    let n = tcp.read(&mut buffer).await.unwrap();
+                    let asked = String::from_utf8_lossy(&buffer[..n]).into_owned();
+                    assert!(asked.contains(&format!("Last-Event-ID: {from}\r\n")), "{asked}");
+                    tcp.write_all(format!("{PLAIN}{text}").as_bytes()).await.unwrap();
+                    if !ends {
+                        silent.push(tcp);
+                    }
+                }
+                listener.accept().await.unwrap(); // the last stream has been worked through
+            };
+            tokio::select! { () = service => {}, () = journal.run(sink) => {} }
+            use EngineState::{Draining, Gone, Ready};
+            let patch = |id: &str, state| (ListUpdate::Patch, Some((id.to_string(), state)));
+            let wanted =
+                [(ListUpdate::Stale, None), patch("a", Ready), patch("b", Draining), patch("a", Gone)];
+            assert_eq!(told.take(), wanted);
+        });
+    }
+}
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -81,6 +81,10 @@
         // Copied, so that the connection's own buffer is free again for use.
         let payload = Bytes::copy_from_slice(&src[..length - LEAST]);
         src.advance(length - LEAST);
+        // A large frame's room is given back: kept by every connection, it would fill the memory.
+        if src.is_empty() && src.capacity() > 2 * pool::SIZE {
+            *src = BytesMut::with_capacity(pool::SIZE);
+        }
         Ok(Some(Frame { kind, stream, payload }))
     }
 }
@@ -200,12 +204,17 @@
             return Err(format!("txn: {txn:?} is not 16 hex digits"));
         }
         let limit = field("limit").ok_or("the field `limit` is missing")?;
-        let limit: u32 = limit.trim().parse().map_err(|_| format!("limit: {limit:?} is no number"))?;
+        let ms = limit.trim().parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0);
+        let ms = ms.ok_or_else(|| format!("limit: {limit:?} is no number"))?;
+        let team = field("team");
+        if team.is_none() && !hub.names().tenants.is_empty() {
+            return Err("the field `team` is missing".to_string());
+        }
         let new = NewRequest {
             class: index,
-            tenant: field("team").and_then(|t| find(&hub.names().tenants, t)),
+            tenant: team.and_then(|t| find(&hub.names().tenants, t)),
             group: statement::group(&statement),
-            deadline: unix_ms() + f64::from(limit),
+            deadline: unix_ms() + ms,
             work: number("cpu"),
             memory_mb: number("mem"),
         };
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -51,9 +51,19 @@
     open: usize,
 }
 
+impl Slot {
+    /// Closes the idle connections that are not to be kept, and frees their places.
+    fn keep(&mut self, wanted: impl FnMut(&mut Connection) -> bool) {
+        let before = self.idle.len();
+        self.idle.retain_mut(wanted);
+        self.open = self.open.saturating_sub(before - self.idle.len());
+    }
+}
+
 struct Running {
     task: AbortHandle,
     engine: String,
+    address: Option<SocketAddr>,
     opened: Millis,
     /// The connection's address and number, once a byte of the command is written.
     written: Rc<Cell<Option<(SocketAddr, u32)>>>,
@@ -125,7 +135,9 @@
                 Err(outcome) => hub.ended(attempt, outcome, vec![]),
             }
         });
-        let running = Running { task: task.abort_handle(), engine, opened: unix_ms(), written, cut };
+        let address = self.0.engines.borrow().get(&engine).and_then(|s| s.address);
+        let opened = unix_ms();
+        let running = Running { task: task.abort_handle(), engine, address, opened, written, cut };
         self.0.running.borrow_mut().insert(attempt, running);
     }
 
@@ -152,39 +164,44 @@
     fn change(&self, change: &Change) {
         let mut engines = self.0.engines.borrow_mut();
         let mut lost: HashMap<String, Millis> = HashMap::new();
+        let mut taken: Vec<(SocketAddr, String)> = vec![];
         if change.update != ListUpdate::Patch {
             let listed: HashSet<&str> = change.engines.iter().map(|e| e.id.as_str()).collect();
             for (_, slot) in engines.iter_mut().filter(|(id, _)| !listed.contains(id.as_str())) {
                 slot.address = None;
-                slot.idle.clear();
+                slot.keep(|_| false);
             }
         }
         for e in &change.engines {
-            // Its address may have been another engine's until now: what is open there leads to nobody.
-            for (id, slot) in engines.iter_mut().filter(|(id, _)| **id != e.id) {
-                if e.address.is_some() && slot.address == e.address && e.state != EngineState::Gone {
-                    slot.address = None;
-                    slot.idle.clear();
-                    lost.insert(id.clone(), f64::INFINITY);
-                }
+            // What is open at its address for another engine leads to nobody, also if the list has named that
+            // one gone before.
+            for (_, slot) in engines.iter_mut().filter(|(id, _)| **id != e.id) {
+                let Some(address) = e.address.filter(|_| e.state != EngineState::Gone) else { break };
+                slot.keep(|c| c.address != address);
+                slot.address = slot.address.filter(|a| *a != address);
+                taken.push((address, e.id.clone()));
             }
             let slot = engines.entry(e.id.clone()).or_default();
             if slot.address.is_some() && e.address.is_some() && slot.address != e.address {
-                slot.idle.clear();
+                slot.keep(|_| false);
                 lost.insert(e.id.clone(), f64::INFINITY);
             }
             if let Some(started) = e.started {
-                slot.idle.retain(|c| c.opened >= started);
+                slot.keep(|c| c.opened >= started);
                 lost.entry(e.id.clone()).or_insert(started);
             }
             slot.address = (e.state != EngineState::Gone).then(|| e.address.or(slot.address)).flatten();
             if e.state != EngineState::Ready {
-                slot.idle.clear();
+                slot.keep(|_| false);
             }
         }
         let running = self.0.running.borrow();
-        for r in running.values().filter(|r| lost.get(&r.engine).is_some_and(|t| r.opened < *t)) {
-            r.cut.notify_one();
+        for r in running.values() {
+            let started = lost.get(&r.engine).is_some_and(|t| r.opened < *t);
+            let passed = taken.iter().any(|(a, id)| r.address == Some(*a) && r.engine != *id);
+            if started || passed {
+                r.cut.notify_one();
+            }
         }
     }
 }
@@ -256,11 +273,9 @@
         let mut engines = self.engines.borrow_mut();
         let slot = engines.get_mut(engine).ok_or(Outcome::Unreachable)?;
         let idle = span(self.sockets.idle * 0.8);
-        let before = slot.idle.len();
         // One that the engine has closed meanwhile, or has said something on, must not get a statement: what
         // breaks after the write may have run.
-        slot.idle.retain_mut(|c| c.used.elapsed() < idle && c.wire.next().now_or_never().is_none());
-        slot.open -= before - slot.idle.len();
+        slot.keep(|c| c.used.elapsed() < idle && c.wire.next().now_or_never().is_none());
         let key = (work.schema.clone(), work.sql.clone());
         // A connection cannot leave all schemas again: a session without one needs a fresh connection.
         let fits = |c: &Connection| work.schema.is_some() || c.schema.is_none();
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -307,13 +307,11 @@
             }
         }
         for e in &change.engines {
-            if let Some(address) = e.address {
-                for (id, slot) in engines.iter_mut() {
-                    if *id != e.id && slot.address == Some(address) && e.state != EngineState::Gone {
-                        slot.address = None;
-                        slot.connections.iter().for_each(|c| c.end());
-                    }
-                }
+            // By the connections' own address: the list may have named its last owner gone before.
+            for (_, slot) in engines.iter_mut().filter(|(id, _)| **id != e.id) {
+                let Some(address) = e.address.filter(|_| e.state != EngineState::Gone) else { break };
+                slot.connections.iter().filter(|c| c.address == address).for_each(|c| c.end());
+                slot.address = slot.address.filter(|a| *a != address);
             }
             let slot = engines.entry(e.id.clone()).or_default();
             for c in &slot.connections {
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,136 @@
+//! Scenarios on an injected clock, a step a line: `send NAME CLASS MS`, `start NAME` (an attempt is to
+//! start), `begin NAME` (its result has begun), `end NAME OUTCOME`, `drop NAME` (an attempt is to be dropped),
+//! `leave NAME`, `expect NAME ANSWER`, `wait MS`, `stop MS`, `nothing` (no command is left).
+
+mod scenario;
+
+use hitchwinch::core::{Answer, AttemptId, Bounds, Command, Core, NewRequest, RequestId};
+use hitchwinch::*;
+use scenario::settings;
+use std::collections::BTreeMap;
+
+fn play(script: &str) {
+    // A Unix time: what is wrong with large numbers shows here.
+    let mut now = 1.79e12;
+    let mut settings = settings();
+    settings.limits.most_attempts = 2;
+    let bounds = Bounds { open: 3, margin: 20.0, page_wait: 600.0 };
+    let mut core = Core::new(settings, 1, bounds).unwrap();
+    assert!(!core.ready(), "no list is in hand");
+    let engine = |e: &str| EngineEntry {
+        engine: e.into(),
+        state: EngineState::Ready,
+        started: None,
+        kind: Some(0),
+        zone: None,
+        cell: 0,
+    };
+    core.engines(now, ListUpdate::Stale, vec![engine("a"), engine("b")]);
+    assert!(core.ready());
+    let mut ids: BTreeMap<&str, RequestId> = BTreeMap::new();
+    let mut last: BTreeMap<RequestId, AttemptId> = BTreeMap::new();
+    let mut left: Vec<Command> = vec![];
+    for line in script.lines().map(str::trim) {
+        left.extend(core.commands());
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let mut next = |wanted: &dyn Fn(&Command) -> bool| {
+            let found = left.iter().position(wanted);
+            left.remove(found.unwrap_or_else(|| panic!("{line}: only {left:?}")))
+        };
+        match words[..] {
+            ["send", name, class, ms] => {
+                let class = usize::from(class == "load");
+                let deadline = now + ms.parse::<f64>().unwrap();
+                let new =
+                    NewRequest { class, tenant: None, group: None, deadline, work: None, memory_mb: None };
+                ids.insert(name, core.open(now, new));
+            }
+            ["start", name] => {
+                let of =
+                    |c: &Command| matches!(c, Command::Start { attempt, .. } if attempt.request == ids[name]);
+                if let Command::Start { attempt, .. } = next(&of) {
+                    last.insert(attempt.request, attempt);
+                }
+            }
+            ["drop", name] => {
+                let attempt = last[&ids[name]];
+                next(&|c| *c == Command::Drop { attempt });
+            }
+            ["expect", name, what] => {
+                let of = |c: &Command| matches!(c, Command::Answer { request, .. } if *request == ids[name]);
+                let Command::Answer { answer, .. } = next(&of) else { unreachable!() };
+                let told = match answer {
+                    Answer::Served(_) => "served",
+                    Answer::Refused { .. } => "refused",
+                    Answer::Failed { .. } => "failed",
+                    Answer::TimedOut { harmless: true } => "late",
+                    Answer::TimedOut { harmless: false } => "late-and-may-have-run",
+                };
+                assert_eq!(told, what, "{line}");
+            }
+            ["begin", name] => core.answering(now, last[&ids[name]]),
+            ["end", name, how] => {
+                let outcome = match how {
+                    "served" => Outcome::Served,
+                    "reset" => Outcome::Reset,
+                    "full" => Outcome::Full,
+                    "unreachable" => Outcome::Unreachable,
+                    _ => panic!("{line}"),
+                };
+                core.ended(now, last[&ids[name]], outcome, vec![]);
+            }
+            ["leave", name] => core.leave(now, ids[name]),
+            ["stop", ms] => core.stop(now, now + ms.parse::<f64>().unwrap()),
+            ["wait", ms] => {
+                let end = now + ms.parse::<f64>().unwrap();
+                while let Some(at) = core.next_wake().filter(|at| *at <= end) {
+                    now = at.max(now);
+                    core.tick(now);
+                }
+                now = end;
+            }
+            ["nothing"] => assert!(left.is_empty(), "{line}: {left:?}"),
+            [] => {}
+            _ => panic!("no such step: {line}"),
+        }
+    }
+    let asked = |c: &Command| !matches!(c, Command::Say(_));
+    left.extend(core.commands());
+    assert!(!left.iter().any(asked), "left over: {left:?}");
+}
+
+#[test]
+fn one_answer_each_whatever_races() {
+    play("send a lookup 900\n start a\n end a served\n expect a served\n end a reset\n leave a\n nothing");
+    play("send a lookup 900\n start a\n leave a\n drop a\n end a served\n nothing");
+    play("send a lookup 900\n start a\n begin a\n leave a\n drop a\n end a served\n wait 2000\n nothing");
+    play("send a lookup 900\n start a\n wait 900\n drop a\n expect a late\n end a served\n nothing");
+    play("send a load 900\n start a\n wait 900\n drop a\n expect a late-and-may-have-run\n nothing");
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_where_that_is_harmless() {
+    play("send a lookup 900\n start a\n end a reset\n start a\n end a served\n expect a served");
+    play("send a lookup 900\n start a\n begin a\n end a reset\n start a\n end a served\n expect a served");
+    play("send a load 900\n start a\n end a reset\n expect a failed\n wait 2000\n nothing");
+    play("send a load 900\n start a\n begin a\n end a reset\n expect a failed\n wait 2000\n nothing");
+    play("send a load 900\n start a\n end a unreachable\n start a\n end a reset\n expect a failed");
+    play("send a load 900\n start a\n end a full\n start a\n end a full\n expect a refused\n wait 2000");
+}
+
+#[test]
+fn bounds_and_times_that_are_over_get_an_answer_at_once() {
+    play("send a lookup 10\n expect a refused\n nothing");
+    let four = "send a lookup 900\n start a\n send b lookup 900\n start b\n send c lookup 900\n start c
+        send d lookup 900\n expect d refused\n nothing\n leave a\n drop a\n leave b\n drop b\n leave c\n drop c";
+    play(four);
+}
+
+#[test]
+fn the_last_answers_are_given_before_the_end() {
+    play(
+        "send a lookup 5000\n start a\n send b load 5000\n start b\n stop 1000\n send c lookup 5000\n start c
+         end c served\n expect c served\n wait 1000\n drop a\n expect a late\n drop b
+         expect b late-and-may-have-run\n send d lookup 5000\n expect d refused\n nothing",
+    );
+}
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -186,7 +186,9 @@
     on_one_thread(async {
         let (_hub, mut c, _, _seen) = set_up().await;
         let txn = "0123456789abcdef";
-        let cases: [(&[(&str, &str)], &str); 4] = [
+        let cases: [(&[(&str, &str)], &str); 6] = [
+            (&[("verb", "lookup"), ("txn", txn), ("limit", "500")], "team"),
+            (&[("verb", "lookup"), ("txn", txn), ("limit", "soon")], "limit"),
             (&[("verb", "nonsense"), ("txn", txn), ("limit", "500")], "nonsense"),
             (&[("txn", txn), ("limit", "500")], "verb"),
             (&[("verb", "lookup"), ("txn", "12"), ("limit", "500")], "txn"),
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,12 +9,14 @@
 //! - `reply rows|full|error|half`: the engine answers (`half`: it begins a result and does not end it);
 //! - `close`: the engine breaks the request's connection;
 //! - `drain`, `back`: the engine list tells that this engine drains, or is in service again;
+//! - `takeover`: the list tells that this engine's address now belongs to another;
+//! - `restart`: the list tells that its process has just started again;
 //! - `moved`: the last request went to another engine than the one before;
 //! - `wait ms`: time passes; `ran N`: so many requests reached engines in all.
 #![allow(dead_code)]
 
 use hitchwinch::config::{Access, ClassRules, MysqlFront, Names, Sockets, User};
-use hitchwinch::core::{Core, Limits};
+use hitchwinch::core::{Bounds, Core};
 use hitchwinch::net::discovery::{Change, Engine};
 use hitchwinch::net::hub::{Hub, Leg};
 use hitchwinch::*;
@@ -40,7 +42,8 @@
     fn leave(&mut self);
 }
 
-pub fn core() -> (Core, Names, Sockets) {
+/// A safe class and an unsafe one, no tenant's bound, no report.
+pub fn settings() -> Settings {
     let class = |worth, effect, threads| Class {
         worth,
         aim: 5000.0,
@@ -54,7 +57,7 @@
         holds_tables: false,
         waits_for_loads: false,
     };
-    let settings = Settings {
+    Settings {
         gateways: 1,
         zone: None,
         step: 5.0,
@@ -62,7 +65,7 @@
         tenants: vec![],
         kinds: vec![Kind { cores: 8.0, memory_mb: 16384.0 }],
         over_share_worth: 1.0,
-        limits: hitchwinch::Limits {
+        limits: Limits {
             most_attempts: 3,
             second_copies: false,
             cancel: true,
@@ -90,7 +93,10 @@
         report_fields: vec![],
         must_subscribe: false,
         cross_zone_price: 0.0,
-    };
+    }
+}
+
+pub fn core() -> (Core, Names, Sockets) {
     let names = Names {
         classes: vec!["lookup".into(), "load".into()],
         kinds: vec!["std".into()],
@@ -101,19 +107,23 @@
     };
     let sockets =
         Sockets { connect_timeout: 250.0, idle: 30_000.0, streams: 100, most_open: 100, longest: 5000.0 };
-    let limits = Limits { open: 100, margin: 20.0, page_wait: 600.0 };
-    (Core::new(settings, 1, limits).unwrap(), names, sockets)
+    let bounds = Bounds { open: 100, margin: 20.0, page_wait: 600.0 };
+    (Core::new(settings(), 1, bounds).unwrap(), names, sockets)
 }
 
-pub fn change(addresses: &[SocketAddr], drains: Option<usize>) -> Change {
-    let engine = |(i, a): (usize, &SocketAddr)| Engine {
-        id: format!("e{i}"),
-        address: Some(*a),
-        state: if drains == Some(i) { EngineState::Draining } else { EngineState::Ready },
-        zone: None,
-        kind: Some("std".into()),
-        cell: 0,
-        started: None,
+/// The whole list, with one engine that is special.
+pub fn change(addresses: &[SocketAddr], special: Option<(usize, &str)>) -> Change {
+    let engine = |(i, a): (usize, &SocketAddr)| {
+        let is = |what| special == Some((i, what));
+        Engine {
+            id: format!("{}{i}", if is("takeover") { "new" } else { "e" }),
+            address: Some(*a),
+            state: if is("drain") { EngineState::Draining } else { EngineState::Ready },
+            zone: None,
+            kind: Some("std".into()),
+            cell: 0,
+            started: is("restart").then(|| hitchwinch::net::unix_ms() + 1.0),
+        }
     };
     Change { update: ListUpdate::Whole, engines: addresses.iter().enumerate().map(engine).collect() }
 }
@@ -200,7 +210,9 @@
                 last.as_ref().unwrap().orders.send(what).unwrap();
             }
             ["close"] => last.as_ref().unwrap().orders.send("close").unwrap(),
-            ["drain"] => hub.change(&change(addresses, Some(engine()))),
+            [what @ ("drain" | "takeover" | "restart")] => {
+                hub.change(&change(addresses, Some((engine(), what))));
+            }
             ["back"] => hub.change(&change(addresses, None)),
             ["moved"] => assert_ne!(Some(engine()), before, "{line}"),
             ["wait", ms] => tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await,
@@ -214,7 +226,7 @@
 }
 
 /// Scenarios that come out alike on both fronts: what each tells, and its script.
-pub const ALIKE: [(&str, &str); 11] = [
+pub const ALIKE: [(&str, &str); 13] = [
     ("a request is served", "send a lookup\n engine lookup\n reply rows\n expect a served\n ran 1"),
     (
         "a lookup that breaks off is sent again, elsewhere",
@@ -249,6 +261,14 @@
         "a silent engine is dropped at the deadline, and the client told before",
         "send a lookup 300\n engine lookup\n expect a late\n engine dropped\n ran 1",
     ),
+    (
+        "an address that passes to another engine takes its connections along: a load is failed",
+        "send a load\n engine load\n takeover\n expect a failed\n wait 100\n ran 1",
+    ),
+    (
+        "a process that started again has forgotten what it was sent: a lookup goes on",
+        "send a lookup\n engine lookup\n restart\n engine lookup\n reply rows\n expect a served\n ran 2",
+    ),
     (
         "when every engine is full the request is refused, for nothing ran",
         "send a load\n engine load\n reply full\n engine load\n moved\n reply full
