--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -3,7 +3,7 @@
 
 use super::packet::*;
 use super::values::{self, Type};
-use super::{Job, Packets, SqlError, Work, auth, code, error_of};
+use super::{Context, Job, Packets, SqlError, Work, auth, code, error_of};
 use crate::config::MysqlFront;
 use crate::core::{NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
@@ -36,8 +36,8 @@
 }
 
 struct Prepared {
-    /// Names were resolved in the schema that the session stood in then.
-    schema: Option<String>,
+    /// Names were resolved where the session stood then.
+    context: Context,
     sql: Bytes,
     kind: Kind,
     parameters: usize,
@@ -111,7 +111,8 @@
         let Some((tenant, schema)) = login.map_err(|e| PacketError::from(io::Error::from(e)))?? else {
             return Ok(());
         };
-        let session = Session { front: self, wire, tenant, schema, statements: BTreeMap::new(), next: 1 };
+        let context = Context { schema, names: None };
+        let session = Session { front: self, wire, tenant, context, statements: BTreeMap::new(), next: 1 };
         session.serve().await
     }
 
@@ -173,7 +174,7 @@
     front: &'a Rc<Front<L>>,
     wire: Wire<PacketCodec>,
     tenant: Option<usize>,
-    schema: Option<String>,
+    context: Context,
     statements: BTreeMap<u32, Prepared>,
     next: u32,
 }
@@ -224,11 +225,12 @@
             QUIT => return Err(End::Quit),
             PING => Ok(None),
             INIT_DB => {
-                self.schema = Some(String::from_utf8_lossy(&body).into_owned());
+                self.context.schema = Some(String::from_utf8_lossy(&body).into_owned());
                 Ok(None)
             }
             RESET_CONNECTION => {
                 self.statements.clear();
+                self.context.names = None;
                 Ok(None)
             }
             QUERY => return self.query(body).await,
@@ -335,12 +337,16 @@
         match statement::kind(&sql) {
             Kind::NotCarried(why) => self.say(&SqlError::new(code::NOT_CARRIED, why)).await,
             Kind::Nothing => self.write([&ok()[..]].into_iter()).await,
+            Kind::Names(names) => {
+                self.context.names = Some(names);
+                self.write([&ok()[..]].into_iter()).await
+            }
             Kind::Use(schema) => {
-                self.schema = Some(schema);
+                self.context.schema = Some(schema);
                 self.write([&ok()[..]].into_iter()).await
             }
             kind => {
-                let work = Work { schema: self.schema.clone(), sql, job: Job::Query };
+                let work = Work { context: self.context.clone(), sql, job: Job::Query };
                 let reply = self.ask(&kind, work).await?;
                 self.pass_on(reply).await
             }
@@ -351,7 +357,7 @@
         let kind = statement::kind(&sql);
         let why = match kind {
             Kind::NotCarried(why) => Some(why),
-            Kind::Nothing | Kind::Use(_) => Some("this is not to be prepared"),
+            Kind::Nothing | Kind::Use(_) | Kind::Names(_) => Some("this is not to be prepared"),
             _ => None,
         };
         if let Some(why) = why {
@@ -361,7 +367,7 @@
             let text = "too many prepared statements in this session; close some";
             return self.say(&SqlError::new(code::STATEMENTS, text)).await;
         }
-        let work = Work { schema: self.schema.clone(), sql: sql.clone(), job: Job::Prepare };
+        let work = Work { context: self.context.clone(), sql: sql.clone(), job: Job::Prepare };
         let packets = match self.ask(&kind, work).await? {
             Reply::Served(packets) => packets,
             other => return self.pass_on(other).await,
@@ -374,8 +380,8 @@
             let parameters = usize::from(u16::from_le_bytes([first[7], first[8]]));
             self.next = self.next.wrapping_add(1).max(1);
             let long = BTreeMap::new();
-            let schema = self.schema.clone();
-            let prepared = Prepared { schema, sql, kind, parameters, bound: None, long, too_long: false };
+            let context = self.context.clone();
+            let prepared = Prepared { context, sql, kind, parameters, bound: None, long, too_long: false };
             self.statements.insert(id, prepared);
         }
         self.write(all.iter().map(|p| &p[..])).await
@@ -399,7 +405,7 @@
             let execute = values::complete(s.parameters, r.0, &mut s.bound, &long)?;
             Ok((
                 s.kind.clone(),
-                Work { schema: s.schema.clone(), sql: s.sql.clone(), job: Job::Execute(execute) },
+                Work { context: s.context.clone(), sql: s.sql.clone(), job: Job::Execute(execute) },
             ))
         });
         match ready {
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -2,7 +2,7 @@
 //! each connection when it first needs them.
 
 use super::packet::*;
-use super::{Execute, Job, Packets, SqlError, Work, auth, code};
+use super::{Context, Execute, Job, Packets, SqlError, Work, auth, code};
 use crate::config::{Access, Sockets};
 use crate::core::AttemptId;
 use crate::interface::*;
@@ -29,20 +29,28 @@
 /// Kills under way at a time; beyond, closing the connection has to do.
 const KILLS: usize = 16;
 
-type Key = (Option<String>, Bytes);
+type Key = (Context, Bytes);
 
 struct Connection {
     wire: Wire<PacketCodec>,
     /// Its number at the engine, by which it can be killed.
     number: u32,
     address: SocketAddr,
-    schema: Option<String>,
+    context: Context,
     statements: HashMap<Key, u32>,
     oldest: VecDeque<Key>,
     opened: Millis,
     used: Instant,
 }
 
+impl Connection {
+    /// It can be taken there: what it has set can be set anew, but not unset.
+    fn can_enter(&self, context: &Context) -> bool {
+        let has = &self.context;
+        (context.schema.is_some() || has.schema.is_none()) && (context.names.is_some() || has.names.is_none())
+    }
+}
+
 #[derive(Default)]
 struct Slot {
     address: Option<SocketAddr>,
@@ -276,9 +284,9 @@
         // One that the engine has closed meanwhile, or has said something on, must not get a statement: what
         // breaks after the write may have run.
         slot.keep(|c| c.used.elapsed() < idle && c.wire.next().now_or_never().is_none());
-        let key = (work.schema.clone(), work.sql.clone());
+        let key = (work.context.clone(), work.sql.clone());
         // A connection cannot leave all schemas again: a session without one needs a fresh connection.
-        let fits = |c: &Connection| work.schema.is_some() || c.schema.is_none();
+        let fits = |c: &Connection| c.can_enter(&work.context);
         let known = slot.idle.iter().rposition(|c| fits(c) && c.statements.contains_key(&key));
         if let Some(i) = known.or_else(|| slot.idle.iter().rposition(fits)) {
             return Ok(Some(slot.idle.swap_remove(i)));
@@ -324,7 +332,7 @@
             wire,
             number,
             address,
-            schema: None,
+            context: Context::default(),
             statements: HashMap::new(),
             oldest: VecDeque::new(),
             opened,
@@ -382,17 +390,10 @@
         in_service: &impl Fn() -> bool,
         until: Millis,
     ) -> Result<Packets, PacketError> {
-        if work.schema.is_some() && c.schema != work.schema {
-            let schema = work.schema.as_deref().unwrap_or_default();
-            command(&mut c.wire, INIT_DB, &[schema.as_bytes()]).await?;
-            let p = next(&mut c.wire).await?;
-            if p.first() == Some(&0xff) {
-                return Err(PacketError::Sql(read_err(&p)));
-            }
-            c.schema = work.schema.clone();
-        } else if work.schema.is_none() && c.schema.is_some() {
-            return Err(PacketError::Protocol("the connection stands in a schema"));
+        if !c.can_enter(&work.context) {
+            return Err(PacketError::Protocol("the connection stands in another session's place"));
         }
+        self.enter(c, &work.context).await?;
         let mark = (c.address, c.number);
         let gate = || -> Result<(), PacketError> {
             // The connection took its time: the engine may drain by now, or the time be over.
@@ -416,7 +417,7 @@
             Job::Execute(e) => {
                 // An engine that no longer knows the statement has not run it: once more, newly prepared.
                 for again in [false, true] {
-                    let key = (work.schema.clone(), work.sql.clone());
+                    let key = (work.context.clone(), work.sql.clone());
                     let id = match c.statements.get(&key) {
                         Some(&id) => id,
                         None => {
@@ -444,6 +445,25 @@
         }
     }
 
+    /// Takes the connection to where the session stands.
+    async fn enter(&self, c: &mut Connection, context: &Context) -> Result<(), PacketError> {
+        let names = context.names.as_ref().map(|n| format!("SET NAMES {n}"));
+        let steps = [
+            (INIT_DB, context.schema.clone(), c.context.schema != context.schema),
+            (QUERY, names, c.context.names != context.names),
+        ];
+        for (kind, text, differs) in steps {
+            let Some(text) = text.filter(|_| differs) else { continue };
+            command(&mut c.wire, kind, &[text.as_bytes()]).await?;
+            let p = next(&mut c.wire).await?;
+            if p.first() == Some(&0xff) {
+                return Err(PacketError::Sql(read_err(&p)));
+            }
+        }
+        c.context = context.clone();
+        Ok(())
+    }
+
     async fn prepare(&self, c: &mut Connection, work: &Work) -> Result<Packets, PacketError> {
         command(&mut c.wire, STMT_PREPARE, &[&work.sql]).await?;
         let mut packets = Packets::default();
@@ -467,7 +487,7 @@
                 command(&mut c.wire, STMT_CLOSE, &[&old.to_le_bytes()]).await?;
             }
         }
-        let key = (work.schema.clone(), work.sql.clone());
+        let key = (work.context.clone(), work.sql.clone());
         c.oldest.retain(|k| *k != key);
         if let Some(old) = c.statements.insert(key.clone(), id) {
             command(&mut c.wire, STMT_CLOSE, &[&old.to_le_bytes()]).await?;
--- a/src/net/mysql/mod.rs
+++ b/src/net/mysql/mod.rs
@@ -13,12 +13,19 @@
 /// What a client asked for, as an engine connection can carry it out alone.
 #[derive(Debug)]
 pub struct Work {
-    /// The schema that the session stands in.
-    pub schema: Option<String>,
+    pub context: Context,
     pub sql: Bytes,
     pub job: Job,
 }
 
+/// What of a session an engine connection has to stand in before it can carry a statement out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Context {
+    pub schema: Option<String>,
+    /// The words behind SET NAMES.
+    pub names: Option<String>,
+}
+
 #[derive(Debug)]
 pub enum Job {
     /// COM_QUERY.
--- a/src/net/statement.rs
+++ b/src/net/statement.rs
@@ -182,6 +182,8 @@
     Write,
     /// `use schema`
     Use(String),
+    /// `set names`: a Unicode character set, and maybe a collation, in words that may be sent on.
+    Names(String),
     /// Asks for what holds anyway.
     Nothing,
     /// Cannot be carried, and why: sessions move between engines, and each statement stands alone.
@@ -254,15 +256,7 @@
                 _ => Kind::NotCarried("USE takes the name of a schema"),
             };
         }
-        "set" => {
-            let names = word(start + 1) == "names" && end <= start + 3;
-            let on = word(start + 1) == "autocommit" && mark(start + 2, b'=') && end == start + 4;
-            let one = statement.trim_ascii_end().trim_ascii_end().ends_with(b"1");
-            return match names || on && (one || word(start + 3) == "on") {
-                true => Kind::Nothing,
-                false => Kind::NotCarried("settings of a session are not carried"),
-            };
-        }
+        "set" => return set(statement),
         _ => {}
     }
     if has("temporary") {
@@ -302,6 +296,29 @@
     if reads && !writes && !calls_unknown && !heeded { Kind::Read } else { Kind::Write }
 }
 
+/// Of what a session may set, the character set is carried along, and autocommit is on in any case.
+fn set(statement: &[u8]) -> Kind {
+    let text = String::from_utf8_lossy(statement).to_ascii_lowercase();
+    let text = text.trim().trim_end_matches(';').trim_end();
+    let bare: String = text.chars().filter(|c| !c.is_whitespace()).collect();
+    let scope = ["", "session", "@@", "@@session.", "local", "@@local."];
+    let on = |s: &str| ["1", "on", "true"].iter().any(|v| bare == format!("set{s}autocommit={v}"));
+    if scope.into_iter().any(on) {
+        return Kind::Nothing;
+    }
+    let words: Vec<&str> = text.split_ascii_whitespace().map(|w| w.trim_matches(['\'', '"', '`'])).collect();
+    let plain = |w: &str| w.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'_');
+    // Engine connections speak Unicode; another character set would garble what is read and written.
+    let unicode = |w: &str| matches!(w, "utf8" | "utf8mb3" | "utf8mb4");
+    match words[..] {
+        ["set", "names", set] if unicode(set) => Kind::Names(set.to_string()),
+        ["set", "names", set, "collate", c] if unicode(set) && c.starts_with("utf8") && plain(c) => {
+            Kind::Names(format!("{set} COLLATE {c}"))
+        }
+        _ => Kind::NotCarried("settings of a session are not carried, but for names in Unicode"),
+    }
+}
+
 const ASSIGN: [Token; 2] = [Token::Mark(b':'), Token::Mark(b'=')];
 
 /// The `name=value` words of a leading comment: `/* class=report limit=1500 */ select ...`.
@@ -353,7 +370,12 @@
             ("create temporary table x (a int)", "no"),
             ("select last_insert_id()", "no"),
             ("load data local infile 'x' into table t", "no"),
-            ("set names utf8mb4", "nothing"),
+            ("set names utf8mb4", "names"),
+            ("SET NAMES 'utf8mb4' COLLATE 'utf8mb4_0900_ai_ci';", "names"),
+            ("set names latin1", "no"),
+            ("set names utf8mb4 collate utf8;drop", "no"),
+            ("SET @@session.autocommit = ON", "nothing"),
+            ("SET SESSION sql_mode = ''", "no"),
             ("SET autocommit = 1", "nothing"),
             ("use `a b`", "use"),
         ];
@@ -363,6 +385,7 @@
                 Kind::Write => "write",
                 Kind::Use(_) => "use",
                 Kind::Nothing => "nothing",
+                Kind::Names(_) => "names",
                 Kind::NotCarried(_) => "no",
             };
             assert_eq!(found, wanted, "{text}");
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -96,6 +96,10 @@
                 }
                 sql
             }
+            QUERY if text.starts_with("SET NAMES utf8mb4") => {
+                w.send(&ok()[..]).await.unwrap();
+                continue;
+            }
             QUERY => text,
             QUIT => return,
             other => panic!("engine got command {other}"),
