--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -65,6 +65,11 @@
         let id = Reader(command.slice(1..)).u32().unwrap_or(0);
         let (sql, binary) = match kind {
             QUIT => return Ok(()),
+            // What sets something, or kills, brings no rows.
+            QUERY if said.starts_with("SET ") || said.starts_with("KILL ") => {
+                wire.send(&ok()[..]).await?;
+                continue;
+            }
             QUERY => (said, false),
             STMT_EXECUTE => (statements.get(&id).cloned().unwrap_or_default(), true),
             STMT_PREPARE => {
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -456,8 +456,10 @@
             let Some(text) = text.filter(|_| differs) else { continue };
             command(&mut c.wire, kind, &[text.as_bytes()]).await?;
             let p = next(&mut c.wire).await?;
-            if p.first() == Some(&0xff) {
-                return Err(PacketError::Sql(read_err(&p)));
+            match p.first() {
+                Some(0) => {}
+                Some(0xff) => return Err(PacketError::Sql(read_err(&p))),
+                _ => return Err(PacketError::Protocol("it answers rows to a setting")),
             }
         }
         c.context = context.clone();
