--- a/src/main.rs
+++ b/src/main.rs
@@ -51,6 +51,7 @@
     let hub = Hub::new(core, config.names, leg);
     let journal = Journal::new(config.journal, config.known).map_err(|e| format!("known: {e}"))?;
     let listener = TcpListener::bind(config.listen).await?;
+    let listen = listener.local_addr()?;
     // A quarter of the memory for statements. Clients hold up to a third of the descriptors, so this many
     // are let in; further ones wait in the machine's own queue.
     let budget = Budget::new(config.limits.memory_mb * 1024 * 1024 / 4);
@@ -60,7 +61,7 @@
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
-    say!("{} listens on {}", config.name, config.listen);
+    say!("{} listens on {listen}", config.name);
     wind_down(&mut term, &hub, config.sockets.longest, || {
         accepting.abort();
         front.farewell.send_replace(true);
@@ -78,6 +79,7 @@
     let leg = mysql::leg::MysqlLeg::new(config.access, config.sockets.clone(), pool.clone());
     let hub = Hub::new(core, config.names, leg);
     let listener = TcpListener::bind(config.listen).await?;
+    let listen = listener.local_addr()?;
     let front = mysql::front::Front::new(hub.clone(), pool, config.front);
     let sink = hub.clone();
     match config.source {
@@ -89,7 +91,7 @@
     }
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
-    say!("the MySQL front listens on {}", config.listen);
+    say!("the MySQL front listens on {listen}");
     wind_down(&mut term, &hub, config.sockets.longest, || {
         accepting.abort();
         front.stop();
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -25,6 +25,8 @@
 /// A client has this long to log in, and to take an answer.
 const LOGIN: Duration = Duration::from_secs(10);
 const WRITE: Duration = Duration::from_secs(10);
+/// Clients beyond the bound that are told so at a time.
+const TURNED_AWAY: usize = 64;
 
 pub struct Front<L: Leg<Work = Work, Output = Packets>> {
     hub: Rc<Hub<L>>,
@@ -82,6 +84,8 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
+                // Those that are turned away politely are bounded as well.
+                Ok((tcp, _)) if self.open.get() >= self.config.max_clients + TURNED_AWAY => drop(tcp),
                 Ok((tcp, peer)) => {
                     let front = self.clone();
                     front.open.set(front.open.get() + 1);
@@ -137,6 +141,10 @@
         wire.send(&greeting.write(&self.config.version)[..]).await?;
         let login = Login::read(super::leg::next(wire).await?)?;
         let (mut plugin, mut proof) = (login.plugin.clone(), login.auth.clone());
+        // One that names no way knows the oldest only.
+        if plugin.is_empty() {
+            plugin = auth::NATIVE.into();
+        }
         // A client that answered for another way is asked again, for one that is known here.
         if plugin != auth::NATIVE && plugin != auth::SHA2 {
             plugin = auth::NATIVE.into();
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -252,7 +252,10 @@
             // The statement ran and a second run would bring as much: that is the answer.
             Err(PacketError::Length(n)) if wrote => {
                 let mut packets = Packets::default();
-                let text = format!("the result is above the bound of {} bytes", self.access.most_result);
+                let text = format!(
+                    "the statement ran, but its result is above the bound of {} bytes",
+                    self.access.most_result
+                );
                 say!("engine {}: a result of {n} bytes or more", start.engine);
                 packets.push(&err(&SqlError::new(code::RESULT, text)));
                 Ok(packets)
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -15,6 +15,9 @@
 //! - `wait ms`: time passes; `ran N`: so many requests reached engines in all.
 #![allow(dead_code)]
 
+#[path = "../common/mod.rs"]
+mod common;
+
 use hitchwinch::config::{Access, ClassRules, MysqlFront, Names, Sockets, User};
 use hitchwinch::core::{Bounds, Core};
 use hitchwinch::net::discovery::{Change, Engine};
@@ -42,58 +45,13 @@
     fn leave(&mut self);
 }
 
-/// A safe class and an unsafe one, no tenant's bound, no report.
+/// A safe class and an unsafe one; engines that heed no grants and tell no load.
 pub fn settings() -> Settings {
-    let class = |worth, effect, threads| Class {
-        worth,
-        aim: 5000.0,
-        aim_stretch: 1.0,
-        late_share: 0.0,
-        effect,
-        in_order: false,
-        only_zones: None,
-        only_kinds: None,
-        threads,
-        holds_tables: false,
-        waits_for_loads: false,
-    };
-    Settings {
-        gateways: 1,
-        zone: None,
-        step: 5.0,
-        classes: vec![class(1.0, Effect::Safe, 1.0), class(4.0, Effect::Unsafe, 2.0)],
-        tenants: vec![],
-        kinds: vec![Kind { cores: 8.0, memory_mb: 16384.0 }],
-        over_share_worth: 1.0,
-        limits: Limits {
-            most_attempts: 3,
-            second_copies: false,
-            cancel: true,
-            probes: false,
-            retry_advice: true,
-            max_retry_after: 500.0,
-        },
-        engines: EngineFacts {
-            takes_grants: false,
-            takes_priority: false,
-            most_grant: 0.4,
-            tells_cost: false,
-            overcommits: false,
-        },
-        rules: Rules {
-            answer_grace: 20.0,
-            drain_grace: 1000.0,
-            cold_from: 0.3,
-            warm_within: 15000.0,
-            fall_multiple: 4.0,
-            fall_window: 2000.0,
-            order_rest: 0.0,
-            attempt_budget: None,
-        },
-        report_fields: vec![],
-        must_subscribe: false,
-        cross_zone_price: 0.0,
-    }
+    let load = Class { effect: Effect::Unsafe, threads: 2.0, ..common::class(4.0, 5000.0) };
+    let mut s = common::settings(vec![common::class(1.0, 5000.0), load]);
+    s.engines = EngineFacts { takes_grants: false, takes_priority: false, tells_cost: false, ..s.engines };
+    s.report_fields = vec![];
+    s
 }
 
 pub fn core() -> (Core, Names, Sockets) {
