--- a/src/config.rs
+++ b/src/config.rs
@@ -21,7 +21,7 @@
 }
 
 /// Limits and time-outs of the sockets, from the settings' ceilings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Sockets {
     pub connect_timeout: Millis,
     pub idle: Millis,
@@ -33,7 +33,7 @@
 }
 
 /// The machine's limits.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Machine {
     #[serde(default = "default_memory")]
     pub memory_mb: usize,
@@ -87,6 +87,17 @@
 }
 
 impl Platform {
+    /// What a running program cannot take from `new`: learned state and open requests rest on it.
+    pub fn needs_restart(&self, new: &Platform) -> Option<&'static str> {
+        match () {
+            () if self.listen != new.listen => Some("listen"),
+            () if self.settings != new.settings || self.names != new.names || self.sockets != new.sockets => {
+                Some("settings")
+            }
+            () => None,
+        }
+    }
+
     /// Reads the file that `PROXY_CONFIG` names; `PROXY_LISTEN` and `PROXY_NAME` go before what it says.
     pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = var("PROXY_CONFIG").ok_or_else(|| bad("PROXY_CONFIG", "is not set"))?;
@@ -189,7 +200,7 @@
 }
 
 /// How to reach engines that speak MySQL.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Access {
     pub user: String,
     pub password: String,
@@ -200,7 +211,7 @@
 }
 
 /// An engine that the file lists.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FixedEngine {
     pub id: String,
     pub address: SocketAddr,
@@ -209,13 +220,14 @@
 }
 
 /// Where the engines of the MySQL front come from.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Source {
     Fixed(Vec<FixedEngine>),
     Eureka(EurekaSource),
 }
 
 /// A Eureka registry and the application that the engines register under.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EurekaSource {
     pub address: SocketAddr,
     /// Before `/apps`.
@@ -349,6 +361,18 @@
 }
 
 impl Mysql {
+    /// What a running program cannot take from `new`: learned state, users and open requests rest on it.
+    pub fn needs_restart(&self, new: &Mysql) -> Option<&'static str> {
+        match () {
+            () if self.listen != new.listen => Some("listen"),
+            () if self.settings != new.settings || self.names != new.names => {
+                Some("class, tenant, kind or zone")
+            }
+            () if self.access != new.access || self.sockets != new.sockets => Some("engines"),
+            () => None,
+        }
+    }
+
     pub fn read(path: &str) -> Result<Self, ConfigError> {
         let source = |e: std::io::Error| ConfigError::Source { what: path.into(), problem: e.to_string() };
         Self::parse(&std::fs::read_to_string(path).map_err(source)?)
@@ -625,6 +649,7 @@
 }
 
 /// Names to numbers, as one instance's settings list them.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Names {
     pub classes: Vec<String>,
     pub kinds: Vec<String>,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,7 +9,7 @@
 pub type ClassId = usize;
 
 /// Everything the operator states at start. A limit that is not known is given as its cautious reading.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How many gateways share the engines.
     pub gateways: u32,
@@ -33,7 +33,7 @@
     pub cross_zone_price: f64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     pub worth: f64,
     /// An answer within this (plus the stretch) earns the full worth.
@@ -76,19 +76,19 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Queries a second in its share, for all gateways together.
     pub quota_per_s: f64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Kind {
     pub cores: f64,
     pub memory_mb: f64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     pub most_attempts: u32,
     pub second_copies: bool,
@@ -98,7 +98,7 @@
     pub max_retry_after: Millis,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EngineFacts {
     pub takes_grants: bool,
     pub takes_priority: bool,
@@ -110,7 +110,7 @@
     pub overcommits: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
     pub answer_grace: Millis,
     pub drain_grace: Millis,
@@ -123,7 +123,7 @@
     pub attempt_budget: Option<AttemptBudget>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AttemptBudget {
     pub free: f64,
     pub share: f64,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,10 @@
 //! The real dispatcher: wiring and signals. Without arguments it serves the platform; with `--mysql FILE` it
 //! serves the MySQL protocol as that file says.
 
-use hitchwinch::config::{Mysql, Platform, Source};
+use hitchwinch::config::{ConfigError, Mysql, Platform, Source};
 use hitchwinch::core::{Bounds, Core};
-use hitchwinch::net::discovery::{Discovery, fixed, journal::Journal};
-use hitchwinch::net::frames::{self, Budget, Front};
+use hitchwinch::net::discovery::{Discovery, eureka::Eureka, fixed, journal::Journal};
+use hitchwinch::net::frames::{self, Front};
 use hitchwinch::net::hub::{Hub, Leg};
 use hitchwinch::net::mysql;
 use hitchwinch::net::pool::Pool;
@@ -15,7 +15,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
 
 /// An answer has to be written and read before its client gives up.
 const MARGIN: f64 = 40.0;
@@ -30,8 +31,8 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = LocalSet::new();
         match &args[..] {
-            [] => local.block_on(&runtime, platform(Platform::from_env(|v| std::env::var(v).ok())?)),
-            [flag, file] if flag == "--mysql" => local.block_on(&runtime, serve_mysql(Mysql::read(file)?)),
+            [] => local.block_on(&runtime, platform()),
+            [flag, file] if flag == "--mysql" => local.block_on(&runtime, serve_mysql(file)),
             _ => Err("usage: hitchwinch [--mysql FILE]".into()),
         }
     };
@@ -42,27 +43,35 @@
 }
 
 /// Serves the platform until SIGTERM and the last answer.
-async fn platform(config: Platform) -> Result<(), Error> {
-    let mut term = signal(SignalKind::terminate())?;
+async fn platform() -> Result<(), Error> {
+    let (mut term, hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let read = || Platform::from_env(|v| std::env::var(v).ok());
+    let mut config = read()?;
     let pool = Pool::default();
     let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
-    let core = Core::new(config.settings, config.seed, bounds)?;
+    let core = Core::new(config.settings.clone(), config.seed, bounds)?;
     let leg = RespLeg::new(config.sockets.clone(), config.names.report_fields.clone(), pool.clone());
-    let hub = Hub::new(core, config.names, leg);
-    let journal = Journal::new(config.journal, config.known).map_err(|e| format!("known: {e}"))?;
+    let hub = Hub::new(core, config.names.clone(), leg);
+    let (at, address) = watch::channel(config.journal);
+    let journal = Journal::new(address, config.known.take()).map_err(|e| format!("known: {e}"))?;
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
-    // A quarter of the memory for statements. Clients hold up to a third of the descriptors, so this many
-    // are let in; further ones wait in the machine's own queue.
-    let budget = Budget::new(config.limits.memory_mb * 1024 * 1024 / 4);
-    let front = Front::new(hub.clone(), pool, budget, config.limits.sockets * 2 / 5);
+    let front = Front::new(hub.clone(), pool, &config.limits);
 
     let sink = hub.clone();
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
     say!("{} listens on {listen}", config.name);
-    wind_down(&mut term, &hub, config.sockets.longest, || {
+    let longest = config.sockets.longest;
+    let reconfigured = front.clone();
+    spawn_local(reload(hup, read, move |new: Platform| {
+        let kept = config.needs_restart(&new);
+        at.send_if_modified(|at| std::mem::replace(at, new.journal) != new.journal);
+        reconfigured.limit(&new.limits);
+        Ok(kept)
+    }));
+    wind_down(&mut term, &hub, longest, || {
         accepting.abort();
         front.farewell.send_replace(true);
     })
@@ -71,28 +80,41 @@
 }
 
 /// Serves MySQL clients until SIGTERM and the last answer.
-async fn serve_mysql(config: Mysql) -> Result<(), Error> {
-    let mut term = signal(SignalKind::terminate())?;
+async fn serve_mysql(file: &str) -> Result<(), Error> {
+    let (mut term, hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let config = Mysql::read(file)?;
     let pool = Pool::default();
     let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
-    let core = Core::new(config.settings, unix_ms() as u64, bounds)?;
-    let leg = mysql::leg::MysqlLeg::new(config.access, config.sockets.clone(), pool.clone());
-    let hub = Hub::new(core, config.names, leg);
+    let core = Core::new(config.settings.clone(), unix_ms() as u64, bounds)?;
+    let leg = mysql::leg::MysqlLeg::new(config.access.clone(), config.sockets.clone(), pool.clone());
+    let hub = Hub::new(core, config.names.clone(), leg);
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
-    let front = mysql::front::Front::new(hub.clone(), pool, config.front);
-    let sink = hub.clone();
-    match config.source {
-        Source::Fixed(engines) => hub.change(&fixed(&engines)),
-        Source::Eureka(source) => {
-            let registry = hitchwinch::net::discovery::eureka::Eureka::new(source);
-            spawn_local(registry.run(Box::new(move |change| sink.change(&change))));
-        }
-    }
+    let front = mysql::front::Front::new(hub.clone(), pool, config.front.clone());
+    let mut following = follow(&hub, &config.source);
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
     say!("the MySQL front listens on {listen}");
-    wind_down(&mut term, &hub, config.sockets.longest, || {
+    let longest = config.sockets.longest;
+    let (path, changed, reconfigured) = (file.to_string(), hub.clone(), front.clone());
+    let mut config = config;
+    spawn_local(reload(
+        hup,
+        move || Mysql::read(&path),
+        move |new: Mysql| {
+            if let Some(key) = config.needs_restart(&new) {
+                return Err(format!("{key}: a change of it needs a restart").into());
+            }
+            reconfigured.configure(new.front.clone());
+            if new.source != config.source {
+                following.iter().for_each(AbortHandle::abort);
+                following = follow(&changed, &new.source);
+            }
+            config = new;
+            Ok(None)
+        },
+    ));
+    wind_down(&mut term, &hub, longest, || {
         accepting.abort();
         front.stop();
     })
@@ -100,6 +122,36 @@
     Ok(())
 }
 
+/// Takes the engines from where the configuration says; the task that goes on asking, if there is one.
+fn follow(hub: &Rc<Hub<mysql::leg::MysqlLeg>>, source: &Source) -> Option<AbortHandle> {
+    match source {
+        Source::Fixed(engines) => {
+            hub.change(&fixed(engines));
+            None
+        }
+        Source::Eureka(source) => {
+            let (registry, sink) = (Eureka::new(source.clone()), hub.clone());
+            Some(spawn_local(registry.run(Box::new(move |change| sink.change(&change)))).abort_handle())
+        }
+    }
+}
+
+/// On every SIGHUP reads the configuration again. One that is not whole and valid changes nothing; of a valid
+/// one `take` swaps in what it changes, or tells the key that a running program cannot take.
+async fn reload<C>(
+    mut hup: Signal,
+    read: impl Fn() -> Result<C, ConfigError>,
+    mut take: impl FnMut(C) -> Result<Option<&'static str>, Error>,
+) {
+    while hup.recv().await.is_some() {
+        match read().map_err(Error::from).and_then(&mut take) {
+            Ok(None) => say!("SIGHUP: the configuration is in force"),
+            Ok(Some(key)) => say!("SIGHUP: the configuration is in force, but {key} needs a restart"),
+            Err(e) => say!("SIGHUP: {e}; the configuration before stays in force"),
+        }
+    }
+}
+
 /// Waits for SIGTERM. Clients go on coming for a while: they are served, told that this dispatcher is not
 /// ready, and then asked to go elsewhere. The last answers are given before the kill can come.
 async fn wind_down<L: Leg>(term: &mut Signal, hub: &Rc<Hub<L>>, longest: f64, farewell: impl FnOnce()) {
--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// A comment comes each second; a stream that is silent for this long is cut off and opened anew, for its
 /// news counts as told after 7 s whether or not it came.
@@ -75,7 +76,8 @@
 
 /// The place in the journal, and the rule that no event is applied twice or out of order.
 pub struct Journal {
-    address: SocketAddr,
+    /// Where the service is now: a new configuration may move it.
+    address: watch::Receiver<SocketAddr>,
     pos: u64,
     first: Vec<Change>,
     silence: Duration,
@@ -83,7 +85,10 @@
 
 impl Journal {
     /// `known` holds the events up to the start.
-    pub fn new(address: SocketAddr, known: serde_json::Value) -> Result<Self, serde_json::Error> {
+    pub fn new(
+        address: watch::Receiver<SocketAddr>,
+        known: serde_json::Value,
+    ) -> Result<Self, serde_json::Error> {
         let mut journal = Journal { address, pos: 0, first: vec![], silence: SILENCE };
         if !known.is_null() {
             let known: Known = serde_json::from_value(known)?;
@@ -117,11 +122,11 @@
     }
 
     /// Reads one stream to its end.
-    async fn follow(&mut self, sink: &Sink) -> std::io::Result<()> {
-        let mut tcp = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await??;
+    async fn follow(&mut self, address: SocketAddr, sink: &Sink) -> std::io::Result<()> {
+        let mut tcp = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await??;
         let request = format!(
             "GET /journal HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
-            self.address, self.pos
+            address, self.pos
         );
         tcp.write_all(request.as_bytes()).await?;
         let mut reader = Reader::default();
@@ -146,12 +151,21 @@
         let mut wait = AGAIN;
         loop {
             let before = self.pos;
-            if let Err(e) = self.follow(&sink).await {
-                say!("journal {}: {e}; asking again from {}", self.address, self.pos);
+            let address = *self.address.borrow_and_update();
+            let mut moved = self.address.clone();
+            // The numbers go on at the new address; the old stream, which tells nothing more, is let go at once.
+            let following = async {
+                if let Err(e) = self.follow(address, &sink).await {
+                    say!("journal {address}: {e}; asking again from {}", self.pos);
+                }
+                // News shows that the service is well; without any, ask ever more slowly.
+                wait = if self.pos > before { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
+                tokio::time::sleep(wait).await;
+            };
+            tokio::select! {
+                () = following => {}
+                Ok(()) = moved.changed() => wait = AGAIN,
             }
-            // News shows that the service is well; without any, ask ever more slowly.
-            wait = if self.pos > before { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
-            tokio::time::sleep(wait).await;
         }
     }
 }
@@ -329,7 +343,8 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let known = r#"{"pos":3,"entries":[{"pos":1,"hosts":{"reset":true,"instances":[]}}]}"#;
             let known = serde_json::from_str(known).unwrap();
-            let mut journal = Journal::new(listener.local_addr().unwrap(), known).unwrap();
+            let (_at, address) = watch::channel(listener.local_addr().unwrap());
+            let mut journal = Journal::new(address, known).unwrap();
             journal.silence = Duration::from_millis(60);
             let told = Rc::new(RefCell::new(vec![]));
             let tell = told.clone();
@@ -366,4 +381,45 @@
             assert_eq!(told.take(), wanted);
         });
     }
+
+    /// A new configuration moves the service: the open stream at the old address must not be waited for.
+    #[test]
+    fn the_journal_moves_at_once_and_reads_on_from_the_same_number() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let (old, new) = (
+                TcpListener::bind("127.0.0.1:0").await.unwrap(),
+                TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            );
+            let (at, address) = watch::channel(old.local_addr().unwrap());
+            let journal = Journal::new(address, serde_json::from_str(r#"{"pos":3}"#).unwrap()).unwrap();
+            let told = Rc::new(RefCell::new(vec![]));
+            let tell = told.clone();
+            let sink: Sink = Box::new(move |c| tell.borrow_mut().extend(c.engines.into_iter().map(|e| e.id)));
+            let service = async {
+                let (mut tcp, _) = old.accept().await.unwrap();
+                let first = event(4, "a", "in_service");
+                tcp.write_all(format!("{PLAIN}{first}").as_bytes()).await.unwrap();
+                while told.borrow().is_empty() {
+                    tokio::task::yield_now().await;
+                }
+                at.send(new.local_addr().unwrap()).unwrap();
+                // Well before the old stream would count as silent.
+                let soon = Duration::from_millis(500);
+                let (mut moved, _) =
+                    tokio::time::timeout(soon, new.accept()).await.expect("at once").unwrap();
+                let mut buffer = [0; 1024];
+                let n = moved.read(&mut buffer).await.unwrap();
+                assert!(String::from_utf8_lossy(&buffer[..n]).contains("Last-Event-ID: 4\r\n"));
+                // What the old one still says counts for nothing.
+                let _ = tcp.write_all(event(5, "old", "in_service").as_bytes()).await;
+                moved.write_all(format!("{PLAIN}{}", event(5, "b", "in_service")).as_bytes()).await.unwrap();
+                while told.borrow().len() < 2 {
+                    tokio::task::yield_now().await;
+                }
+            };
+            tokio::select! { () = service => {}, () = journal.run(sink) => {} }
+            assert_eq!(told.take(), ["a", "b"]);
+        });
+    }
 }
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -1,6 +1,6 @@
 //! The platform's front: its frames, read and written, and nothing decided.
 
-use crate::config::find;
+use crate::config::{Machine, find};
 use crate::core::{NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
 use crate::net::pool::{self, Buffer, Pool};
@@ -157,27 +157,32 @@
 }
 
 /// Bytes of statements held in all; more are refused, or a few connections could fill the memory.
-#[derive(Clone)]
-pub struct Budget(Rc<Cell<usize>>);
+pub struct Budget {
+    most: Cell<usize>,
+    held: Rc<Cell<usize>>,
+}
 
 #[derive(Debug, Default)]
 struct Held(usize, Option<Rc<Cell<usize>>>);
 
 impl Budget {
     pub fn new(bytes: usize) -> Self {
-        Budget(Rc::new(Cell::new(bytes)))
+        Budget { most: Cell::new(bytes), held: Rc::default() }
     }
 
     fn take(&self, bytes: usize) -> Option<Held> {
-        self.0.set(self.0.get().checked_sub(bytes)?);
-        Some(Held(bytes, Some(self.0.clone())))
+        let held = self.held.get() + bytes;
+        (held <= self.most.get()).then(|| {
+            self.held.set(held);
+            Held(bytes, Some(self.held.clone()))
+        })
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
         if let Some(home) = &self.1 {
-            home.set(home.get() + self.0);
+            home.set(home.get() - self.0);
         }
     }
 }
@@ -228,7 +233,7 @@
     pub pool: Pool,
     pub budget: Budget,
     /// Connections at a time.
-    pub most: usize,
+    pub most: Cell<usize>,
     pub open: Cell<usize>,
     /// A connection has closed, or all must say goodbye.
     pub closed: Notify,
@@ -236,16 +241,27 @@
 }
 
 impl<L: Leg<Work = Work, Output = Buffer>> Front<L> {
-    pub fn new(hub: Rc<Hub<L>>, pool: Pool, budget: Budget, most: usize) -> Rc<Self> {
+    pub fn new(hub: Rc<Hub<L>>, pool: Pool, limits: &Machine) -> Rc<Self> {
         let (farewell, _) = tokio::sync::watch::channel(false);
-        Rc::new(Front { hub, pool, budget, most, open: Cell::new(0), closed: Notify::new(), farewell })
+        let (budget, most) = (Budget::new(0), Cell::new(0));
+        let front = Front { hub, pool, budget, most, open: Cell::new(0), closed: Notify::new(), farewell };
+        front.limit(limits);
+        Rc::new(front)
+    }
+
+    /// Bounds by the machine's limits, which a new configuration may change.
+    pub fn limit(&self, limits: &Machine) {
+        // A quarter of the memory for statements.
+        self.budget.most.set(limits.memory_mb * 1024 * 1024 / 4);
+        // Clients hold up to a third of the descriptors, so this many are let in.
+        self.most.set(limits.sockets * 2 / 5);
     }
 
     /// Accepts connections until it is dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             // At the bound further ones wait in the machine's own queue.
-            while self.open.get() >= self.most {
+            while self.open.get() >= self.most.get() {
                 self.closed.notified().await;
             }
             match listener.accept().await {
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -13,7 +13,7 @@
 use crate::say;
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
@@ -31,7 +31,8 @@
 pub struct Front<L: Leg<Work = Work, Output = Packets>> {
     hub: Rc<Hub<L>>,
     pool: Pool,
-    config: MysqlFront,
+    /// Swapped whole by a new configuration; a session keeps to the one in force at each step.
+    config: RefCell<Rc<MysqlFront>>,
     open: Cell<usize>,
     next: Cell<u32>,
     stopping: tokio::sync::watch::Sender<bool>,
@@ -73,9 +74,19 @@
 impl<L: Leg<Work = Work, Output = Packets>> Front<L> {
     pub fn new(hub: Rc<Hub<L>>, pool: Pool, config: MysqlFront) -> Rc<Self> {
         let (stopping, _) = tokio::sync::watch::channel(false);
+        let config = RefCell::new(Rc::new(config));
         Rc::new(Front { hub, pool, config, open: Cell::new(0), next: Cell::new(1), stopping })
     }
 
+    fn config(&self) -> Rc<MysqlFront> {
+        self.config.borrow().clone()
+    }
+
+    /// Takes a new configuration: sessions that are open go on, under its bounds.
+    pub fn configure(&self, config: MysqlFront) {
+        *self.config.borrow_mut() = Rc::new(config);
+    }
+
     /// Sessions between statements end now, the others after the answer that they wait for.
     pub fn stop(&self) {
         self.stopping.send_replace(true);
@@ -85,7 +96,7 @@
         loop {
             match listener.accept().await {
                 // Those that are turned away politely are bounded as well.
-                Ok((tcp, _)) if self.open.get() >= self.config.max_clients + TURNED_AWAY => drop(tcp),
+                Ok((tcp, _)) if self.open.get() >= self.config().max_clients + TURNED_AWAY => drop(tcp),
                 Ok((tcp, peer)) => {
                     let front = self.clone();
                     front.open.set(front.open.get() + 1);
@@ -106,9 +117,9 @@
 
     async fn session(self: &Rc<Self>, tcp: TcpStream, host: &str) -> Result<(), End> {
         tcp.set_nodelay(true).map_err(PacketError::from)?;
-        let codec = PacketCodec { most: self.config.max_packet, sequence: 0 };
+        let codec = PacketCodec { most: self.config().max_packet, sequence: 0 };
         let mut wire = Wire::new(&self.pool, tcp, codec);
-        if self.open.get() > self.config.max_clients {
+        if self.open.get() > self.config().max_clients {
             return turn_away(&mut wire, code::TOO_MANY, "Too many connections".into()).await;
         }
         let login = tokio::time::timeout(LOGIN, self.log_in(&mut wire, host)).await;
@@ -138,7 +149,7 @@
             plugin: auth::NATIVE.into(),
             capabilities: CAPABILITIES,
         };
-        wire.send(&greeting.write(&self.config.version)[..]).await?;
+        wire.send(&greeting.write(&self.config().version)[..]).await?;
         let login = Login::read(super::leg::next(wire).await?)?;
         let (mut plugin, mut proof) = (login.plugin.clone(), login.auth.clone());
         // One that names no way knows the oldest only.
@@ -152,7 +163,8 @@
             wire.send(&ask[..]).await?;
             proof = super::leg::next(wire).await?.to_vec();
         }
-        let user = self.config.users.get(&login.user);
+        let config = self.config();
+        let user = config.users.get(&login.user);
         // Some clients end the proof with a zero byte.
         let given = if proof == [0] { &[][..] } else { &proof };
         let known = user.filter(|u| auth::proves(&plugin, &u.password, &nonce, given));
@@ -202,7 +214,7 @@
                     let text = "the dispatcher shuts down; connect again".to_string();
                     return turn_away(&mut self.wire, code::SHUTDOWN, text).await;
                 }
-                () = tokio::time::sleep(self.front.config.idle) => return Ok(()),
+                () = tokio::time::sleep(self.front.config().idle) => return Ok(()),
             };
             let command = match command {
                 None => return Ok(()),
@@ -292,7 +304,7 @@
 
     /// Sends a request through the core and waits for its one answer, or for the client to leave.
     async fn ask(&mut self, kind: &Kind, work: Work) -> Result<Reply<Packets>, End> {
-        let config = &self.front.config;
+        let config = self.front.config();
         let hints = statement::hints(&work.sql);
         let hint = |name: &str| hints.iter().find(|h| h.0 == name).map(|h| h.1.as_str());
         let number =
@@ -371,7 +383,7 @@
         if let Some(why) = why {
             return self.say(&SqlError::new(code::NOT_CARRIED, why)).await;
         }
-        if self.statements.len() >= self.front.config.max_statements {
+        if self.statements.len() >= self.front.config().max_statements {
             let text = "too many prepared statements in this session; close some";
             return self.say(&SqlError::new(code::STATEMENTS, text)).await;
         }
@@ -426,7 +438,7 @@
     }
 
     fn long_data(&mut self, body: Bytes) {
-        let most = self.front.config.max_packet;
+        let most = self.front.config().max_packet;
         let Ok(s) = self.statement(&body) else { return };
         let mut r = Reader(body.slice(4..));
         let Ok(parameter) = r.u16() else { return };
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -2,7 +2,8 @@
 
 mod scenario;
 
-use hitchwinch::net::frames::{Budget, Front};
+use hitchwinch::config::Machine;
+use hitchwinch::net::frames::Front;
 use hitchwinch::net::hub::Hub;
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
@@ -166,7 +167,7 @@
     spawn_local(hub.clone().clock());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    spawn_local(Front::new(hub.clone(), pool, Budget::new(1 << 20), 8).accept(listener));
+    spawn_local(Front::new(hub.clone(), pool, &Machine { memory_mb: 4, sockets: 20 }).accept(listener));
     (hub, FramesClient::new(address).await, addresses, seen)
 }
 
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -2,7 +2,9 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
 use std::time::Duration;
 
 const SETTINGS: &str = r#"{"ceilings":{"connect_timeout":250.0},"fleet_size":1,"grades":[{"name":"lookup",
@@ -10,8 +12,68 @@
     "rules":{"cold_from":0.3,"drain_grace":250.0,"fall_multiple":3.0,"grace_to_answer":20.0,
     "overload_for":1500.0,"warm_within":14000.0},"step":5.0}"#;
 
-/// Starts it on a free port, with one engine in its list or with no list; the address is in its log.
-fn start(test: &str, engine: Option<&TcpListener>) -> (Child, String) {
+struct Program {
+    child: Child,
+    address: String,
+    config: PathBuf,
+    log: mpsc::Receiver<String>,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        std::fs::remove_file(&self.config).unwrap();
+    }
+}
+
+impl Program {
+    fn run(test: &str, config: &str, args: &[&str]) -> Self {
+        let path = std::env::temp_dir().join(format!("hitchwinch-{}-{test}.conf", std::process::id()));
+        std::fs::write(&path, config).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hitchwinch"));
+        command.env("PROXY_CONFIG", &path).args(args).stderr(Stdio::piped());
+        if !args.is_empty() {
+            command.arg(&path);
+        }
+        let mut child = command.spawn().unwrap();
+        let (say, log) = mpsc::channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || lines.for_each(|l| drop(say.send(l.unwrap()))));
+        let mut program = Program { child, address: String::new(), config: path, log };
+        program.address = program.says("listens on ").split_once("listens on ").unwrap().1.to_string();
+        program
+    }
+
+    /// The next line of its log that holds this.
+    fn says(&self, what: &str) -> String {
+        loop {
+            let line =
+                self.log.recv_timeout(Duration::from_secs(5)).unwrap_or_else(|_| panic!("no {what:?}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// A new configuration is in its place, and it is told.
+    fn configure(&self, config: &str) {
+        std::fs::write(&self.config, config).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn ends_well(mut self) {
+        self.signal("-TERM");
+        assert!(self.child.wait().unwrap().success());
+    }
+}
+
+/// A configuration with one engine in its list or with no list.
+fn config(engine: Option<&TcpListener>, journal: &str) -> String {
     let known = engine.map_or("null".to_string(), |e| {
         format!(
             r#"{{"pos":1,"entries":[{{"pos":1,"hosts":{{"reset":true,"instances":[{{"instanceId":"e",
@@ -19,22 +81,14 @@
             e.local_addr().unwrap()
         )
     });
-    let path = std::env::temp_dir().join(format!("hitchwinch-{}-{test}.json", std::process::id()));
-    // Nobody listens at the journal's address: a list in hand is enough.
-    let config = format!(
-        r#"{{"listen":"127.0.0.1:0","seed":"7","journal":"127.0.0.1:1","known":{known},"settings":{SETTINGS}}}"#
-    );
-    std::fs::write(&path, config).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hitchwinch"))
-        .env("PROXY_CONFIG", &path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-    let address = lines.find_map(|l| Some(l.unwrap().split_once("listens on ")?.1.to_string())).unwrap();
-    std::thread::spawn(move || lines.for_each(drop));
-    std::fs::remove_file(path).unwrap();
-    (child, address)
+    format!(
+        r#"{{"listen":"127.0.0.1:0","seed":"7","journal":"{journal}","known":{known},"settings":{SETTINGS}}}"#
+    )
+}
+
+/// On the platform's terms; nobody listens at the journal's address: a list in hand is enough.
+fn start(test: &str, engine: Option<&TcpListener>) -> Program {
+    Program::run(test, &config(engine, "127.0.0.1:1"), &[])
 }
 
 fn connect(address: &str) -> TcpStream {
@@ -64,15 +118,11 @@
     payload[0] == 0
 }
 
-fn terminate(child: &Child) {
-    assert!(Command::new("kill").arg(child.id().to_string()).status().unwrap().success());
-}
-
 #[test]
 fn it_stops_in_order_and_answers_what_it_has_taken() {
     let engine = TcpListener::bind("127.0.0.1:0").unwrap(); // takes connections and says nothing
-    let (mut child, address) = start("stop", Some(&engine));
-    let mut a = connect(&address);
+    let program = start("stop", Some(&engine));
+    let mut a = connect(&program.address);
     assert!(ready(&mut a));
     let fields = [("verb", "lookup"), ("txn", "0123456789abcdef"), ("limit", "60000")];
     let mut payload = vec![3u8];
@@ -82,20 +132,63 @@
     }
     send(&mut a, 2, 1, &payload);
     assert!(ready(&mut a), "and so the request before is taken");
-    terminate(&child);
+    program.signal("-TERM");
     while ready(&mut a) {}
-    assert!(!ready(&mut connect(&address)), "new connections are still accepted");
+    assert!(!ready(&mut connect(&program.address)), "new connections are still accepted");
     let (kind, stream, payload) = expect(&mut a);
     assert_eq!((kind, stream, payload), (64, 0, vec![]), "goodbye, without a payload");
     let (kind, stream, payload) = expect(&mut a);
     assert_eq!((kind, stream, payload[0]), (4, 1, 14), "the long request is refused before the end");
-    assert!(child.wait().unwrap().success());
+    program.ends_well();
 }
 
 #[test]
 fn without_a_list_it_is_not_ready() {
-    let (mut child, address) = start("no-list", None);
-    assert!(!ready(&mut connect(&address)));
-    terminate(&child);
-    assert!(child.wait().unwrap().success());
+    let program = start("no-list", None);
+    assert!(!ready(&mut connect(&program.address)));
+    program.ends_well();
+}
+
+#[test]
+fn a_new_configuration_moves_the_journal_and_a_faulty_one_changes_nothing() {
+    let (engine, journal) =
+        (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let program = start("reload", Some(&engine));
+    let mut client = connect(&program.address);
+    assert!(ready(&mut client));
+    let moved = config(None, &journal.local_addr().unwrap().to_string());
+    program.configure(&moved.replace("127.0.0.1:0", "nowhere"));
+    assert!(program.says("SIGHUP").contains("listen: "), "the faulty key is named");
+    program.configure(&moved);
+    let (mut asked, _) = journal.accept().unwrap();
+    let mut head = [0; 512];
+    let n = asked.read(&mut head).unwrap();
+    assert!(
+        String::from_utf8_lossy(&head[..n]).contains("Last-Event-ID: 1\r\n"),
+        "read on from the same number"
+    );
+    assert!(ready(&mut client), "connections and the list in hand stay");
+    program.ends_well();
+}
+
+#[test]
+fn the_mysql_front_reads_its_file_again_too() {
+    let file = include_str!("../deploy/mysql.toml");
+    let listen = file.lines().find(|l| l.starts_with("listen")).unwrap();
+    let file = file.replace(listen, "listen = \"127.0.0.1:0\"");
+    let program = Program::run("mysql", &file, &["--mysql"]);
+    let first = |tcp: &mut TcpStream| {
+        let mut head = [0; 5];
+        tcp.read_exact(&mut head).map(|()| head[4])
+    };
+    let mut client = connect(&program.address);
+    assert_eq!(first(&mut client).unwrap(), 10, "a greeting");
+    program.configure(&file.replace("read_class = \"lookup\"", "read_class = \"look\""));
+    assert!(program.says("SIGHUP").contains("read_class"), "the faulty key is named");
+    program.configure(&file.replace("threads = 3", "threads = 2"));
+    assert!(program.says("SIGHUP").contains("restart"), "what learned state rests on stays as it was");
+    program.configure(&format!("max_clients = 1\n{}", file.replace("max_clients", "# ")));
+    program.says("in force");
+    assert_eq!(first(&mut connect(&program.address)).unwrap(), 0xff, "too many clients, by the new bound");
+    program.ends_well();
 }
