Let silent and idle connections give way, and forget what is gone

Traced: descriptors stood at 120 from the first quarter on, no CPU was short (0.03 s a second), no engine was. At fault: accept() in frames.rs waited at its bound while connections that said nothing, or had asked once, kept their places for 30 s. Ruled out: the machine's own queue and the budget of statements.

Now at the bound silent connections give way, then the longest idle (net/places.rs, on the MySQL front before the log-in); a frame must come whole within 2 s; idle ones go after 5 s. Figures out of range, unknown tenants, what is no text, an open id and a used stream fail at the door, and a client that goes on with such is read more slowly.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -149,12 +149,22 @@
                 e.state = EngineState::Gone;
             }
         }
-        for entry in entries {
+        // Known ones first: a place is given away only if its engine is not in this list.
+        let (known, new): (Vec<_>, Vec<_>) =
+            entries.into_iter().partition(|e| self.names.contains_key(&e.engine));
+        for entry in known.into_iter().chain(new) {
             let fresh = Engine::new(&entry);
             match self.names.get(&entry.engine) {
                 None => {
-                    self.names.insert(entry.engine, self.engines.len());
-                    self.engines.push(fresh);
+                    // New ids come all day: the place of one that is gone is used again.
+                    let n = self.engines.len();
+                    let i = (0..n).find(|&i| self.unused(i)).unwrap_or(n);
+                    self.names.insert(entry.engine, i);
+                    if i == n {
+                        self.engines.push(fresh);
+                    } else {
+                        self.names.remove(&std::mem::replace(&mut self.engines[i], fresh).name);
+                    }
                 }
                 Some(&i) => {
                     let e = &mut self.engines[i];
@@ -170,6 +180,12 @@
         }
     }
 
+    /// Its engine is gone, and no query refers to it.
+    fn unused(&self, e: usize) -> bool {
+        let refers = |h: &Held| h.pair.contains(&e) || h.attempts.iter().any(|a| a.engine == e);
+        self.engines[e].state == EngineState::Gone && !self.held.values().any(refers)
+    }
+
     fn cores(&self, e: &Engine) -> f64 {
         self.s.kinds.get(e.kind.unwrap_or(0)).map_or(1.0, |k| k.cores)
     }
--- a/src/controller_tests.rs
+++ b/src/controller_tests.rs
@@ -122,3 +122,25 @@
     c.handle(2.0, Event::ClientLeft(1), &mut out);
     assert!(!c.send(1, 0, &mut out), "nothing after the end");
 }
+
+/// Seen on the long day: new ids came all day, and what was gone was kept and looked through for good.
+#[test]
+fn engines_that_are_gone_leave_their_places_to_new_ones_once_no_query_refers_to_them() {
+    let mut c = gateway();
+    let (tenant, key, tables, work, memory_mb) = (None, None, None, None, None);
+    let q = Query { id: 1, class: 0, tenant, key, tables, time_left: 900.0, work, memory_mb };
+    c.handle(2.0, Event::Query(q), &mut vec![]);
+    for n in 1..100 {
+        let e = EngineEntry {
+            engine: format!("n{n}"),
+            state: EngineState::Ready,
+            started: None,
+            kind: Some(0),
+            zone: None,
+            cell: 0,
+        };
+        c.handle(3.0, Event::Engines { update: ListUpdate::Whole, entries: vec![e] }, &mut vec![]);
+    }
+    assert!(c.engines.len() <= 3 && c.names.len() <= 3, "{} are kept", c.engines.len());
+    assert_eq!(c.engines[c.held[&1].attempts[0].engine].out.len(), 1, "the one with a query out is");
+}
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -222,6 +222,8 @@
             self.engines.values_mut().for_each(|s| *s = EngineState::Gone);
         }
         self.engines.extend(entries.iter().map(|e| (e.engine.clone(), e.state)));
+        // New ids come all day: those that are gone are not kept.
+        self.engines.retain(|_, s| *s != EngineState::Gone);
         self.listed = true;
         self.report(now, Report::Engines { update, entries });
     }
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -3,18 +3,19 @@
 use crate::config::{Machine, find};
 use crate::core::{NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
+use crate::net::places::{Place, Places, Use};
 use crate::net::pool::{self, Buffer, Pool};
 use crate::net::{span, statement, unix_ms};
 use crate::say;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures_util::SinkExt;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 use tokio_util::codec::{Decoder, Encoder};
 
 pub const REQUEST: u8 = 2;
@@ -34,8 +35,19 @@
 const STREAMS: usize = 32;
 /// A client that takes no answer for this long is gone.
 const WRITE: Duration = Duration::from_secs(5);
-/// A connection without a request or a question for this long is closed; clients close theirs after 4 s.
-const IDLE: Duration = Duration::from_secs(30);
+/// A connection without a request or a question for this long is closed; clients close theirs after 4 s, and
+/// what some keep for good would fill the places.
+const IDLE: Duration = Duration::from_secs(5);
+/// A new connection has this long to ask something whole, and every frame to come whole.
+const WHOLE: Duration = Duration::from_millis(2000);
+/// How often a connection looks at these times.
+const CHECK: Duration = Duration::from_millis(500);
+/// A client that sends what cannot be used is read again after this, doubled with each such frame up to 64
+/// times: repeats at full speed must not take the others' share. Its answers are never held back.
+const PAUSE: Duration = Duration::from_millis(4);
+/// Figures beyond these are no estimates: an hour, in milliseconds, and a terabyte, in megabytes.
+const MOST_MS: f64 = 3_600_000.0;
+const MOST_MB: f64 = 1_048_576.0;
 
 #[derive(Debug, PartialEq)]
 pub struct Frame {
@@ -55,6 +67,8 @@
     Kind(u8),
     #[error("stream {0} is not new on its connection")]
     Stream(u32),
+    #[error("a frame does not come whole")]
+    Stalled,
     #[error(transparent)]
     Io(#[from] io::Error),
 }
@@ -154,6 +168,7 @@
     pub class: String,
     pub statement: Bytes,
     held: Held,
+    named: Named,
 }
 
 /// Bytes of statements held in all; more are refused, or a few connections could fill the memory.
@@ -179,6 +194,35 @@
     }
 }
 
+/// Ids of requests that are open. Bounded by these; an id is known by its number.
+#[derive(Clone, Default)]
+struct Ids(Rc<RefCell<HashSet<u64>>>);
+
+/// An id while its request is open.
+#[derive(Default)]
+struct Named(u64, Option<Ids>);
+
+impl Ids {
+    fn take(&self, txn: &str) -> Option<Named> {
+        let id = u64::from_str_radix(txn, 16).ok()?;
+        self.0.borrow_mut().insert(id).then(|| Named(id, Some(self.clone())))
+    }
+}
+
+impl Drop for Named {
+    fn drop(&mut self) {
+        if let Some(home) = &self.1 {
+            home.0.borrow_mut().remove(&self.0);
+        }
+    }
+}
+
+impl std::fmt::Debug for Named {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
         if let Some(home) = &self.1 {
@@ -190,7 +234,8 @@
 impl Work {
     /// Work that counts towards no budget.
     pub fn free(txn: &str, class: &str, statement: Bytes) -> Self {
-        Work { txn: txn.into(), class: class.into(), statement, held: Held::default() }
+        let (held, named) = (Held::default(), Named::default());
+        Work { txn: txn.into(), class: class.into(), statement, held, named }
     }
 }
 
@@ -198,8 +243,11 @@
 fn request<L: Leg>(hub: &Hub<L>, payload: Bytes) -> Result<Result<(NewRequest, Work), String>, FrameError> {
     let (fields, statement) = fields(payload)?;
     let field = |name: &str| fields.iter().find(|f| f.0 == name).map(|f| f.1.as_str());
-    let number = |name: &str| {
-        field(name).and_then(|v| v.trim().parse::<f64>().ok()).filter(|v| v.is_finite() && *v > 0.0)
+    // An absurd figure would spoil what is learned of all others, so that its request is failed.
+    let number = |name: &str, most: f64| {
+        let read = |v: &str| v.trim().parse::<f64>().ok().filter(|v| (0.0..=most).contains(v));
+        let figure = |v: &str| read(v).ok_or_else(|| format!("{name}: {v:?} is no number from 0 to {most}"));
+        field(name).map(figure).transpose()
     };
     Ok((|| {
         let class = field("verb").ok_or("the field `verb` is missing")?;
@@ -208,20 +256,25 @@
         if txn.len() != 16 || !txn.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(format!("txn: {txn:?} is not 16 hex digits"));
         }
-        let limit = field("limit").ok_or("the field `limit` is missing")?;
-        let ms = limit.trim().parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0);
-        let ms = ms.ok_or_else(|| format!("limit: {limit:?} is no number"))?;
-        let team = field("team");
-        if team.is_none() && !hub.names().tenants.is_empty() {
-            return Err("the field `team` is missing".to_string());
+        let ms = number("limit", MOST_MS)?.ok_or("the field `limit` is missing")?;
+        let tenants = &hub.names().tenants;
+        let tenant = match field("team") {
+            _ if tenants.is_empty() => None,
+            None => return Err("the field `team` is missing".to_string()),
+            Some(t) => Some(find(tenants, t).ok_or_else(|| format!("team: no tenant is named {t:?}"))?),
+        };
+        // Engines close on what they cannot read, whatever else is open on that connection.
+        let odd = |c: char| c.is_control() && !c.is_whitespace();
+        if std::str::from_utf8(&statement).map_or(true, |s| s.trim().is_empty() || s.contains(odd)) {
+            return Err("the statement is no text".to_string());
         }
         let new = NewRequest {
             class: index,
-            tenant: team.and_then(|t| find(&hub.names().tenants, t)),
+            tenant,
             group: statement::group(&statement),
             deadline: unix_ms() + ms,
-            work: number("cpu"),
-            memory_mb: number("mem"),
+            work: number("cpu", MOST_MS)?.filter(|v| *v > 0.0),
+            memory_mb: number("mem", MOST_MB)?.filter(|v| *v > 0.0),
         };
         Ok((new, Work::free(txn, class, statement)))
     })())
@@ -232,19 +285,17 @@
     pub hub: Rc<Hub<L>>,
     pub pool: Pool,
     pub budget: Budget,
-    /// Connections at a time.
-    pub most: Cell<usize>,
-    pub open: Cell<usize>,
-    /// A connection has closed, or all must say goodbye.
-    pub closed: Notify,
+    ids: Ids,
+    places: Rc<Places>,
+    /// All must say goodbye.
     pub farewell: tokio::sync::watch::Sender<bool>,
 }
 
 impl<L: Leg<Work = Work, Output = Buffer>> Front<L> {
     pub fn new(hub: Rc<Hub<L>>, pool: Pool, limits: &Machine) -> Rc<Self> {
         let (farewell, _) = tokio::sync::watch::channel(false);
-        let (budget, most) = (Budget::new(0), Cell::new(0));
-        let front = Front { hub, pool, budget, most, open: Cell::new(0), closed: Notify::new(), farewell };
+        let (budget, places) = (Budget::new(0), Places::new(0, Use::Idle));
+        let front = Front { hub, pool, budget, ids: Ids::default(), places, farewell };
         front.limit(limits);
         Rc::new(front)
     }
@@ -254,30 +305,32 @@
         // A quarter of the memory for statements.
         self.budget.most.set(limits.memory_mb * 1024 * 1024 / 4);
         // Clients hold up to a third of the descriptors, so this many are let in.
-        self.most.set(limits.sockets * 2 / 5);
+        self.places.bound(limits.sockets * 2 / 5);
     }
 
     /// Accepts connections until it is dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            // At the bound further ones wait in the machine's own queue.
-            while self.open.get() >= self.most.get() {
-                self.closed.notified().await;
-            }
             match listener.accept().await {
                 Ok((tcp, _)) => {
+                    let place = loop {
+                        match self.places.take(Instant::now()) {
+                            Some(place) => break place,
+                            // All are busy: further ones wait in the machine's own queue.
+                            None => self.places.freed().await,
+                        }
+                    };
                     let front = self.clone();
-                    front.open.set(front.open.get() + 1);
                     tokio::task::spawn_local(async move {
-                        let _open = OpenCount(&front);
-                        if let Err(e) = connection(&front, tcp).await {
+                        if let Err(e) = connection(&front, &place, tcp).await {
                             say!("client: {e}");
                         }
                     });
                 }
                 Err(e) => {
-                    // Out of descriptors: wait for some to come back.
+                    // Out of descriptors: some have to come back.
                     say!("accept: {e}");
+                    self.places.give_way();
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             }
@@ -285,16 +338,53 @@
     }
 }
 
-struct OpenCount<'a, L: Leg<Work = Work, Output = Buffer>>(&'a Front<L>);
+type Open = Rc<RefCell<HashMap<u32, RequestId>>>;
+
+/// The stream numbers that a connection has used: the highest, and which of the 128 below it. Older ones
+/// count as used, so that nothing grows with their number.
+#[derive(Default)]
+struct Streams {
+    top: u32,
+    below: u128,
+}
 
-impl<L: Leg<Work = Work, Output = Buffer>> Drop for OpenCount<'_, L> {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.closed.notify_one();
+impl Streams {
+    /// Takes a number that is new.
+    fn take(&mut self, n: u32) -> bool {
+        if n > self.top {
+            let up = n - self.top;
+            self.below = self.below.checked_shl(up).unwrap_or(0);
+            // The highest before is now so many below; zero is no number.
+            if self.top > 0 && up <= 128 {
+                self.below |= 1 << (up - 1);
+            }
+            self.top = n;
+            return true;
+        }
+        let Some(down) = (self.top - n).checked_sub(1).filter(|d| *d < 128 && n > 0) else { return false };
+        let new = self.below & (1 << down) == 0;
+        self.below |= 1 << down;
+        new
     }
 }
 
-type Open = Rc<RefCell<HashMap<u32, RequestId>>>;
+/// What one connection has told of its client.
+struct Client<'a> {
+    open: Open,
+    streams: Streams,
+    /// Frames of late that could not be used.
+    useless: u32,
+    /// Nothing is read before.
+    pause: Instant,
+    place: &'a Place,
+}
+
+impl Client<'_> {
+    fn useless(&mut self) {
+        self.pause = Instant::now() + PAUSE * (1 << self.useless.min(6));
+        self.useless += 1;
+    }
+}
 
 /// Requests of a connection that ends are left: nobody waits for them any more.
 struct Leaves<'a, L: Leg<Work = Work, Output = Buffer>>(&'a Front<L>, Open);
@@ -309,25 +399,32 @@
 /// Serves one client connection to its end.
 async fn connection<L: Leg<Work = Work, Output = Buffer>>(
     front: &Front<L>,
+    place: &Place,
     tcp: TcpStream,
 ) -> Result<(), FrameError> {
     tcp.set_nodelay(true)?;
-    converse(front, &mut Wire::new(&front.pool, tcp, FrameCodec)).await
+    converse(front, place, &mut Wire::new(&front.pool, tcp, FrameCodec)).await
 }
 
 type Wire = pool::Wire<FrameCodec>;
 
 async fn send(framed: &mut Wire, frame: Send<'_>) -> Result<(), FrameError> {
+    framed.wake();
     tokio::time::timeout(WRITE, framed.send(frame)).await.map_err(io::Error::from)?
 }
 
 async fn converse<L: Leg<Work = Work, Output = Buffer>>(
     front: &Front<L>,
+    place: &Place,
     framed: &mut Wire,
 ) -> Result<(), FrameError> {
-    use tokio_stream::StreamExt;
     let open: Open = Rc::default();
     let _leaves = Leaves(front, open.clone());
+    let began = Instant::now();
+    let mut client =
+        Client { open: open.clone(), streams: Streams::default(), useless: 0, pause: began, place };
+    let mut check = tokio::time::interval(CHECK);
+    let mut partial = Duration::ZERO;
     // Each open stream has one answer on its way at most, so this never fills.
     let (tx, mut answers) = mpsc::channel::<(u32, Reply<Buffer>)>(2 * STREAMS);
     let mut farewell = front.farewell.subscribe();
@@ -347,17 +444,26 @@
                 if open.borrow_mut().remove(&stream).is_some() {
                     answer(framed, stream, reply).await?;
                 }
+                if open.borrow().is_empty() {
+                    place.uses(Use::Idle, Instant::now());
+                    framed.rest();
+                }
             }
+            () = place.cut.notified(), if open.borrow().is_empty() => return Ok(()),
             Ok(()) = farewell.changed() => {
                 let goodbye = Send { kind: GOODBYE, stream: 0, code: None, fields: &[], body: &[] };
                 send(framed, goodbye).await?;
             }
-            frame = framed.next(), if fault.is_none() => {
+            frame = async {
+                tokio::time::sleep_until(client.pause.into()).await;
+                framed.heard().await
+            }, if fault.is_none() => {
+                partial = Duration::ZERO;
                 let handled = match frame {
                     None => return Ok(()),
                     Some(Err(FrameError::Io(e))) if e.kind() == io::ErrorKind::ConnectionReset => return Ok(()),
                     Some(frame) => match frame {
-                        Ok(frame) => handle(front, framed, frame, &open, &tx).await,
+                        Ok(frame) => handle(front, framed, frame, &mut client, &tx).await,
                         Err(e) => Err(e),
                     },
                 };
@@ -366,18 +472,33 @@
                     Err(FrameError::Io(e)) => return Err(e.into()),
                     Err(e) => {
                         // After such a frame nothing more is read; what is open is still answered.
-                        let why = e.to_string();
-                        let f = Send { kind: ANSWER, stream: 0, code: Some(FAILED), fields: &[], body: why.as_bytes() };
-                        send(framed, f).await?;
+                        send(framed, error(&e.to_string())).await?;
                         fault = Some(e);
                     }
                 }
             }
-            () = tokio::time::sleep(IDLE), if open.borrow().is_empty() => return Ok(()),
+            _ = check.tick() => {
+                let waits = !framed.read_buffer().is_empty() && fault.is_none();
+                partial = if waits { partial + CHECK } else { Duration::ZERO };
+                let (state, since) = place.state();
+                if partial > WHOLE || waits && state == Use::Silent && since.elapsed() > WHOLE {
+                    send(framed, error(&FrameError::Stalled.to_string())).await?;
+                    fault = Some(FrameError::Stalled);
+                } else if open.borrow().is_empty()
+                    && since.elapsed() > if state == Use::Silent { WHOLE } else { IDLE }
+                {
+                    return Ok(());
+                }
+            }
         }
     }
 }
 
+/// Tells of an error that belongs to no request.
+fn error(why: &str) -> Send<'_> {
+    Send { kind: ANSWER, stream: 0, code: Some(FAILED), fields: &[], body: why.as_bytes() }
+}
+
 async fn answer(framed: &mut Wire, stream: u32, reply: Reply<Buffer>) -> Result<(), FrameError> {
     let later;
     let mut fields: &[(&str, &str)] = &[];
@@ -403,16 +524,28 @@
     front: &Front<L>,
     framed: &mut Wire,
     frame: Frame,
-    open: &Open,
+    client: &mut Client<'_>,
     tx: &mpsc::Sender<(u32, Reply<Buffer>)>,
 ) -> Result<(), FrameError> {
-    let stream = frame.stream;
+    let (stream, open) = (frame.stream, client.open.clone());
+    if !matches!(frame.kind, REQUEST | LEAVE | ASK) {
+        return Err(FrameError::Kind(frame.kind));
+    }
+    if open.borrow().is_empty() {
+        client.place.uses(Use::Idle, Instant::now());
+    }
     match frame.kind {
-        REQUEST if stream == 0 || open.borrow().contains_key(&stream) => Err(FrameError::Stream(stream)),
+        REQUEST if !client.streams.take(stream) => Err(FrameError::Stream(stream)),
         REQUEST => {
-            let (new, mut work) = match request(&front.hub, frame.payload)? {
+            let read = request(&front.hub, frame.payload)?.and_then(|(new, work)| {
+                // Two under one id would be one to an engine, and the first may be another client's.
+                let named = front.ids.take(&work.txn).ok_or("txn: a request of this id is open")?;
+                Ok((new, work, named))
+            });
+            let (new, mut work, named) = match read {
                 Ok(request) => request,
                 Err(why) => {
+                    client.useless();
                     let f =
                         Send { kind: ANSWER, stream, code: Some(FAILED), fields: &[], body: why.as_bytes() };
                     return send(framed, f).await;
@@ -420,10 +553,13 @@
             };
             let held = front.budget.take(work.statement.len());
             let Some(held) = held.filter(|_| open.borrow().len() < STREAMS) else {
+                client.useless();
                 let why = "too much is open";
                 return answer(framed, stream, Reply::Refused { later: Some(100.0), why }).await;
             };
-            work.held = held;
+            (work.held, work.named) = (held, named);
+            client.useless = 0;
+            client.place.uses(Use::Busy, Instant::now());
             // The answer may come before the id is known, so its place is taken first.
             open.borrow_mut().insert(stream, 0);
             let tx = tx.clone();
@@ -435,13 +571,15 @@
         LEAVE => {
             let left = open.borrow_mut().remove(&stream);
             left.into_iter().for_each(|id| front.hub.leave(id));
+            if open.borrow().is_empty() {
+                client.place.uses(Use::Idle, Instant::now());
+            }
             Ok(())
         }
-        ASK => {
+        _ => {
             let code = if front.hub.ready() { SERVED } else { REFUSED };
             send(framed, Send { kind: STATE, stream, code: Some(code), fields: &[], body: &[] }).await
         }
-        other => Err(FrameError::Kind(other)),
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod frames;
 pub mod hub;
 pub mod mysql;
+pub mod places;
 pub mod pool;
 pub mod resp;
 pub mod statement;
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -7,6 +7,7 @@
 use crate::config::MysqlFront;
 use crate::core::{NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
+use crate::net::places::{Place, Places, Taken, Use};
 use crate::net::pool::{Pool, Wire};
 use crate::net::statement::{self, Kind};
 use crate::net::unix_ms;
@@ -17,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -33,7 +34,8 @@
     pool: Pool,
     /// Swapped whole by a new configuration; a session keeps to the one in force at each step.
     config: RefCell<Rc<MysqlFront>>,
-    open: Cell<usize>,
+    places: Rc<Places>,
+    turned_away: Cell<usize>,
     next: Cell<u32>,
     stopping: tokio::sync::watch::Sender<bool>,
 }
@@ -74,8 +76,10 @@
 impl<L: Leg<Work = Work, Output = Packets>> Front<L> {
     pub fn new(hub: Rc<Hub<L>>, pool: Pool, config: MysqlFront) -> Rc<Self> {
         let (stopping, _) = tokio::sync::watch::channel(false);
+        // Sessions keep their place while they are idle, for they hold what they prepared.
+        let places = Places::new(config.max_clients, Use::Silent);
         let config = RefCell::new(Rc::new(config));
-        Rc::new(Front { hub, pool, config, open: Cell::new(0), next: Cell::new(1), stopping })
+        Rc::new(Front { hub, pool, config, places, turned_away: Cell::new(0), next: Cell::new(1), stopping })
     }
 
     fn config(&self) -> Rc<MysqlFront> {
@@ -84,6 +88,7 @@
 
     /// Takes a new configuration: sessions that are open go on, under its bounds.
     pub fn configure(&self, config: MysqlFront) {
+        self.places.bound(config.max_clients);
         *self.config.borrow_mut() = Rc::new(config);
     }
 
@@ -95,16 +100,21 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                // Those that are turned away politely are bounded as well.
-                Ok((tcp, _)) if self.open.get() >= self.config().max_clients + TURNED_AWAY => drop(tcp),
                 Ok((tcp, peer)) => {
                     let front = self.clone();
-                    front.open.set(front.open.get() + 1);
+                    let place: Option<Taken> = self.places.take(Instant::now());
+                    let away = usize::from(place.is_none());
+                    // Those that are turned away politely are bounded as well.
+                    if front.turned_away.get() + away > TURNED_AWAY {
+                        continue;
+                    }
+                    front.turned_away.set(front.turned_away.get() + away);
                     spawn_local(async move {
-                        if let Err(End::Broken(e)) = front.session(tcp, &peer.ip().to_string()).await {
+                        let host = peer.ip().to_string();
+                        if let Err(End::Broken(e)) = front.session(tcp, &host, place.as_deref()).await {
                             say!("mysql client {peer}: {e}");
                         }
-                        front.open.set(front.open.get() - 1);
+                        front.turned_away.set(front.turned_away.get() - away);
                     });
                 }
                 Err(e) => {
@@ -115,17 +125,21 @@
         }
     }
 
-    async fn session(self: &Rc<Self>, tcp: TcpStream, host: &str) -> Result<(), End> {
+    async fn session(self: &Rc<Self>, tcp: TcpStream, host: &str, place: Option<&Place>) -> Result<(), End> {
         tcp.set_nodelay(true).map_err(PacketError::from)?;
         let codec = PacketCodec { most: self.config().max_packet, sequence: 0 };
         let mut wire = Wire::new(&self.pool, tcp, codec);
-        if self.open.get() > self.config().max_clients {
+        let Some(place) = place else {
             return turn_away(&mut wire, code::TOO_MANY, "Too many connections".into()).await;
-        }
-        let login = tokio::time::timeout(LOGIN, self.log_in(&mut wire, host)).await;
+        };
+        let login = tokio::select! {
+            login = tokio::time::timeout(LOGIN, self.log_in(&mut wire, host)) => login,
+            () = place.cut.notified() => return Ok(()),
+        };
         let Some((tenant, schema)) = login.map_err(|e| PacketError::from(io::Error::from(e)))?? else {
             return Ok(());
         };
+        place.uses(Use::Idle, Instant::now());
         let context = Context { schema, names: None };
         let session = Session { front: self, wire, tenant, context, statements: BTreeMap::new(), next: 1 };
         session.serve().await
--- /dev/null
+++ b/src/net/places.rs
@@ -0,0 +1,133 @@
+//! Places for clients' connections: how many there may be, and whose gives way when all are taken.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::Notify;
+
+/// What a connection holds its place for, least first: that is the order in which they give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Use {
+    /// Its client has never asked anything whole.
+    Silent,
+    /// Nothing is open on it.
+    Idle,
+    Busy,
+}
+
+/// One connection's place.
+pub struct Place {
+    state: Cell<(Use, Instant)>,
+    /// Told to give way.
+    pub cut: Notify,
+    home: Rc<Places>,
+}
+
+pub struct Places {
+    most: Cell<usize>,
+    /// What gives way at the bound, and all that holds its place for less.
+    yields: Use,
+    taken: RefCell<Vec<Rc<Place>>>,
+    /// A place has come free, or its connection idle.
+    freed: Notify,
+}
+
+impl Places {
+    pub fn new(most: usize, yields: Use) -> Rc<Self> {
+        Rc::new(Places { most: Cell::new(most), yields, taken: RefCell::default(), freed: Notify::new() })
+    }
+
+    pub fn bound(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// A place for a new connection. At the bound a silent one gives way, else the one idle for longest:
+    /// clients that connect and say nothing, or keep what they used once, must not shut others out. None if
+    /// no one yields.
+    pub fn take(self: &Rc<Self>, now: Instant) -> Option<Taken> {
+        if self.taken.borrow().len() >= self.most.get() && !self.give_way() {
+            return None;
+        }
+        let place =
+            Rc::new(Place { state: Cell::new((Use::Silent, now)), cut: Notify::new(), home: self.clone() });
+        self.taken.borrow_mut().push(place.clone());
+        Some(Taken(place))
+    }
+
+    /// Makes one give way, if any yields.
+    pub fn give_way(&self) -> bool {
+        let mut taken = self.taken.borrow_mut();
+        let least = (0..taken.len()).min_by_key(|&i| taken[i].state.get());
+        match least.filter(|&i| taken[i].state.get().0 <= self.yields) {
+            Some(i) => {
+                taken.swap_remove(i).cut.notify_one();
+                true
+            }
+            None => false,
+        }
+    }
+
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+}
+
+impl Place {
+    /// It is used for this from now on.
+    pub fn uses(&self, what: Use, now: Instant) {
+        self.state.set((what, now));
+        if what == Use::Idle {
+            self.home.freed.notify_one();
+        }
+    }
+
+    pub fn state(&self) -> (Use, Instant) {
+        self.state.get()
+    }
+}
+
+/// A place while it is taken.
+pub struct Taken(Rc<Place>);
+
+impl std::ops::Deref for Taken {
+    type Target = Place;
+    fn deref(&self) -> &Place {
+        &self.0
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.0.home.taken.borrow_mut().retain(|p| !Rc::ptr_eq(p, &self.0));
+        self.0.home.freed.notify_one();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    #[test]
+    fn at_the_bound_the_silent_give_way_then_the_longest_idle_and_never_the_busy() {
+        let (places, now) = (Places::new(3, Use::Idle), Instant::now());
+        let at = |s| now + Duration::from_secs(s);
+        let three: Vec<Taken> = (0..3).map(|s| places.take(at(s)).unwrap()).collect();
+        three[0].uses(Use::Idle, at(5));
+        three[1].uses(Use::Idle, at(4));
+        let cut = |p: &Taken| {
+            use futures_util::FutureExt;
+            p.cut.notified().now_or_never().is_some()
+        };
+        let fourth = places.take(at(6)).unwrap();
+        assert!(cut(&three[2]), "never asked anything");
+        fourth.uses(Use::Busy, at(6));
+        let fifth = places.take(at(7)).unwrap();
+        assert!(cut(&three[1]) && !cut(&three[0]), "idle for longest");
+        fifth.uses(Use::Busy, at(7));
+        three[0].uses(Use::Busy, at(8));
+        assert!(places.take(at(9)).is_none(), "all are busy");
+        drop(fourth);
+        assert!(places.take(at(9)).is_some());
+    }
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -12,7 +12,7 @@
 /// Holds the largest result (48,000 bytes) with its frame.
 pub const SIZE: usize = 64 * 1024;
 /// Idle buffers kept; more are given back to the machine.
-const KEPT: usize = 64;
+const KEPT: usize = 32;
 
 #[derive(Clone, Default)]
 pub struct Pool(Rc<RefCell<Vec<BytesMut>>>);
@@ -58,10 +58,11 @@
     }
 }
 
-/// A connection whose two buffers are on loan from the pool.
+/// A connection whose two buffers are on loan from the pool, while there is something to read or write.
 pub struct Wire<C> {
     framed: Option<Framed<TcpStream, C>>,
     pool: Pool,
+    resting: bool,
 }
 
 impl<C> Wire<C> {
@@ -72,11 +73,44 @@
         let mut parts = Framed::new(tcp, codec).into_parts();
         parts.read_buf = std::mem::take(&mut pool.take().bytes);
         parts.write_buf = std::mem::take(&mut pool.take().bytes);
-        Wire { framed: Some(Framed::from_parts(parts)), pool: pool.clone() }
+        Wire { framed: Some(Framed::from_parts(parts)), pool: pool.clone(), resting: false }
     }
 }
 
 impl<C> Wire<C> {
+    /// Gives the buffers back while nothing is in them: with a hundred idle connections, each holding what its
+    /// largest answer once needed, memory would grow for as long as new ones come.
+    pub fn rest(&mut self) {
+        let Some(framed) = self.framed.as_mut().filter(|_| !self.resting) else { return };
+        if framed.read_buffer().is_empty() && framed.write_buffer().is_empty() {
+            self.pool.give(std::mem::take(framed.read_buffer_mut()));
+            self.pool.give(std::mem::take(framed.write_buffer_mut()));
+            self.resting = true;
+        }
+    }
+
+    /// Takes buffers again, before something is read or written.
+    pub fn wake(&mut self) {
+        if let Some(framed) = self.framed.as_mut().filter(|_| self.resting) {
+            *framed.read_buffer_mut() = std::mem::take(&mut self.pool.take().bytes);
+            *framed.write_buffer_mut() = std::mem::take(&mut self.pool.take().bytes);
+            self.resting = false;
+        }
+    }
+
+    /// What comes next, awake only once there is something.
+    pub async fn heard(&mut self) -> Option<Result<C::Item, C::Error>>
+    where
+        C: Decoder,
+    {
+        if self.resting {
+            // An error here is met again by the read.
+            drop(self.get_ref().readable().await);
+            self.wake();
+        }
+        tokio_stream::StreamExt::next(&mut **self).await
+    }
+
     /// Ends a conversation whose peer may still be sending: what it sends is read away for a moment, since a
     /// close over unread bytes would reset the connection and take the last words with it.
     pub async fn part(&mut self) {
@@ -130,4 +164,23 @@
         drop(b);
         assert!(pool.0.borrow().is_empty(), "a grown one is not kept");
     }
+
+    #[test]
+    fn a_connection_at_rest_holds_no_buffer_and_wakes_for_what_comes() {
+        use tokio_util::codec::LinesCodec;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let pool = Pool::default();
+            let mut wire = Wire::new(&pool, listener.accept().await.unwrap().0, LinesCodec::new());
+            wire.rest();
+            assert_eq!(pool.0.borrow().len(), 2, "both are back");
+            peer.write_all(b"one\ntwo\n").await.unwrap();
+            assert_eq!(wire.heard().await.unwrap().unwrap(), "one");
+            wire.rest();
+            assert_eq!(pool.0.borrow().len(), 0, "not while something is in them");
+            assert_eq!(wire.heard().await.unwrap().unwrap(), "two");
+        });
+    }
 }
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -12,14 +12,13 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures_util::SinkExt;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio_stream::StreamExt;
 use tokio_util::codec::{Decoder, Encoder};
 
 /// Connections to one engine.
@@ -32,8 +31,8 @@
 const PAGES: usize = 1024;
 /// An engine that takes no bytes for this long is cut off.
 const WRITE: Duration = Duration::from_secs(2);
-/// Ids given up on a connection that it remembers; beyond, a new connection is taken.
-const REMEMBERED: usize = 4096;
+/// Ids given up on a connection that it remembers: what is late comes soon after or never.
+const REMEMBERED: usize = 512;
 /// Commands on their way to one connection.
 const QUEUE: usize = 1024;
 
@@ -184,7 +183,7 @@
     orders: mpsc::Sender<Do>,
     pending: RefCell<HashMap<String, Pending>>,
     /// Ids given up here: a late answer to one must not pass for that of a new attempt.
-    given_up: RefCell<HashSet<String>>,
+    given_up: RefCell<VecDeque<Id>>,
     closing: Cell<bool>,
     /// Told to end at once.
     cut: tokio::sync::Notify,
@@ -230,8 +229,7 @@
             !c.closing.get()
                 && pending.len() < self.0.sockets.streams
                 && !pending.contains_key(txn)
-                && !given_up.contains(txn)
-                && given_up.len() < REMEMBERED
+                && !given_up.contains(&id_of(txn))
         };
         if let Some(c) = slot.connections.iter().find(fits) {
             return Some(c.clone());
@@ -287,7 +285,7 @@
         let Some((c, txn)) = self.0.attempts.borrow_mut().remove(&attempt) else { return };
         let pending = c.pending.borrow_mut().remove(&txn);
         if let Some(Pending { stage: Stage::Written | Stage::Paging { .. }, .. }) = pending {
-            c.given_up.borrow_mut().insert(txn.clone());
+            c.give_up(&txn);
             if c.orders.try_send(Do::Drop(txn)).is_err() {
                 // It takes no orders any more: closing gives up all that is on it.
                 c.closing.set(true);
@@ -332,7 +330,25 @@
     }
 }
 
+/// An id in a form that takes no room of its own.
+type Id = [u8; 16];
+
+fn id_of(txn: &str) -> Id {
+    let mut id = [0; 16];
+    id.iter_mut().zip(txn.bytes()).for_each(|(to, b)| *to = b);
+    id
+}
+
 impl Connection {
+    /// The oldest are forgotten, so that a connection's memory does not grow with all that it ever carried.
+    fn give_up(&self, txn: &str) {
+        let mut given_up = self.given_up.borrow_mut();
+        if given_up.len() >= REMEMBERED {
+            given_up.pop_front();
+        }
+        given_up.push_back(id_of(txn));
+    }
+
     fn end(&self) {
         self.closing.set(true);
         self.cut.notify_one();
@@ -381,11 +397,14 @@
                     }
                     self.flush(framed).await?;
                 }
-                answer = framed.next() => {
+                answer = framed.heard() => {
                     let Some(answer) = answer else { return Ok(()) };
                     if self.answer(hub, c, &answer?, framed).await? {
                         self.flush(framed).await?;
                     }
+                    if c.pending.borrow().is_empty() {
+                        framed.rest();
+                    }
                 }
                 () = tokio::time::sleep(idle), if c.pending.borrow().is_empty() => {
                     c.closing.set(true);
@@ -401,6 +420,7 @@
     }
 
     async fn feed(&self, framed: &mut Wire, words: &[&[u8]]) -> Result<(), RespError> {
+        framed.wake();
         tokio::time::timeout(WRITE, framed.feed(words)).await.map_err(io::Error::from)?
     }
 
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -239,6 +239,14 @@
     fn leave(&mut self) {
         self.wire = None;
     }
+
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    async fn again(&mut self) {
+        (self.wire, self.prepared) = (None, HashMap::new());
+    }
 }
 
 async fn set_up() -> (Rc<Hub<MysqlLeg>>, MysqlClient, Vec<SocketAddr>, mpsc::UnboundedReceiver<Seen>) {
