Cap engines without room instead of barring them, leave failing ones out

Traced what the module believes of each engine every 250 ms: queues of 30 to 50 while engines stood at 0 to 4 of ours, and one at a time at 39 (ab13: 4 to 39 within 0.75 s). A note of waiting for memory barred an engine for 1 s, a full refusal too; all that waited went to the one next free, which then had no room in its turn. An engine that failed 85% fast had room for all and got 240 attempts a second though it was doubtful, for doubtful engines were only preferred against. Ruled out: CPU (0.03 s a second), sockets (first attempt after 76 us), wasted work (price 0.0005). At fault: progress() on WaitsForMemory, room() and place() in controller.rs.

Now an engine without room caps the threads that we have there (0.8 of them, once in 200 ms) and the cap grows with what it serves; a query leaves a memory line only if another engine has room; doubtful engines are left out while another is well, with room or without.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -11,6 +11,8 @@
 const U_FLOOR: f64 = 0.1; // u(i) stays at least this part of 1/p(i).
 const P_MIN: f64 = 1e-3; // Least predicted share, so that 1/p stays finite for a class that sent nothing.
 const THREADS_PER_CORE: f64 = 2.0; // An engine's budget: threads a core, for all gateways together.
+const CAP_CUT: f64 = 0.8; // What we may have at an engine shrinks to this part when it has no room, ...
+const CAP_EVERY: Millis = 200.0; // ... at most once in this time, ms, for one lack shows in many queries.
 const FULL_FOR: Millis = 1000.0; // How long a full refusal counts as pressure, ms: a few load-report periods.
 const MEMORY_FULL: f64 = 0.75; // Share of memory granted past which the next may slow all, if overcommitted.
 const SATURATED: f64 = 0.97; // Busy cores past which a report tells no more: it is noisy and ends at 1.
@@ -468,7 +470,11 @@
                 self.classes[h.q.class].held = true;
                 return None;
             }
-            self.prefer(&mut found, |e| !self.doubtful(e));
+            // Not even as the last with room, while another is well: what fails fast has room for all, and
+            // takes the attempts of all.
+            if (0..self.engines.len()).any(|e| !self.doubtful(e) && self.may_send(h, e)) {
+                found.retain(|&e| !self.doubtful(e));
+            }
             self.prefer(&mut found, |e| h.attempts.iter().all(|a| a.engine != e));
             // Loads of a group keep to one half of the engines, its readers to the other: all gateways know
             // the halves without a word. Ranked by a hash, not drawn each: a hot group whose loads had one
@@ -566,6 +572,17 @@
         self.engines.iter().map(|e| e.threads()).sum()
     }
 
+    /// It has no room: we keep to less than we have there, and grow again with what it serves. Barred for a
+    /// while, it would move all that waits here to the engine that is next free, which then has no room in its
+    /// turn, and so on round the fleet. Harm: an engine that was full for a moment fills up slowly.
+    fn cut(&mut self, e: usize, least: f64) {
+        let x = &mut self.engines[e];
+        if self.now >= x.cut_at + CAP_EVERY {
+            x.cut_at = self.now;
+            x.cap = x.cap.min((x.threads() * CAP_CUT).max(least).max(1.0));
+        }
+    }
+
     fn stalls(&self) -> bool {
         self.s.classes.iter().any(|c| c.waits_for_loads)
     }
@@ -580,7 +597,8 @@
         // A budget below one query is a draw: so all gateways together keep to the engine's budget.
         let draw = if self.blind(e, threads) { e.draw * threads } else { 0.0 };
         let pressed = self.crowding(e).unwrap_or(self.crowd_of(e.zone)) > 1.0;
-        self.now >= e.full_until && (!pressed || e.threads() + threads <= self.budget(e) + draw)
+        let capped = !e.out.is_empty() && e.threads() + threads > e.cap;
+        self.now >= e.full_until && !capped && (!pressed || e.threads() + threads <= self.budget(e) + draw)
     }
 
     /// Threads or memory in use at an engine, as parts of what it bears: by its report and what we sent
@@ -702,8 +720,11 @@
         let calm = idle && self.crowd_of(x.zone) <= HOME_FULL;
         if matches!(e.outcome, Outcome::Full | Outcome::Unreachable) {
             self.engines[engine].full_until = now + FULL_FOR;
+            self.cut(engine, 0.0);
         }
         if e.outcome == Outcome::Served {
+            let x = &mut self.engines[engine];
+            x.cap += GROW * threads / x.cap.max(1.0);
             let latency = (now - sent).max(1e-3);
             let work = e.work.filter(|w| w.is_finite() && *w > 0.0);
             let c = &mut self.classes[class];
@@ -756,15 +777,19 @@
         let Some(h) = self.held.get(&id) else { return };
         let Some(a) = h.attempts.get(attempt as usize).filter(|a| a.out) else { return };
         let (engine, class) = (a.engine, h.q.class);
+        let threads = self.s.classes[class].threads;
         let x = &mut self.engines[engine];
         (x.heard, self.heard) = (self.now, self.now);
         let Some(r) = x.out.iter_mut().find(|r| (r.id, r.attempt) == (id, attempt)) else { return };
         if note == Note::WaitsForMemory {
             // It stands in the engine's line and nothing has run: a full refusal in other words, and a move
             // is free. Harm: an attempt and its place in line, in vain where every engine has a line.
-            x.full_until = self.now + FULL_FOR;
+            self.cut(engine, self.budget(&self.engines[engine]));
             self.pool(engine, SLOW);
-            return if self.least_crowd() <= HOME_FULL {
+            let other = |e: usize| {
+                e != engine && self.engines[e].state == EngineState::Ready && self.room(e, threads)
+            };
+            return if self.least_crowd() <= HOME_FULL && (0..self.engines.len()).any(other) {
                 self.rescue(id, attempt, out)
             };
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,9 @@
     pub cell: i64,
     pub out: Vec<Running>,
     pub full_until: Millis,
+    /// Threads that we may have there: unlimited until it shows that it has no room.
+    pub cap: f64,
+    pub cut_at: Millis,
     /// Its last load report, and when that came.
     pub inflight: f64,
     pub cpu_busy: f64,
@@ -176,6 +179,8 @@
             cell: entry.cell,
             out: vec![],
             full_until: f64::MIN,
+            cap: f64::INFINITY,
+            cut_at: f64::MIN,
             inflight: 0.0,
             cpu_busy: 0.0,
             stretch: Mean::default(),
