--- a/src/controller.rs
+++ b/src/controller.rs
@@ -572,9 +572,9 @@
         self.engines.iter().map(|e| e.threads()).sum()
     }
 
-    /// It has no room: we keep to less than we have there, and grow again with what it serves. Barred for a
-    /// while, it would move all that waits here to the engine that is next free, which then has no room in its
-    /// turn, and so on round the fleet. Harm: an engine that was full for a moment fills up slowly.
+    /// It has no room: we keep to less than we have there, and grow again with what it serves. Barred for
+    /// a while, it would move all that waits here to the one that is next free, which then has no room in
+    /// its turn, and so on round the fleet. Harm: an engine full for a moment fills up slowly.
     fn cut(&mut self, e: usize, least: f64) {
         let x = &mut self.engines[e];
         if self.now >= x.cut_at + CAP_EVERY {
