Check what engines send: spoilt pages, stalled answers and one fault for many

Checked in resp.rs: pages went on unread, a missing total became 1, a second ACK dropped the pages in hand, an unknown word kept its connection, a result or an answer that stopped short was waited for until the deadline, and close() reported every request on a broken connection as the engine's failure: ten at once made it doubtful for 6 s. Orders were read before answers, so a request could be written into a connection already reset while idle, and then counted as run. Ruled out: late answers to ids given up (never taken) and unknown ids (ignored).

Now a page is whole rows of three columns or its attempt has failed and its connection is done; an answer or result that does not come on within 600 ms likewise; a silent connection that owes answers gets nothing new; of what shared a broken connection one counts against the engine, what was not written never ran.

--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -15,7 +15,7 @@
 const SILENCE: Duration = Duration::from_millis(2300);
 const CONNECT: Duration = Duration::from_millis(1000);
 const AGAIN: Duration = Duration::from_millis(100);
-const AGAIN_MOST: Duration = Duration::from_millis(800);
+const AGAIN_MOST: Duration = Duration::from_millis(400);
 /// No head or line of the journal is longer: one event carries the whole list at most.
 const LINE_MOST: usize = 1 << 20;
 
@@ -81,6 +81,8 @@
     pos: u64,
     first: Vec<Change>,
     silence: Duration,
+    /// The place after which an event could not be read: asked for once more, then passed over.
+    unread: Option<u64>,
 }
 
 impl Journal {
@@ -89,7 +91,7 @@
         address: watch::Receiver<SocketAddr>,
         known: serde_json::Value,
     ) -> Result<Self, serde_json::Error> {
-        let mut journal = Journal { address, pos: 0, first: vec![], silence: SILENCE };
+        let mut journal = Journal { address, pos: 0, first: vec![], silence: SILENCE, unread: None };
         if !known.is_null() {
             let known: Known = serde_json::from_value(known)?;
             let mut changes: Vec<Change> =
@@ -105,20 +107,24 @@
     }
 
     /// One event of the stream; `id` is its number, or what its data says.
-    fn event(&mut self, id: Option<u64>, data: &str) -> Option<Change> {
+    fn event(&mut self, id: Option<u64>, data: &str) -> std::io::Result<Option<Change>> {
         let event: Event = match serde_json::from_str(data) {
             Ok(event) => event,
+            Err(_) if id.is_some_and(|pos| pos <= self.pos) => return Ok(None),
+            // Spoilt on its way, it comes whole when asked for again; if not, the news after it count more.
+            Err(e) if self.unread != Some(self.pos) => {
+                self.unread = Some(self.pos);
+                return Err(broken(&format!("an event cannot be read: {e}")));
+            }
             Err(e) => {
-                say!("journal: an event cannot be read: {e}");
-                return None;
+                say!("journal: an event cannot be read and is passed over: {e}");
+                self.pos = id.unwrap_or(self.pos);
+                return Ok(None);
             }
         };
-        let pos = id.or(event.pos)?;
-        if pos <= self.pos {
-            return None;
-        }
+        let Some(pos) = id.or(event.pos).filter(|pos| *pos > self.pos) else { return Ok(None) };
         self.pos = pos;
-        event.hosts.map(Hosts::change)
+        Ok(event.hosts.map(Hosts::change))
     }
 
     /// Reads one stream to its end.
@@ -137,7 +143,7 @@
                 return Ok(());
             }
             for (id, data) in reader.feed(&buffer[..n])? {
-                if let Some(change) = self.event(id, &data) {
+                if let Some(change) = self.event(id, &data)? {
                     sink(change);
                 }
             }
@@ -354,7 +360,8 @@
             let half = event(5, "b", "in_service");
             let half = &half[..half.len() / 2];
             let streams = [
-                (3, format!("{}{half}", event(4, "a", "in_service")), true), // cut inside an event
+                (3, "id: 4\ndata: {\"pos\":4,\"ho#sts\":[}\n\n".into(), false), // spoilt
+                (3, format!("{}{half}", event(4, "a", "in_service")), true),    // cut inside an event
                 (4, event(4, "a", "in_service") + &event(5, "b", "terminating"), false), // then silent
                 (5, event(6, "a", "terminated"), true),
             ];
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -29,6 +29,11 @@
 /// A result is 48,000 bytes at most; rows are whole in a page, so pages may be small.
 const RESULT: usize = 48_000;
 const PAGES: usize = 1024;
+const PAGE: usize = 6000;
+/// An answer that has begun, or a result, comes on within this, or its connection is of no further use.
+const STALL: Millis = 600.0;
+/// A connection that owes an answer and says nothing for this long gets nothing new.
+const SILENT: Millis = 1000.0;
 /// An engine that takes no bytes for this long is cut off.
 const WRITE: Duration = Duration::from_secs(2);
 /// Ids given up on a connection that it remembers: what is late comes soon after or never.
@@ -42,6 +47,10 @@
     Form,
     #[error("a length of {0} is too large")]
     Length(usize),
+    #[error("a page is no rows of three columns")]
+    Page,
+    #[error("an answer does not come to its end")]
+    Stalled,
     #[error(transparent)]
     Io(#[from] io::Error),
 }
@@ -141,6 +150,13 @@
     names.iter().map(value).collect::<Option<Vec<f64>>>().unwrap_or_default()
 }
 
+/// Whole rows of three text columns. What is spoilt must not be passed on as served.
+fn is_page(body: &[u8]) -> bool {
+    let Ok(text) = std::str::from_utf8(body) else { return false };
+    let row = |r: &str| r.matches('\t').count() == 2 && !r.contains(|c: char| c.is_control() && c != '\t');
+    body.len() <= PAGE && text.split_terminator('\n').all(row) && (text.is_empty() || text.ends_with('\n'))
+}
+
 fn note(fields: &str) -> Option<Note> {
     let value: f64 = field(fields, "datum")?.parse().ok()?;
     match field(fields, "tell")? {
@@ -167,6 +183,8 @@
         pages: Vec<Option<Bytes>>,
         missing: usize,
         size: usize,
+        /// When the last part came.
+        at: Millis,
         report: Vec<f64>,
     },
 }
@@ -185,6 +203,8 @@
     /// Ids given up here: a late answer to one must not pass for that of a new attempt.
     given_up: RefCell<VecDeque<Id>>,
     closing: Cell<bool>,
+    /// When it last said something, or was given something to do while it owed nothing.
+    heard: Cell<Millis>,
     /// Told to end at once.
     cut: tokio::sync::Notify,
 }
@@ -224,9 +244,13 @@
         let mut engines = self.0.engines.borrow_mut();
         let slot = engines.get_mut(engine)?;
         let address = slot.address?;
+        let now = unix_ms();
         let fits = |c: &&Rc<Connection>| {
             let (pending, given_up) = (c.pending.borrow(), c.given_up.borrow());
+            // One that has stopped short stays open, and nothing on it comes to an end.
+            let silent = !pending.is_empty() && now > c.heard.get() + SILENT;
             !c.closing.get()
+                && !silent
                 && pending.len() < self.0.sockets.streams
                 && !pending.contains_key(txn)
                 && !given_up.contains(&id_of(txn))
@@ -248,16 +272,18 @@
             pending: RefCell::default(),
             given_up: RefCell::default(),
             closing: Cell::new(false),
+            heard: Cell::new(unix_ms()),
             cut: tokio::sync::Notify::new(),
         });
         slot.connections.push(connection.clone());
         let (shared, hub, mine) = (self.0.clone(), Rc::downgrade(hub), connection.clone());
         let engine = engine.to_string();
         tokio::task::spawn_local(async move {
-            if let Err(e) = shared.run(&hub, &engine, &mine, inbox).await {
+            let mut connected = false;
+            if let Err(e) = shared.run(&hub, &engine, &mine, inbox, &mut connected).await {
                 say!("engine {engine} at {}: {e}", mine.address);
             }
-            shared.close(&hub, &engine, &mine);
+            shared.close(&hub, &engine, &mine, connected);
         });
         Some(connection)
     }
@@ -277,6 +303,9 @@
         if c.orders.try_send(Do::Get(txn.clone())).is_err() {
             return hub.ended(attempt, Outcome::Unreachable, vec![]);
         }
+        if c.pending.borrow().is_empty() {
+            c.heard.set(unix_ms());
+        }
         c.pending.borrow_mut().insert(txn.clone(), pending);
         self.0.attempts.borrow_mut().insert(attempt, (c, txn));
     }
@@ -319,6 +348,9 @@
                 } else if e.state == EngineState::Gone {
                     // What it still answers counts; a process that has ended resets its connections itself.
                     c.closing.set(true);
+                    if c.pending.borrow().is_empty() {
+                        c.end();
+                    }
                 }
             }
             slot.address = match e.state {
@@ -340,6 +372,12 @@
 }
 
 impl Connection {
+    /// A result that began does not go on.
+    fn stalled(&self, now: Millis) -> bool {
+        let stands = |p: &Pending| matches!(p.stage, Stage::Paging { at, .. } if now > at + STALL);
+        self.pending.borrow().values().any(stands)
+    }
+
     /// The oldest are forgotten, so that a connection's memory does not grow with all that it ever carried.
     fn give_up(&self, txn: &str) {
         let mut given_up = self.given_up.borrow_mut();
@@ -364,6 +402,7 @@
         engine: &str,
         c: &Connection,
         mut inbox: mpsc::Receiver<Do>,
+        connected: &mut bool,
     ) -> Result<(), RespError> {
         let connect = tokio::time::timeout(span(self.sockets.connect_timeout), TcpStream::connect(c.address));
         let tcp = tokio::select! {
@@ -371,6 +410,7 @@
             () = c.cut.notified() => return Ok(()),
         };
         tcp.set_nodelay(true)?;
+        *connected = true;
         let mut framed = Wire::new(&self.pool, tcp, RespCodec);
         self.converse(hub, engine, c, &mut inbox, &mut framed).await
     }
@@ -385,10 +425,28 @@
     ) -> Result<(), RespError> {
         // Closed by us well before the engine does: a request must not cross its close.
         let idle = span(self.sockets.idle * 0.8);
+        let mut check = tokio::time::interval(span(STALL / 2.0));
+        let mut partial = 0;
         loop {
+            if c.closing.get() && c.pending.borrow().is_empty() {
+                return Ok(());
+            }
             tokio::select! {
                 biased;
                 () = c.cut.notified() => return Ok(()),
+                // Before orders: a reset while it was idle must be seen before a request is written into it,
+                // for that one would count as run.
+                answer = framed.heard() => {
+                    let Some(answer) = answer else { return Ok(()) };
+                    partial = 0;
+                    c.heard.set(unix_ms());
+                    if self.answer(hub, c, &answer?, framed).await? {
+                        self.flush(framed).await?;
+                    }
+                    if c.pending.borrow().is_empty() {
+                        framed.rest();
+                    }
+                }
                 order = inbox.recv() => {
                     let Some(order) = order else { return Ok(()) };
                     self.order(hub, engine, c, order, framed).await?;
@@ -397,13 +455,10 @@
                     }
                     self.flush(framed).await?;
                 }
-                answer = framed.heard() => {
-                    let Some(answer) = answer else { return Ok(()) };
-                    if self.answer(hub, c, &answer?, framed).await? {
-                        self.flush(framed).await?;
-                    }
-                    if c.pending.borrow().is_empty() {
-                        framed.rest();
+                _ = check.tick(), if !c.pending.borrow().is_empty() => {
+                    partial = if framed.read_buffer().is_empty() { 0 } else { partial + 1 };
+                    if partial > 2 || c.stalled(unix_ms()) {
+                        return Err(RespError::Stalled);
                     }
                 }
                 () = tokio::time::sleep(idle), if c.pending.borrow().is_empty() => {
@@ -495,56 +550,87 @@
                 }
                 return Ok(false);
             }
-            "ACK" => {
-                let total = field(&fields, "total").and_then(|t| t.parse().ok()).unwrap_or(1usize);
-                if !(1..=PAGES).contains(&total) || body.len() > RESULT {
-                    return Err(RespError::Length(total));
-                }
-                let (size, mut pages) = (body.len(), vec![None; total]);
-                pages[0] = Some(body);
-                let stage = Stage::Paging { pages, missing: total - 1, size, report: told() };
-                if let Some(p) = c.pending.borrow_mut().get_mut(txn) {
-                    p.stage = stage;
-                }
-                for n in 1..total {
-                    self.feed(framed, &[b"PAGE", id, n.to_string().as_bytes()]).await?;
-                }
-                hub.answering(attempt);
-                self.whole(&hub, c, txn, attempt);
-                return Ok(total > 1);
-            }
-            "BLOCK" => {
-                let index = field(&fields, "index").and_then(|t| t.parse::<usize>().ok());
-                if let Some(Pending { stage: Stage::Paging { pages, missing, size, .. }, .. }) =
-                    c.pending.borrow_mut().get_mut(txn)
-                    && let Some(place) = index.and_then(|i| pages.get_mut(i))
-                    && place.is_none()
-                {
-                    *size += body.len();
-                    if *size > RESULT {
-                        return Err(RespError::Length(*size));
+            "ACK" | "BLOCK" => {
+                let wrote = match self.part(c, id, word, &fields, body, framed).await {
+                    Ok(wrote) => wrote,
+                    Err(e) => {
+                        // It has run, and its result is spoilt.
+                        self.forget(c, txn, attempt);
+                        hub.ended(attempt, Outcome::Error, vec![]);
+                        return Err(e);
                     }
-                    *place = Some(body);
-                    *missing -= 1;
-                }
+                };
                 hub.answering(attempt);
                 self.whole(&hub, c, txn, attempt);
-                return Ok(false);
+                return Ok(wrote);
             }
             "AGAIN" => Outcome::Full,
             "STALE" => Outcome::Moot,
             "EIO" => Outcome::Error,
             "READY" => return Ok(false),
-            other => {
-                say!("engine at {}: unknown word {other:?}", c.address);
-                Outcome::Error
-            }
+            // After what can't be read, nothing else on this connection can be trusted.
+            _ => return Err(RespError::Form),
         };
         self.forget(c, txn, attempt);
         hub.ended(attempt, outcome, told());
         Ok(false)
     }
 
+    /// Takes a part of a result; true if further pages were asked for. A second copy changes nothing.
+    async fn part(
+        &self,
+        c: &Connection,
+        id: &[u8],
+        word: &str,
+        fields: &str,
+        body: Bytes,
+        framed: &mut Wire,
+    ) -> Result<bool, RespError> {
+        let number = |name: &str| field(fields, name).and_then(|t| t.parse::<usize>().ok());
+        let txn = std::str::from_utf8(id).map_err(|_| RespError::Form)?;
+        let (now, first) = (unix_ms(), word == "ACK");
+        let mut wanted = 0;
+        match c.pending.borrow_mut().get_mut(txn).map(|p| &mut p.stage) {
+            Some(stage @ Stage::Written) if first => {
+                let total = number("total").ok_or(RespError::Form)?;
+                if !(1..=PAGES).contains(&total) {
+                    return Err(RespError::Length(total));
+                }
+                // Only a result of no rows has an empty page.
+                if !is_page(&body) || body.is_empty() && total > 1 {
+                    return Err(RespError::Page);
+                }
+                let (size, mut pages) = (body.len(), vec![None; total]);
+                pages[0] = Some(body);
+                wanted = total - 1;
+                let report = report(fields, &self.report_fields);
+                *stage = Stage::Paging { pages, missing: wanted, size, at: now, report };
+            }
+            Some(Stage::Paging { pages, missing, size, at, .. }) if !first => {
+                let index = number("index").ok_or(RespError::Form)?;
+                let place = pages.get_mut(index).ok_or(RespError::Length(index))?;
+                if place.is_none() {
+                    if body.is_empty() || !is_page(&body) {
+                        return Err(RespError::Page);
+                    }
+                    *size += body.len();
+                    if *size > RESULT {
+                        return Err(RespError::Length(*size));
+                    }
+                    (*place, *at) = (Some(body), now);
+                    *missing -= 1;
+                }
+            }
+            // A page before the first, or an answer to what was not written yet.
+            Some(Stage::Waiting(..) | Stage::Written) => return Err(RespError::Form),
+            Some(Stage::Paging { .. }) | None => {}
+        }
+        for n in 1..=wanted {
+            self.feed(framed, &[b"PAGE", id, n.to_string().as_bytes()]).await?;
+        }
+        Ok(wanted > 0)
+    }
+
     /// Once all pages are here, the result goes on in one piece.
     fn whole(&self, hub: &Rc<Hub<RespLeg>>, c: &Connection, txn: &str, attempt: AttemptId) {
         let whole = |p: &Pending| matches!(p.stage, Stage::Paging { missing: 0, .. });
@@ -560,18 +646,26 @@
         }
     }
 
-    /// The connection has ended: what was written on it may have run, the rest never did.
-    fn close(&self, hub: &Weak<Hub<RespLeg>>, engine: &str, c: &Rc<Connection>) {
+    /// The connection has ended: what was written on it may have run, the rest never did. That says something
+    /// of the engine once, not for each request that shared the connection: one bad connection would make a
+    /// healthy engine look as if it failed all it is sent. The others only end, by their class's rule.
+    fn close(&self, hub: &Weak<Hub<RespLeg>>, engine: &str, c: &Rc<Connection>, connected: bool) {
         c.closing.set(true);
         if let Some(slot) = self.engines.borrow_mut().get_mut(engine) {
             slot.connections.retain(|o| o.number != c.number);
         }
         let pending = std::mem::take(&mut *c.pending.borrow_mut());
         let Some(hub) = hub.upgrade() else { return };
+        let mut told = false;
         for p in pending.into_values() {
             self.attempts.borrow_mut().remove(&p.attempt);
-            let never = matches!(p.stage, Stage::Waiting(..));
-            hub.ended(p.attempt, if never { Outcome::Unreachable } else { Outcome::Reset }, vec![]);
+            let outcome = match p.stage {
+                Stage::Waiting(..) if connected => Outcome::Moot,
+                Stage::Waiting(..) => Outcome::Unreachable,
+                _ if !std::mem::replace(&mut told, true) => Outcome::Reset,
+                _ => Outcome::Cancelled,
+            };
+            hub.ended(p.attempt, outcome, vec![]);
         }
     }
 }
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -42,14 +42,26 @@
                     "half" => ["ACK", "total=2", "1\ta\tb\n"],
                     "full" => ["AGAIN", "-", ""],
                     "error" => ["EIO", "-", ""],
+                    "spoilt" => ["ACK", "total=1", "1\ta\tb\n2\tc\n"],
+                    "cut" | "more" => ["ACK", "total=1", "1\ta\tb\n"],
+                    "word" => ["OKAY", "-", ""],
                     _ => return,
                 };
-                let words = [&[id.as_str()][..], &answer].concat();
-                let bulk = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect::<String>();
+                let bytes = |id: &str| {
+                    let words = [&[id][..], &answer].concat();
+                    let bulk = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect::<String>();
+                    format!("*4\r\n{bulk}").into_bytes()
+                };
+                let bytes = match order {
+                    "more" => [bytes("0000000000000bad"), bytes(&id), bytes(&id)].concat(),
+                    _ => bytes(&id),
+                };
                 // Cut in the middle: an answer may come in any pieces.
-                let bytes = format!("*4\r\n{bulk}").into_bytes();
                 let (a, b) = bytes.split_at(bytes.len() / 2);
                 write.write_all(a).await.unwrap();
+                if order == "cut" {
+                    continue;
+                }
                 tokio::task::yield_now().await;
                 write.write_all(b).await.unwrap();
             }
@@ -273,3 +285,43 @@
         assert!(c.next(1).await.is_none(), "and the connection ends");
     });
 }
+
+/// What engines alike do now and then: none of it may reach a client as served, nor cost another request.
+const BAD_PEERS: [(&str, &str); 6] = [
+    (
+        "a spoilt page is not passed on, and a lookup goes elsewhere",
+        "send a lookup\n engine lookup\n reply spoilt\n engine lookup\n moved\n reply rows\n expect a served\n ran 2",
+    ),
+    (
+        "a load whose page is spoilt has run",
+        "send a load\n engine load\n reply spoilt\n expect a failed\n wait 100\n ran 1",
+    ),
+    (
+        "an answer of no kind ends its connection",
+        "send a lookup\n engine lookup\n reply word\n engine lookup\n reply rows\n expect a served\n ran 2",
+    ),
+    (
+        "a result that stops short is not waited for",
+        "send a lookup\n engine lookup\n reply half\n engine lookup\n reply rows\n expect a served\n ran 2",
+    ),
+    (
+        "an answer that stops short is not waited for",
+        "send a load\n engine load\n reply cut\n expect a failed\n wait 100\n ran 1",
+    ),
+    (
+        "a second copy and an answer for nobody cost nothing",
+        "send a lookup\n engine lookup\n reply more\n expect a served
+         send b lookup\n engine lookup\n reply rows\n expect b served\n ran 2",
+    ),
+];
+
+#[test]
+fn what_engines_spoil_is_never_served() {
+    for (tells, script) in BAD_PEERS {
+        println!("{tells}");
+        on_one_thread(async {
+            let (hub, mut client, addresses, mut seen) = set_up().await;
+            play(&hub, &mut client, &addresses, &mut seen, script).await;
+        });
+    }
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -6,7 +6,9 @@
 //! - `expect NAME served|refused|failed|late`: its one answer;
 //! - `engine CLASS`: a request reaches an engine whole, and that engine is the one spoken of from here on;
 //! - `engine dropped`: that engine is told to give the request up;
-//! - `reply rows|full|error|half`: the engine answers (`half`: it begins a result and does not end it);
+//! - `reply rows|full|error|half`: the engine answers (`half`: it begins a result and does not end it); on frames
+//!   also `spoilt` (a page that is none), `cut` (half of an answer's bytes), `word` (an answer of no kind) and
+//!   `more` (rows, with an answer for nobody before and a second copy behind);
 //! - `close`: the engine breaks the request's connection;
 //! - `drain`, `back`: the engine list tells that this engine drains, or is in service again;
 //! - `takeover`: the list tells that this engine's address now belongs to another;
@@ -170,7 +172,8 @@
                 }
             }
             ["reply", what] => {
-                let what = ["rows", "full", "error", "half"].into_iter().find(|w| *w == what).unwrap();
+                let known = ["rows", "full", "error", "half", "spoilt", "cut", "word", "more"];
+                let what = known.into_iter().find(|w| *w == what).unwrap();
                 last.as_ref().unwrap().orders.send(what).unwrap();
             }
             ["close"] => last.as_ref().unwrap().orders.send("close").unwrap(),
