--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -45,9 +45,21 @@
 /// What the adapters have to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
-    Start { attempt: AttemptId, engine: String, until: Millis, memory_mb: f64 },
-    Drop { attempt: AttemptId },
-    Answer { request: RequestId, answer: Answer },
+    /// `alone`: it must not run twice, so that it should share no connection with what may break it.
+    Start {
+        attempt: AttemptId,
+        engine: String,
+        until: Millis,
+        memory_mb: f64,
+        alone: bool,
+    },
+    Drop {
+        attempt: AttemptId,
+    },
+    Answer {
+        request: RequestId,
+        answer: Answer,
+    },
     Say(String),
 }
 
@@ -349,7 +361,8 @@
                 self.due.insert((bits(until), id));
             }
             let attempt = AttemptId { request: id, index };
-            self.commands.push(Command::Start { attempt, engine, until, memory_mb });
+            let alone = self.unsafe_class[r.class];
+            self.commands.push(Command::Start { attempt, engine, until, memory_mb, alone });
         } else {
             self.pending.push_back(Report::Ended(Ended {
                 id,
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -191,6 +191,7 @@
 
 struct Pending {
     attempt: AttemptId,
+    alone: bool,
     stage: Stage,
 }
 
@@ -239,8 +240,15 @@
         }))
     }
 
-    /// A connection to the engine with room for this id, or a new one.
-    fn connection(&self, hub: &Rc<Hub<Self>>, engine: &str, txn: &str) -> Option<Rc<Connection>> {
+    /// A connection to the engine with room for this id, or a new one. One that is to be alone gets one to
+    /// itself while there may be more.
+    fn connection(
+        &self,
+        hub: &Rc<Hub<Self>>,
+        engine: &str,
+        txn: &str,
+        alone: bool,
+    ) -> Option<Rc<Connection>> {
         let mut engines = self.0.engines.borrow_mut();
         let slot = engines.get_mut(engine)?;
         let address = slot.address?;
@@ -255,11 +263,14 @@
                 && !pending.contains_key(txn)
                 && !given_up.contains(&id_of(txn))
         };
-        if let Some(c) = slot.connections.iter().find(fits) {
+        let shared = |c: &Connection| alone || c.pending.borrow().values().any(|p| p.alone);
+        let free = |c: &&Rc<Connection>| c.pending.borrow().is_empty() || !shared(c);
+        let mut fitting = slot.connections.iter().filter(fits);
+        if let Some(c) = fitting.clone().find(free) {
             return Some(c.clone());
         }
         if slot.connections.len() >= CONNECTIONS {
-            return None;
+            return fitting.next().cloned();
         }
         let (orders, inbox) = mpsc::channel(QUEUE);
         let number = self.0.next.get();
@@ -295,11 +306,12 @@
 
     fn start(&self, hub: &Rc<Hub<Self>>, start: Start, work: Rc<Work>) {
         let attempt = start.attempt;
-        let Some(c) = self.connection(hub, &start.engine, &work.txn) else {
+        let Some(c) = self.connection(hub, &start.engine, &work.txn, start.alone) else {
             return hub.ended(attempt, Outcome::Unreachable, vec![]);
         };
         let txn = work.txn.clone();
-        let pending = Pending { attempt, stage: Stage::Waiting(start, work) };
+        let alone = start.alone;
+        let pending = Pending { attempt, alone, stage: Stage::Waiting(start, work) };
         if c.orders.try_send(Do::Get(txn.clone())).is_err() {
             return hub.ended(attempt, Outcome::Unreachable, vec![]);
         }
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -287,7 +287,7 @@
 }
 
 /// What engines alike do now and then: none of it may reach a client as served, nor cost another request.
-const BAD_PEERS: [(&str, &str); 6] = [
+const BAD_PEERS: [(&str, &str); 7] = [
     (
         "a spoilt page is not passed on, and a lookup goes elsewhere",
         "send a lookup\n engine lookup\n reply spoilt\n engine lookup\n moved\n reply rows\n expect a served\n ran 2",
@@ -308,6 +308,11 @@
         "an answer that stops short is not waited for",
         "send a load\n engine load\n reply cut\n expect a failed\n wait 100\n ran 1",
     ),
+    (
+        "a load shares no connection with a lookup that breaks it",
+        "send a lookup\n engine lookup\n drain\n send b load 700\n engine load\n send c lookup\n engine lookup
+         close\n engine lookup\n reply rows\n expect c served\n expect b late\n engine dropped\n ran 4",
+    ),
     (
         "a second copy and an answer for nobody cost nothing",
         "send a lookup\n engine lookup\n reply more\n expect a served
