Keep queries off held groups again, and use buffers of 16 KB

Ruled out: late notes. At fault: place(), whose halves went before everything; pool.rs, whose 64 KB buffers were touched whole in time.

Now place() first leaves out engines where a load of ours, or one that a note of the last second told of, holds the group, and keeps to the halves among the rest. A buffer holds 16 KB.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -32,6 +32,7 @@
 const FAIL_LIMIT: f64 = 0.3; // Failure share above which an engine is doubtful.
 const OVERDUE: f64 = 5.0; // An attempt is overdue at this multiple of its expected latency.
 const SILENCE_MIN: Millis = 2000.0; // No silence counts before this, ms: a pause is no death.
+const HOLD_TOLD: Millis = 1000.0; // A note of a load that holds a group keeps others off for this long, ms.
 const BAD_PLAN: f64 = 4.0; // A plan is bad when its progress is this many times slower than its peers'.
 const COLD_SAFETY: f64 = 0.6; // Part of the cold budget used: speeds and estimates are not known exactly.
 const SCATTER: f64 = 0.05; // Variance of an estimate's logarithm before answers tell.
@@ -486,6 +487,12 @@
                     self.engines.iter().filter(|x| x.state == EngineState::Ready).map(hash).collect();
                 ranks.sort_unstable();
                 let middle = ranks.get(ranks.len() / 2).copied().unwrap_or(0);
+                // Not behind a load on its group, which it would stand still for: our own, or one that a
+                // note of late told of. Harm: the load may have ended; others get its room for a while.
+                let held = |r: &Running| r.tables == Some(t) && self.s.classes[r.class].holds_tables;
+                let told = |x: &Engine| x.held.get(&t).is_some_and(|at| self.now < at + HOLD_TOLD);
+                let free = |x: &Engine| !x.out.iter().any(held) && !told(x);
+                self.prefer(&mut found, |e| free(&self.engines[e]));
                 self.prefer(&mut found, |e| (hash(&self.engines[e]) < middle) == c.holds_tables);
             }
             // No more of our queries than the median: a pair drawn blind would often be two of our busiest.
@@ -797,6 +804,9 @@
             // A load of another gateway holds what this one reads: elsewhere it need not wait.
             // Harm: a short hold costs an attempt and the work of a restart.
             r.stood = true;
+            let group = r.tables;
+            x.held.retain(|_, at| self.now < *at + HOLD_TOLD);
+            x.held.extend(group.map(|g| (g, self.now)));
             return self.rescue(id, attempt, out);
         }
         let (granted, threads) = (r.granted, r.threads);
@@ -1072,7 +1082,19 @@
             x.cold_sent.retain(|(t, _)| *t > now - window);
             x.cold_sent.push_back((now, cold_work.max(work)));
         }
-        let run = Running { id, attempt, class, threads, work, sent: now, done: 0.0, granted, stood: false };
+        let tables = h.q.tables;
+        let run = Running {
+            id,
+            attempt,
+            class,
+            tables,
+            threads,
+            work,
+            sent: now,
+            done: 0.0,
+            granted,
+            stood: false,
+        };
         x.out.push(run);
         out.push(Action::Send { id, engine: x.name.clone(), timeout: None });
         true
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -9,10 +9,11 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Framed};
 
-/// Holds the largest result (48,000 bytes) with its frame.
-pub const SIZE: usize = 64 * 1024;
+/// Holds two pages of a result with their frames; a larger result grows its buffer, which is then not kept. At
+/// the size of the largest (48,000 bytes) the buffers in use filled memory through the whole of a long day.
+pub const SIZE: usize = 16 * 1024;
 /// Idle buffers kept; more are given back to the machine.
-const KEPT: usize = 32;
+const KEPT: usize = 64;
 
 #[derive(Clone, Default)]
 pub struct Pool(Rc<RefCell<Vec<BytesMut>>>);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the module remembers. Plain state and its sums; no decision is made here.
 
 use crate::interface::*;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A mean that forgets.
 #[derive(Clone, Copy, Default)]
@@ -59,6 +59,7 @@
     pub id: QueryId,
     pub attempt: u32,
     pub class: ClassId,
+    pub tables: Option<u64>,
     pub threads: f64,
     pub work: f64,
     pub sent: Millis,
@@ -95,6 +96,8 @@
     pub draw: f64,
     /// Work sent while cold, by time.
     pub cold_sent: VecDeque<(Millis, f64)>,
+    /// Groups that a load holds there, and when a note told of it.
+    pub held: BTreeMap<u64, Millis>,
 }
 
 impl Engine {
@@ -191,6 +194,7 @@
             heard: f64::MIN,
             draw: 0.0,
             cold_sent: VecDeque::new(),
+            held: BTreeMap::new(),
         }
     }
 }
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -550,6 +550,7 @@
             let class = (id + gateway) % 2;
             let out = g.take(Query { tables: Some(7), ..query(id as u64, class) });
             used[class].extend(sends(&out).into_iter().map(|(_, e)| e));
+            g.end(id as u64, 0, Outcome::Served); // while it runs, others may leave their half
         }
     }
     assert!(used.iter().all(|u| u.len() >= 3), "{used:?}");
@@ -600,3 +601,42 @@
         assert!(taken[0].is_disjoint(&taken[1]), "group {group}");
     }
 }
+
+/// Seen at lakaz-main: while a load of another gateway held a group, reader after reader was sent behind it,
+/// though the first one's note had told.
+#[test]
+fn readers_keep_off_an_engine_for_a_while_after_a_note_of_a_load_on_their_group() {
+    let load = Class { effect: Effect::Unsafe, holds_tables: true, threads: 2.0, ..class(4.0, 4000.0) };
+    let reader = Class { waits_for_loads: true, ..class(1.0, 2000.0) };
+    let mut g = Gateway::new(settings(vec![load, reader]), fleet(6));
+    let read = |g: &mut Gateway, id| {
+        let sent = sends(&g.take(Query { tables: Some(5), ..query(id, 1) }));
+        sent[0].1.clone()
+    };
+    let behind = read(&mut g, 1);
+    g.does(Event::Progress { id: 1, attempt: 0, note: Note::WaitsForLoad });
+    g.end(1, 0, Outcome::Cancelled);
+    g.end(1, 1, Outcome::Served);
+    let met = |g: &mut Gateway, ids: std::ops::Range<u64>| {
+        ids.filter(|&id| {
+            let engine = read(g, id);
+            g.end(id, 0, Outcome::Served);
+            engine == behind
+        })
+        .count()
+    };
+    assert_eq!(met(&mut g, 10..50), 0, "the note still counts");
+    g.pass(1100.0);
+    assert!(met(&mut g, 50..90) > 0, "loads end: the engine is back in use");
+}
+
+/// Seen on a churn day: with few engines the loads of a hot group stood behind each other in their half of them
+/// until their time was over.
+#[test]
+fn a_load_leaves_its_half_when_loads_hold_its_group_on_all_of_it() {
+    let load = Class { effect: Effect::Unsafe, holds_tables: true, threads: 2.0, ..class(4.0, 4000.0) };
+    let reader = Class { waits_for_loads: true, ..class(1.0, 2000.0) };
+    let mut g = Gateway::new(settings(vec![load, reader]), fleet(6));
+    let loads = (1..7).map(|id| sends(&g.take(Query { tables: Some(5), ..query(id, 0) }))[0].1.clone());
+    assert_eq!(loads.collect::<std::collections::BTreeSet<_>>().len(), 6, "one on each");
+}
