--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -5,7 +5,7 @@
 use crate::net::hub::{Hub, Leg, Reply};
 use crate::net::places::{Place, Places, Use};
 use crate::net::pool::{self, Buffer, Pool};
-use crate::net::{span, statement, unix_ms};
+use crate::net::{MOST_MB, MOST_MS, span, statement, unix_ms};
 use crate::say;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures_util::SinkExt;
@@ -45,9 +45,6 @@
 /// A client that sends what cannot be used is read again after this, doubled with each such frame up to 64
 /// times: repeats at full speed must not take the others' share. Its answers are never held back.
 const PAUSE: Duration = Duration::from_millis(4);
-/// Figures beyond these are no estimates: an hour, in milliseconds, and a terabyte, in megabytes.
-const MOST_MS: f64 = 3_600_000.0;
-const MOST_MB: f64 = 1_048_576.0;
 
 #[derive(Debug, PartialEq)]
 pub struct Frame {
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -10,7 +10,7 @@
 use crate::net::places::{Place, Places, Taken, Use};
 use crate::net::pool::{Pool, Wire};
 use crate::net::statement::{self, Kind};
-use crate::net::unix_ms;
+use crate::net::{MOST_MB, MOST_MS, unix_ms};
 use crate::say;
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
@@ -321,8 +321,10 @@
         let config = self.front.config();
         let hints = statement::hints(&work.sql);
         let hint = |name: &str| hints.iter().find(|h| h.0 == name).map(|h| h.1.as_str());
-        let number =
-            |name: &str| hint(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite() && *v > 0.0);
+        // A hint out of range is none.
+        let number = |name: &str, most: f64| {
+            hint(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| *v > 0.0 && *v <= most)
+        };
         let group = statement::group(&work.sql);
         let class = match work.job {
             // Preparing runs nothing, so it may be repeated, whatever the statement does.
@@ -334,9 +336,9 @@
             class,
             tenant: self.tenant,
             group,
-            deadline: unix_ms() + number("limit").unwrap_or(limit).min(limit),
-            work: number("cpu"),
-            memory_mb: number("mem"),
+            deadline: unix_ms() + number("limit", MOST_MS).unwrap_or(limit).min(limit),
+            work: number("cpu", MOST_MS),
+            memory_mb: number("mem", MOST_MB),
         };
         let (tx, mut answer) = oneshot::channel();
         let hub = &self.front.hub;
