Answer operators at an address of their own: _ready and the figures in _vars

Ruled out: CPU (0.04 s in the worst second) and descriptors (42 of 384). An attempt counts after the flush that carries its last byte (RESP), after the command's write (MySQL); ends are counted where the core gives the one answer, and at the door by the front that turned the request away.

--- a/src/config.rs
+++ b/src/config.rs
@@ -64,6 +64,7 @@
     limits: Machine,
     journal: String,
     known: Option<serde_json::Value>,
+    admin_addr: Option<String>,
     settings: Profile,
 }
 
@@ -74,6 +75,8 @@
     pub seed: u64,
     pub limits: Machine,
     pub journal: SocketAddr,
+    /// Where operators call; nowhere if it is not said.
+    pub admin: Option<SocketAddr>,
     /// The journal's events up to now, not yet read.
     pub known: serde_json::Value,
     pub settings: Settings,
@@ -86,11 +89,21 @@
     text.parse().map_err(|e| bad(key, format!("{text:?} is no address and port ({e})")))
 }
 
+/// The operators' address: `PROXY_ADMIN_ADDR` goes before the key.
+fn admin(
+    var: &impl Fn(&str) -> Option<String>,
+    key: Option<String>,
+) -> Result<Option<SocketAddr>, ConfigError> {
+    let told = var("PROXY_ADMIN_ADDR").filter(|v| !v.is_empty()).map(|v| ("PROXY_ADMIN_ADDR", v));
+    told.or(key.map(|v| ("admin_addr", v))).map(|(key, v)| address(key, &v)).transpose()
+}
+
 impl Platform {
     /// What a running program cannot take from `new`: learned state and open requests rest on it.
     pub fn needs_restart(&self, new: &Platform) -> Option<&'static str> {
         match () {
             () if self.listen != new.listen => Some("listen"),
+            () if self.admin != new.admin => Some("admin_addr"),
             () if self.settings != new.settings || self.names != new.names || self.sockets != new.sockets => {
                 Some("settings")
             }
@@ -134,6 +147,7 @@
                 .or_else(|_| seed.parse())
                 .map_err(|_| bad("seed", format!("{seed:?} is no hexadecimal number")))?,
             limits: raw.limits,
+            admin: admin(&var, raw.admin_addr)?,
             journal: address("journal", &raw.journal)?,
             known: raw.known.unwrap_or(serde_json::Value::Null),
             settings,
@@ -239,6 +253,8 @@
 /// Everything that the MySQL front is configured with.
 pub struct Mysql {
     pub listen: SocketAddr,
+    /// Where operators call; nowhere if it is not said.
+    pub admin: Option<SocketAddr>,
     pub front: MysqlFront,
     pub access: Access,
     pub settings: Settings,
@@ -251,6 +267,7 @@
 #[serde(deny_unknown_fields)]
 struct RawMysql {
     listen: String,
+    admin_addr: Option<String>,
     #[serde(default = "one")]
     gateways: u32,
     zone: Option<String>,
@@ -365,6 +382,7 @@
     pub fn needs_restart(&self, new: &Mysql) -> Option<&'static str> {
         match () {
             () if self.listen != new.listen => Some("listen"),
+            () if self.admin != new.admin => Some("admin_addr"),
             () if self.settings != new.settings || self.names != new.names => {
                 Some("class, tenant, kind or zone")
             }
@@ -375,10 +393,10 @@
 
     pub fn read(path: &str) -> Result<Self, ConfigError> {
         let source = |e: std::io::Error| ConfigError::Source { what: path.into(), problem: e.to_string() };
-        Self::parse(&std::fs::read_to_string(path).map_err(source)?)
+        Self::parse(&std::fs::read_to_string(path).map_err(source)?, |v| std::env::var(v).ok())
     }
 
-    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+    pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let de = toml::Deserializer::parse(text).map_err(|e| bad("toml", e.message()))?;
         let raw: RawMysql = serde_path_to_error::deserialize(de)
             .map_err(|e| bad(&e.path().to_string(), e.inner().message()))?;
@@ -519,6 +537,7 @@
         let max_packet = in_range("max_packet", raw.max_packet, 1 << 20, 1024, (1 << 24) - 2)?;
         Ok(Mysql {
             listen: address("listen", &raw.listen)?,
+            admin: admin(&var, raw.admin_addr)?,
             sockets: Sockets {
                 connect_timeout,
                 idle: 30_000.0,
@@ -824,7 +843,7 @@
 
     #[test]
     fn the_file_under_deploy_is_good_and_a_faulty_key_is_named() {
-        let good = Mysql::parse(MYSQL).map_err(|e| e.to_string()).unwrap();
+        let good = Mysql::parse(MYSQL, |_| None).map_err(|e| e.to_string()).unwrap();
         assert_eq!((good.front.rules.read, good.front.rules.write), (0, 2));
         let cases = [
             ("listen = \"127", "listen = \"x127", "listen"),
@@ -841,7 +860,8 @@
         ];
         for (good, faulty, key) in cases {
             assert!(MYSQL.contains(good), "{good}");
-            let told = Mysql::parse(&MYSQL.replace(good, faulty)).map(|_| ()).unwrap_err().to_string();
+            let told =
+                Mysql::parse(&MYSQL.replace(good, faulty), |_| None).map(|_| ()).unwrap_err().to_string();
             assert!(told.contains(key), "{faulty}: {told}");
         }
     }
@@ -868,7 +888,7 @@
 
     #[test]
     fn a_write_stays_a_write_whatever_it_claims() {
-        let rules = Mysql::parse(MYSQL).map(|m| m.front.rules).unwrap();
+        let rules = Mysql::parse(MYSQL, |_| None).map(|m| m.front.rules).unwrap();
         assert_eq!(rules.class(false, Some("lookup"), b"delete from t"), 2);
         assert_eq!(rules.class(true, Some("report"), b"select 1"), 1);
         assert_eq!(rules.class(true, Some("unknown"), b"select a from t GROUP BY a"), 1);
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -686,6 +686,11 @@
         self.failing(e) > FAIL_LIMIT || x.out.iter().any(|r| self.overdue(x, r))
     }
 
+    /// Whether this engine is left out now, by its name.
+    pub fn avoids(&self, engine: &str) -> bool {
+        self.names.get(engine).is_some_and(|&e| self.doubtful(e))
+    }
+
     // ---- attempts --------------------------------------------------------------------------------
 
     fn ended(&mut self, e: Ended, out: &mut Vec<Action>) {
--- /dev/null
+++ b/src/core/figures.rs
@@ -0,0 +1,58 @@
+//! What operators are told: counts since the process started, and what stands now.
+
+use crate::interface::ClassId;
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Success,
+    /// Refused: it may come again.
+    Overload,
+    Error,
+}
+
+impl End {
+    pub const ALL: [(End, &str); 3] =
+        [(End::Success, "success"), (End::Overload, "overload"), (End::Error, "error")];
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// By class, in the order of [`End::ALL`].
+    pub replies: Vec<[u64; 3]>,
+    /// Attempts written whole to engines.
+    pub dispatches: u64,
+    /// Requests taken and not yet ended.
+    pub concurrent: usize,
+    /// Engines in the list.
+    pub targets: usize,
+    /// Those of them that get nothing now, by hand or by choice.
+    pub targets_disabled: usize,
+}
+
+impl Figures {
+    /// Counts the end of one request. A class that is none of ours has no count.
+    pub fn count(&mut self, class: ClassId, end: End) {
+        if let Some(ends) = self.replies.get_mut(class) {
+            ends[end as usize] += 1;
+        }
+    }
+
+    /// A line for each figure, `name=value`; classes go by these names.
+    pub fn text(&self, classes: &[String]) -> String {
+        let mut lines = String::new();
+        for (class, ends) in classes.iter().zip(&self.replies) {
+            for ((_, name), n) in End::ALL.iter().zip(ends) {
+                lines.push_str(&format!("replies.{class}.{name}={n}\n"));
+            }
+        }
+        let rest = [
+            ("dispatches", self.dispatches),
+            ("concurrent", self.concurrent as u64),
+            ("targets", self.targets as u64),
+            ("targets_disabled", self.targets_disabled as u64),
+        ];
+        rest.iter().for_each(|(name, n)| lines.push_str(&format!("{name}={n}\n")));
+        lines
+    }
+}
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -1,3 +1,4 @@
+use super::figures::{End, Figures};
 use crate::facade::{Decision, Facade, Report};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -112,6 +113,7 @@
     listed: bool,
     /// Shutting down: every answer is due by then.
     stop_by: Option<Millis>,
+    figures: Figures,
 }
 
 fn bits(at: Millis) -> u64 {
@@ -120,6 +122,7 @@
 
 impl Core {
     pub fn new(settings: Settings, seed: u64, bounds: Bounds) -> Result<Self, SettingsError> {
+        let figures = Figures { replies: vec![[0; 3]; settings.classes.len()], ..Figures::default() };
         Ok(Core {
             unsafe_class: settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
             most_attempts: settings.limits.most_attempts as usize,
@@ -134,6 +137,7 @@
             engines: BTreeMap::new(),
             listed: false,
             stop_by: None,
+            figures,
         })
     }
 
@@ -159,7 +163,7 @@
                 Some(why) if !out_of_range => Answer::Refused { later: None, why },
                 _ => Answer::Failed { why: "the request names no class or deadline" },
             };
-            self.commands.push(Command::Answer { request: id, answer });
+            self.answer(id, r.class, answer);
             return id;
         }
         self.requests
@@ -206,9 +210,10 @@
         let latency = now - a.sent;
         if outcome == Outcome::Served && !r.answered {
             r.answered = true;
-            self.commands.push(Command::Answer { request: attempt.request, answer: Answer::Served(attempt) });
+            let class = r.class;
+            self.answer(attempt.request, class, Answer::Served(attempt));
         }
-        let last = r.answered;
+        let last = self.requests.get(&attempt.request).is_none_or(|r| r.answered);
         let ended = Ended {
             id: attempt.request,
             attempt: attempt.index,
@@ -418,7 +423,41 @@
                 Answer::Refused { .. } if !harmless => Answer::Failed { why: "it may have run" },
                 other => other,
             };
-            self.commands.push(Command::Answer { request: id, answer });
+            let class = r.class;
+            self.answer(id, class, answer);
+        }
+    }
+
+    /// The one place where answers are given, and so counted.
+    fn answer(&mut self, request: RequestId, class: ClassId, answer: Answer) {
+        let end = match answer {
+            Answer::Served(_) => End::Success,
+            Answer::Refused { .. } | Answer::TimedOut { harmless: true } => End::Overload,
+            Answer::Failed { .. } | Answer::TimedOut { harmless: false } => End::Error,
+        };
+        self.figures.count(class, end);
+        self.commands.push(Command::Answer { request, answer });
+    }
+
+    /// A front answered this one itself, at the door.
+    pub fn turned_away(&mut self, class: ClassId, end: End) {
+        self.figures.count(class, end);
+    }
+
+    /// The last byte of an attempt is written.
+    pub fn written(&mut self) {
+        self.figures.dispatches += 1;
+    }
+
+    pub fn figures(&self) -> Figures {
+        let avoided = |(name, state): &(&String, &EngineState)| {
+            **state != EngineState::Ready || self.facade.avoids(name)
+        };
+        Figures {
+            concurrent: self.owed(),
+            targets: self.engines.len(),
+            targets_disabled: self.engines.iter().filter(avoided).count(),
+            ..self.figures.clone()
         }
     }
 
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// The module leaves this engine out while others are well. Read only, for operators.
+    pub fn avoids(&self, engine: &str) -> bool {
+        self.controller.avoids(engine)
+    }
+
     /// When the next tick is due.
     pub fn next_tick(&self) -> Option<Millis> {
         self.alarm
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 
 use hitchwinch::config::{ConfigError, Mysql, Platform, Source};
 use hitchwinch::core::{Bounds, Core};
+use hitchwinch::net::admin::Admin;
 use hitchwinch::net::discovery::{Discovery, eureka::Eureka, fixed, journal::Journal};
 use hitchwinch::net::frames::{self, Front};
 use hitchwinch::net::hub::{Hub, Leg};
@@ -11,6 +12,7 @@
 use hitchwinch::net::resp::RespLeg;
 use hitchwinch::net::{span, unix_ms};
 use hitchwinch::say;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -56,7 +58,8 @@
     let journal = Journal::new(address, config.known.take()).map_err(|e| format!("known: {e}"))?;
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
-    let front = Front::new(hub.clone(), pool, &config.limits);
+    let front = Front::new(hub.clone(), pool.clone(), &config.limits);
+    operators(&hub, &pool, config.admin).await?;
 
     let sink = hub.clone();
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
@@ -90,7 +93,8 @@
     let hub = Hub::new(core, config.names.clone(), leg);
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
-    let front = mysql::front::Front::new(hub.clone(), pool, config.front.clone());
+    let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone());
+    operators(&hub, &pool, config.admin).await?;
     let mut following = follow(&hub, &config.source);
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
@@ -122,6 +126,15 @@
     Ok(())
 }
 
+/// Listens where operators call, if that is said.
+async fn operators<L: Leg>(hub: &Rc<Hub<L>>, pool: &Pool, at: Option<SocketAddr>) -> Result<(), Error> {
+    let Some(at) = at else { return Ok(()) };
+    let listener = TcpListener::bind(at).await.map_err(|e| format!("admin_addr {at}: {e}"))?;
+    say!("operators call at {}", listener.local_addr()?);
+    spawn_local(Admin::new(hub.clone(), pool.clone()).accept(listener));
+    Ok(())
+}
+
 /// Takes the engines from where the configuration says; the task that goes on asking, if there is one.
 fn follow(hub: &Rc<Hub<mysql::leg::MysqlLeg>>, source: &Source) -> Option<AbortHandle> {
     match source {
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,161 @@
+//! Where operators call: HTTP/1.1, one call a connection, at an address of its own. Its places are its own as
+//! well, so that clients' load takes none of them and a caller who completes no call delays nobody.
+
+use crate::net::hub::{Hub, Leg};
+use crate::net::places::{Places, Use};
+use crate::net::pool::{Pool, Wire};
+use crate::say;
+use bytes::{BufMut, BytesMut};
+use futures_util::SinkExt;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Callers at a time; the oldest gives way to a new one.
+const CALLERS: usize = 24;
+/// A call comes whole within this, and its answer is taken within it.
+const CALL: Duration = Duration::from_secs(10);
+/// A call's head is no longer.
+const HEAD: usize = 8 * 1024;
+
+/// A call, as far as it counts: its body, if it has one, means nothing here.
+#[derive(Debug, PartialEq)]
+pub struct Call {
+    method: String,
+    path: String,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    #[error("the call cannot be read: {0}")]
+    Malformed(#[from] httparse::Error),
+    #[error("the call's head is too long")]
+    Long,
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// What a caller gets.
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    code: u16,
+    text: String,
+}
+
+fn answer(code: u16, text: impl Into<String>) -> Answer {
+    Answer { code, text: text.into() }
+}
+
+struct HttpCodec;
+
+impl Decoder for HttpCodec {
+    type Item = Call;
+    type Error = CallError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Call>, CallError> {
+        let mut headers = [httparse::EMPTY_HEADER; 64];
+        let mut request = httparse::Request::new(&mut headers);
+        match request.parse(src)? {
+            httparse::Status::Partial if src.len() > HEAD => Err(CallError::Long),
+            httparse::Status::Partial => Ok(None),
+            httparse::Status::Complete(_) => Ok(Some(Call {
+                method: request.method.unwrap_or_default().into(),
+                path: request.path.unwrap_or_default().into(),
+            })),
+        }
+    }
+}
+
+impl Encoder<&Answer> for HttpCodec {
+    type Error = CallError;
+
+    fn encode(&mut self, a: &Answer, dst: &mut BytesMut) -> Result<(), CallError> {
+        let reason = match a.code {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            _ => "Service Unavailable",
+        };
+        let head = format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {}\r\n\
+             Cache-Control: no-store\r\nConnection: close\r\n\r\n",
+            a.code,
+            a.text.len()
+        );
+        dst.put_slice(head.as_bytes());
+        dst.put_slice(a.text.as_bytes());
+        Ok(())
+    }
+}
+
+pub struct Admin<L: Leg> {
+    hub: Rc<Hub<L>>,
+    pool: Pool,
+    places: Rc<Places>,
+}
+
+impl<L: Leg> Admin<L> {
+    pub fn new(hub: Rc<Hub<L>>, pool: Pool) -> Rc<Self> {
+        Rc::new(Admin { hub, pool, places: Places::new(CALLERS, Use::Silent) })
+    }
+
+    /// Accepts callers for ever.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((tcp, _)) => {
+                    let admin = self.clone();
+                    tokio::task::spawn_local(async move {
+                        if let Err(e) = admin.caller(tcp).await {
+                            say!("operator: {e}");
+                        }
+                    });
+                }
+                Err(e) => {
+                    say!("admin accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    async fn caller(&self, tcp: TcpStream) -> Result<(), CallError> {
+        let Some(place) = self.places.take(Instant::now()) else { return Ok(()) };
+        let mut wire = Wire::new(&self.pool, tcp, HttpCodec);
+        let call = tokio::select! {
+            call = tokio::time::timeout(CALL, wire.heard()) => call,
+            () = place.cut.notified() => return Ok(()),
+        };
+        let answer = match call {
+            Ok(None) => return Ok(()),
+            Ok(Some(Ok(call))) => self.call(&call),
+            Ok(Some(Err(CallError::Io(e)))) => return Err(e.into()),
+            Ok(Some(Err(e))) => answer(400, format!("{e}\n")),
+            Err(_) => answer(408, "no whole call came\n"),
+        };
+        tokio::time::timeout(CALL, wire.send(&answer)).await.map_err(io::Error::from)??;
+        wire.part().await;
+        Ok(())
+    }
+
+    /// Carries a call out.
+    fn call(&self, call: &Call) -> Answer {
+        let path = call.path.split('?').next().unwrap_or_default();
+        let (method, reply): (&str, &dyn Fn() -> Answer) = match path {
+            "/_ready" => ("GET", &|| match self.hub.ready() {
+                true => answer(200, "ready\n"),
+                false => answer(503, "not ready: no list of engines yet, or shutting down\n"),
+            }),
+            "/_vars" => ("GET", &|| answer(200, self.hub.figures())),
+            _ => return answer(404, format!("no call is named {path}\n")),
+        };
+        match call.method == method {
+            true => reply(),
+            false => answer(405, format!("{path} is called with {method}\n")),
+        }
+    }
+}
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -1,7 +1,8 @@
 //! The platform's front: its frames, read and written, and nothing decided.
 
 use crate::config::{Machine, find};
-use crate::core::{NewRequest, RequestId};
+use crate::core::{End, NewRequest, RequestId};
+use crate::interface::ClassId;
 use crate::net::hub::{Hub, Leg, Reply};
 use crate::net::places::{Place, Places, Use};
 use crate::net::pool::{self, Buffer, Pool};
@@ -236,8 +237,15 @@
     }
 }
 
+/// Why a request is failed at the door, and the class that it named, if any.
+type AtTheDoor = (Option<ClassId>, String);
+
 /// Reads a request; the error is the message of a `failed`.
-fn request<L: Leg>(hub: &Hub<L>, payload: Bytes) -> Result<Result<(NewRequest, Work), String>, FrameError> {
+fn request<L: Leg>(
+    hub: &Hub<L>,
+    payload: Bytes,
+) -> Result<Result<(NewRequest, Work), AtTheDoor>, FrameError> {
+    let named = Cell::new(None);
     let (fields, statement) = fields(payload)?;
     let field = |name: &str| fields.iter().find(|f| f.0 == name).map(|f| f.1.as_str());
     // An absurd figure would spoil what is learned of all others, so that its request is failed.
@@ -246,9 +254,10 @@
         let figure = |v: &str| read(v).ok_or_else(|| format!("{name}: {v:?} is no number from 0 to {most}"));
         field(name).map(figure).transpose()
     };
-    Ok((|| {
+    let read = || {
         let class = field("verb").ok_or("the field `verb` is missing")?;
         let index = find(&hub.names().classes, class).ok_or(format!("verb: no class is named {class:?}"))?;
+        named.set(Some(index));
         let txn = field("txn").ok_or("the field `txn` is missing")?;
         if txn.len() != 16 || !txn.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(format!("txn: {txn:?} is not 16 hex digits"));
@@ -274,7 +283,8 @@
             memory_mb: number("mem", MOST_MB)?.filter(|v| *v > 0.0),
         };
         Ok((new, Work::free(txn, class, statement)))
-    })())
+    };
+    Ok(read().map_err(|why: String| (named.get(), why)))
 }
 
 /// All that the connections of this front share.
@@ -536,13 +546,15 @@
         REQUEST => {
             let read = request(&front.hub, frame.payload)?.and_then(|(new, work)| {
                 // Two under one id would be one to an engine, and the first may be another client's.
-                let named = front.ids.take(&work.txn).ok_or("txn: a request of this id is open")?;
+                let open = || (Some(new.class), "txn: a request of this id is open".to_string());
+                let named = front.ids.take(&work.txn).ok_or_else(open)?;
                 Ok((new, work, named))
             });
             let (new, mut work, named) = match read {
                 Ok(request) => request,
-                Err(why) => {
+                Err((class, why)) => {
                     client.useless();
+                    class.into_iter().for_each(|c| front.hub.turned_away(c, End::Error));
                     let f =
                         Send { kind: ANSWER, stream, code: Some(FAILED), fields: &[], body: why.as_bytes() };
                     return send(framed, f).await;
@@ -551,6 +563,7 @@
             let held = front.budget.take(work.statement.len());
             let Some(held) = held.filter(|_| open.borrow().len() < STREAMS) else {
                 client.useless();
+                front.hub.turned_away(new.class, End::Overload);
                 let why = "too much is open";
                 return answer(framed, stream, Reply::Refused { later: Some(100.0), why }).await;
             };
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -1,7 +1,7 @@
 //! Joins the core to its adapters: carries the core's commands out and keeps its clock.
 
 use crate::config::{Names, find};
-use crate::core::{Answer, AttemptId, Command, Core, NewRequest, RequestId};
+use crate::core::{Answer, AttemptId, Command, Core, End, NewRequest, RequestId};
 use crate::interface::*;
 use crate::net::discovery::Change;
 use crate::net::{span, unix_ms};
@@ -121,6 +121,21 @@
         self.carry_out();
     }
 
+    /// A request that its front answers itself, at the door: it is counted like those that come in.
+    pub fn turned_away(&self, class: ClassId, end: End) {
+        self.core.borrow_mut().turned_away(class, end);
+    }
+
+    /// So many attempts have been written whole.
+    pub fn written(&self, attempts: usize) {
+        (0..attempts).for_each(|_| self.core.borrow_mut().written());
+    }
+
+    /// The figures as they stand, one a line.
+    pub fn figures(&self) -> String {
+        self.core.borrow().figures().text(&self.names.classes)
+    }
+
     /// Still listed as in service: checked again right before an attempt is written.
     pub fn in_service(&self, engine: &str) -> bool {
         self.core.borrow().in_service(engine)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The adapters: fronts, engine legs and discovery, on tokio, round the core. All run on one thread.
 
+pub mod admin;
 pub mod discovery;
 pub mod frames;
 pub mod hub;
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -132,9 +132,9 @@
         let cut_here = cut.clone();
         let engine = start.engine.clone();
         let task = spawn_local(async move {
-            let end = shared.attempt(&start, &work, &mark, &cut_here, || {
-                weak.upgrade().is_some_and(|hub| hub.in_service(&start.engine))
-            });
+            let in_service = || weak.upgrade().is_some_and(|hub| hub.in_service(&start.engine));
+            let sent = || weak.upgrade().into_iter().for_each(|hub| hub.written(1));
+            let end = shared.attempt(&start, &work, &mark, &cut_here, in_service, sent);
             let end = end.await;
             shared.running.borrow_mut().remove(&attempt);
             let Some(hub) = weak.upgrade() else { return };
@@ -223,6 +223,7 @@
         written: &Cell<Option<(SocketAddr, u32)>>,
         cut: &Notify,
         in_service: impl Fn() -> bool,
+        sent: impl Fn(),
     ) -> Result<Packets, Outcome> {
         let idle = self.take(&start.engine, work)?;
         let place = Place { shared: self, engine: &start.engine, kept: false };
@@ -238,7 +239,7 @@
             },
         };
         let result = tokio::select! {
-            result = self.run(&mut c, work, written, &in_service, start.until) => result,
+            result = self.run(&mut c, work, written, &in_service, &sent, start.until) => result,
             () = cut.notified() => Err(io::Error::from(io::ErrorKind::ConnectionReset).into()),
         };
         let wrote = written.take().is_some();
@@ -391,6 +392,7 @@
         work: &Work,
         written: &Cell<Option<(SocketAddr, u32)>>,
         in_service: &impl Fn() -> bool,
+        sent: &impl Fn(),
         until: Millis,
     ) -> Result<Packets, PacketError> {
         if !c.can_enter(&work.context) {
@@ -410,12 +412,13 @@
                 gate()?;
                 written.set(Some(mark));
                 command(&mut c.wire, QUERY, &[&work.sql]).await?;
+                sent();
                 self.result(&mut c.wire).await
             }
             Job::Prepare => {
                 gate()?;
                 written.set(Some(mark));
-                self.prepare(c, work).await
+                self.prepare(c, work, sent).await
             }
             Job::Execute(e) => {
                 // An engine that no longer knows the statement has not run it: once more, newly prepared.
@@ -424,7 +427,7 @@
                     let id = match c.statements.get(&key) {
                         Some(&id) => id,
                         None => {
-                            let packets = self.prepare(c, work).await?;
+                            let packets = self.prepare(c, work, &|| ()).await?;
                             if let Some(p) = packets.iter().next().filter(|p| p.first() == Some(&0xff)) {
                                 return Err(PacketError::Sql(read_err(&Bytes::copy_from_slice(p))));
                             }
@@ -433,7 +436,13 @@
                     };
                     gate()?;
                     written.set(Some(mark));
-                    let packets = self.execute(c, id, e).await?;
+                    // An engine that no longer knew it was sent the same attempt.
+                    let first = || {
+                        if !again {
+                            sent()
+                        }
+                    };
+                    let packets = self.execute(c, id, e, &first).await?;
                     let unknown = packets.iter().next().is_some_and(|p| {
                         p.first() == Some(&0xff) && p.get(1..3) == Some(&code::NO_STATEMENT.0.to_le_bytes())
                     });
@@ -469,8 +478,14 @@
         Ok(())
     }
 
-    async fn prepare(&self, c: &mut Connection, work: &Work) -> Result<Packets, PacketError> {
+    async fn prepare(
+        &self,
+        c: &mut Connection,
+        work: &Work,
+        sent: &impl Fn(),
+    ) -> Result<Packets, PacketError> {
         command(&mut c.wire, STMT_PREPARE, &[&work.sql]).await?;
+        sent();
         let mut packets = Packets::default();
         let first = next(&mut c.wire).await?;
         packets.push(&first);
@@ -501,7 +516,13 @@
         Ok(packets)
     }
 
-    async fn execute(&self, c: &mut Connection, id: u32, e: &Execute) -> Result<Packets, PacketError> {
+    async fn execute(
+        &self,
+        c: &mut Connection,
+        id: u32,
+        e: &Execute,
+        sent: &impl Fn(),
+    ) -> Result<Packets, PacketError> {
         for (parameter, data) in &e.long {
             let head = [&id.to_le_bytes()[..], &parameter.to_le_bytes()].concat();
             command(&mut c.wire, STMT_SEND_LONG_DATA, &[&head, data]).await?;
@@ -509,6 +530,7 @@
         // No cursor, one iteration.
         let head = [&id.to_le_bytes()[..], &[0, 1, 0, 0, 0]].concat();
         command(&mut c.wire, STMT_EXECUTE, &[&head, &e.body]).await?;
+        sent();
         self.result(&mut c.wire).await
     }
 
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -440,6 +440,7 @@
         let mut check = tokio::time::interval(span(STALL / 2.0));
         let mut partial = 0;
         loop {
+            let mut gets = 0;
             if c.closing.get() && c.pending.borrow().is_empty() {
                 return Ok(());
             }
@@ -461,11 +462,13 @@
                 }
                 order = inbox.recv() => {
                     let Some(order) = order else { return Ok(()) };
-                    self.order(hub, engine, c, order, framed).await?;
+                    gets += self.order(hub, engine, c, order, framed).await?;
                     while let Ok(order) = inbox.try_recv() {
-                        self.order(hub, engine, c, order, framed).await?;
+                        gets += self.order(hub, engine, c, order, framed).await?;
                     }
                     self.flush(framed).await?;
+                    // Only now is the last byte of each written.
+                    hub.upgrade().into_iter().for_each(|hub| hub.written(gets));
                 }
                 _ = check.tick(), if !c.pending.borrow().is_empty() => {
                     partial = if framed.read_buffer().is_empty() { 0 } else { partial + 1 };
@@ -491,6 +494,7 @@
         tokio::time::timeout(WRITE, framed.feed(words)).await.map_err(io::Error::from)?
     }
 
+    /// Writes an order into the connection's buffer; 1 if that is an attempt.
     async fn order(
         &self,
         hub: &Weak<Hub<RespLeg>>,
@@ -498,22 +502,22 @@
         c: &Connection,
         order: Do,
         framed: &mut Wire,
-    ) -> Result<(), RespError> {
+    ) -> Result<usize, RespError> {
         let txn = match order {
-            Do::Drop(txn) => return self.feed(framed, &[b"DROP", txn.as_bytes()]).await,
+            Do::Drop(txn) => return self.feed(framed, &[b"DROP", txn.as_bytes()]).await.map(|()| 0),
             Do::Get(txn) => txn,
         };
-        let Some(hub) = hub.upgrade() else { return Ok(()) };
+        let Some(hub) = hub.upgrade() else { return Ok(0) };
         let (start, work) = {
             let mut pending = c.pending.borrow_mut();
             // Given up before a byte of it was written.
-            let Some(p) = pending.get_mut(&txn) else { return Ok(()) };
+            let Some(p) = pending.get_mut(&txn) else { return Ok(0) };
             // From here on it counts as reached, even if the write breaks off half way.
             match std::mem::replace(&mut p.stage, Stage::Written) {
                 Stage::Waiting(start, work) => (start, work),
                 other => {
                     p.stage = other;
-                    return Ok(());
+                    return Ok(0);
                 }
             }
         };
@@ -523,13 +527,13 @@
             self.forget(c, &txn, start.attempt);
             let outcome = if left < 1.0 { Outcome::Moot } else { Outcome::Unreachable };
             hub.ended(start.attempt, outcome, vec![]);
-            return Ok(());
+            return Ok(0);
         }
         let mut fields = format!("cls={},limit={}", work.class, left as u64);
         if start.memory_mb >= 1.0 {
             fields.push_str(&format!(",pool={}", start.memory_mb.round() as u64));
         }
-        self.feed(framed, &[b"GET", txn.as_bytes(), fields.as_bytes(), &work.statement]).await
+        self.feed(framed, &[b"GET", txn.as_bytes(), fields.as_bytes(), &work.statement]).await.map(|()| 1)
     }
 
     fn forget(&self, c: &Connection, txn: &str, attempt: AttemptId) {
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -215,6 +215,20 @@
     }
 }
 
+/// What is turned away at the door counts as well; what its client has left does not.
+#[test]
+fn every_end_and_every_attempt_is_counted_once() {
+    let script = "send a lookup\n engine lookup\n figures dispatches=1\n close\n engine lookup\n reply rows
+        expect a served\n send b nothing\n expect b failed\n send c lookup 1\n expect c refused
+        send d load\n engine load\n leave\n engine dropped
+        figures replies.lookup.success=1 replies.lookup.overload=1 replies.lookup.error=0 replies.load.error=0
+        figures dispatches=3 concurrent=0";
+    on_one_thread(async {
+        let (hub, mut client, addresses, mut seen) = set_up().await;
+        play(&hub, &mut client, &addresses, &mut seen, script).await;
+    });
+}
+
 #[test]
 fn bad_requests_get_one_plain_answer_each_and_bad_frames_the_end() {
     on_one_thread(async {
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -273,6 +273,18 @@
     }
 }
 
+/// Preparing goes through an engine like any read, and counts as one.
+#[test]
+fn every_command_that_reached_an_engine_is_counted_once() {
+    let script = "send a load\n engine load\n reply rows\n expect a served
+        figures replies.load.success=1 replies.lookup.success=1 dispatches=2
+        send b load\n engine load\n close\n expect b failed\n figures replies.load.error=1 dispatches=3";
+    on_one_thread(async {
+        let (hub, mut client, addresses, mut seen) = set_up().await;
+        play(&hub, &mut client, &addresses, &mut seen, script).await;
+    });
+}
+
 #[test]
 fn a_prepared_statement_moves_from_a_draining_engine_and_back() {
     let script = "send a lookup\n engine lookup\n reply rows\n expect a served\n drain
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -16,6 +16,8 @@
 //! - `moved`: the last request went to another engine than the one before;
 //! - `crowd N`: so many clients connect and say nothing, and stay; `crowd closed`: all of them are told so;
 //! - `again`: the client connects anew, beside what it has open;
+//! - `call CODE METHOD PATH`: an operator calls and gets this status; `callers N`: so many open a connection and
+//!   complete no call, and stay; `figures NAME=VALUE...`: what operators are told now;
 //! - `wait ms`: time passes; `ran N`: so many requests reached engines in all.
 #![allow(dead_code)]
 
@@ -24,13 +26,16 @@
 
 use hitchwinch::config::{Access, ClassRules, MysqlFront, Names, Sockets, User};
 use hitchwinch::core::{Bounds, Core};
+use hitchwinch::net::admin::Admin;
 use hitchwinch::net::discovery::{Change, Engine};
 use hitchwinch::net::hub::{Hub, Leg};
+use hitchwinch::net::pool::Pool;
 use hitchwinch::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 
@@ -143,6 +148,16 @@
     (addresses, seen)
 }
 
+/// One call of an operator: its answer, as text.
+async fn call(at: SocketAddr, method: &str, path: &str) -> String {
+    let mut tcp = TcpStream::connect(at).await.unwrap();
+    tcp.write_all(format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    let read = tokio::time::timeout(Duration::from_secs(1), tcp.read_to_string(&mut answer));
+    read.await.expect("an operator waits 1 s").unwrap();
+    answer
+}
+
 /// Plays a script.
 pub async fn play<L: Leg>(
     hub: &Rc<Hub<L>>,
@@ -153,6 +168,9 @@
 ) {
     let (mut last, mut before, mut ran): (Option<Seen>, Option<usize>, usize) = (None, None, 0);
     let mut crowd = vec![];
+    let operators = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = operators.local_addr().unwrap();
+    spawn_local(Admin::new(hub.clone(), Pool::default()).accept(operators));
     for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
         let words: Vec<&str> = line.split_whitespace().collect();
         let engine = || last.as_ref().expect("an engine was spoken of").engine;
@@ -195,6 +213,19 @@
                     crowd.push(tokio::net::TcpStream::connect(client.address()).await.unwrap());
                 }
             }
+            ["callers", n] => {
+                for _ in 0..n.parse().unwrap() {
+                    crowd.push(TcpStream::connect(at).await.unwrap());
+                }
+            }
+            ["call", code, method, path] => {
+                let answer = call(at, method, path).await;
+                assert!(answer.starts_with(&format!("HTTP/1.1 {code} ")), "{line}: {answer}");
+            }
+            ["figures", ref wanted @ ..] => {
+                let told = call(at, "GET", "/_vars").await;
+                wanted.iter().for_each(|w| assert!(told.lines().any(|l| l == *w), "{w}: {told}"));
+            }
             ["again"] => client.again().await,
             ["wait", ms] => tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await,
             ["ran", n] => {
@@ -207,7 +238,7 @@
 }
 
 /// Scenarios that come out alike on both fronts: what each tells, and its script.
-pub const ALIKE: [(&str, &str); 14] = [
+pub const ALIKE: [(&str, &str); 16] = [
     ("a request is served", "send a lookup\n engine lookup\n reply rows\n expect a served\n ran 1"),
     (
         "a lookup that breaks off is sent again, elsewhere",
@@ -255,6 +286,20 @@
         "send a load\n engine load\n reply full\n engine load\n moved\n reply full
          engine load\n reply full\n expect a refused\n ran 3",
     ),
+    (
+        "figures tell of each end once, of what is open and of attempts written",
+        "figures concurrent=0 targets=2 targets_disabled=0
+         send a lookup\n engine lookup\n figures concurrent=1\n reply rows\n expect a served
+         send b load\n engine load\n close\n expect b failed
+         send c lookup\n engine lookup\n reply full\n engine lookup\n reply full\n engine lookup\n reply full
+         expect c refused\n drain
+         figures replies.lookup.overload=1 replies.lookup.error=0 replies.load.error=1 replies.load.success=0
+         figures concurrent=0 targets=2 targets_disabled=1",
+    ),
+    (
+        "operators are answered though others complete no call, and told what is wrong with theirs",
+        "callers 40\n call 200 GET /_ready\n call 404 GET /ready\n call 405 POST /_ready\n call 400 G@T /_vars",
+    ),
     (
         "clients that connect and say nothing shut nobody out",
         "crowd 12\n again\n send a lookup\n engine lookup\n reply rows\n expect a served\n ran 1",
