--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// What was wrong with a configuration, with the key that is at fault.
@@ -77,6 +78,8 @@
     pub journal: SocketAddr,
     /// Where operators call; nowhere if it is not said.
     pub admin: Option<SocketAddr>,
+    /// A folder that all processes of this dispatcher see.
+    pub state: Option<PathBuf>,
     /// The journal's events up to now, not yet read.
     pub known: serde_json::Value,
     pub settings: Settings,
@@ -146,6 +149,7 @@
             seed: u64::from_str_radix(&seed, 16)
                 .or_else(|_| seed.parse())
                 .map_err(|_| bad("seed", format!("{seed:?} is no hexadecimal number")))?,
+            state: var("TMPDIR").filter(|v| !v.is_empty()).map(PathBuf::from),
             limits: raw.limits,
             admin: admin(&var, raw.admin_addr)?,
             journal: address("journal", &raw.journal)?,
@@ -255,6 +259,8 @@
     pub listen: SocketAddr,
     /// Where operators call; nowhere if it is not said.
     pub admin: Option<SocketAddr>,
+    /// A folder that all processes of this dispatcher see, and no other.
+    pub state: Option<PathBuf>,
     pub front: MysqlFront,
     pub access: Access,
     pub settings: Settings,
@@ -268,6 +274,7 @@
 struct RawMysql {
     listen: String,
     admin_addr: Option<String>,
+    state_dir: Option<PathBuf>,
     #[serde(default = "one")]
     gateways: u32,
     zone: Option<String>,
@@ -383,6 +390,7 @@
         match () {
             () if self.listen != new.listen => Some("listen"),
             () if self.admin != new.admin => Some("admin_addr"),
+            () if self.state != new.state => Some("state_dir"),
             () if self.settings != new.settings || self.names != new.names => {
                 Some("class, tenant, kind or zone")
             }
@@ -538,6 +546,7 @@
         Ok(Mysql {
             listen: address("listen", &raw.listen)?,
             admin: admin(&var, raw.admin_addr)?,
+            state: raw.state_dir,
             sockets: Sockets {
                 connect_timeout,
                 idle: 30_000.0,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -675,7 +675,10 @@
     /// It owes this answer for long and is silent since, while others speak.
     fn overdue(&self, e: &Engine, r: &Running) -> bool {
         let since = r.sent.max(e.heard);
-        self.heard > since && self.now - since > (OVERDUE * self.expected(r.class, r.work)).max(SILENCE_MIN)
+        // What the process before a restart had says nothing of this one.
+        e.started.is_none_or(|t| r.sent >= t)
+            && self.heard > since
+            && self.now - since > (OVERDUE * self.expected(r.class, r.work)).max(SILENCE_MIN)
     }
 
     /// Fails or is silent. Such an engine is passed over, never shut out: a mended one is back as its
@@ -709,6 +712,8 @@
         let threads = self.s.classes[class].threads;
         let now = self.now;
         let x = &mut self.engines[engine];
+        // What its process before a restart had says nothing of this one.
+        let void = x.started.is_some_and(|t| sent < t);
         let stood = x.out.iter().any(|r| (r.id, r.attempt) == (e.id, e.attempt) && r.stood);
         x.out.retain(|r| (r.id, r.attempt) != (e.id, e.attempt));
         if !matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
@@ -718,7 +723,9 @@
         if e.outcome == Outcome::Served {
             self.engines[engine].stretch.add(stretch.min(BAD_PLAN), KEEP_PERIOD);
         }
-        self.report(engine, &e.report);
+        if !void {
+            self.report(engine, &e.report);
+        }
         // No answer, so no report, and none since it was sent: that it ran for so long is all that tells of a
         // jam, where no probe may ask. Harm: lost answers and bad plans count, as their part of all.
         let unanswered = matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) && !stood;
@@ -730,7 +737,7 @@
         let x = &self.engines[engine];
         let idle = self.crowding(x).is_none_or(|c| c * THREADS_PER_CORE <= 1.0);
         let calm = idle && self.crowd_of(x.zone) <= HOME_FULL;
-        if matches!(e.outcome, Outcome::Full | Outcome::Unreachable) {
+        if matches!(e.outcome, Outcome::Full | Outcome::Unreachable) && !void {
             self.engines[engine].full_until = now + FULL_FOR;
             self.cut(engine, 0.0);
         }
@@ -755,7 +762,9 @@
                 c.read_memory.add(est.ln(), m.ln(), KEEP_CLASS);
             }
         }
-        self.judge(engine, e.outcome);
+        if !void {
+            self.judge(engine, e.outcome);
+        }
         let aim = self.aim(class, e.work.unwrap_or(self.usual_work(class)));
         let in_time = e.outcome == Outcome::Served && now - sent <= aim;
         // Only a window in use grows: one that was never filled says nothing of what engines bear.
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -109,8 +109,13 @@
     commands: Vec<Command>,
     /// Requests that may be over.
     touched: Vec<RequestId>,
-    engines: BTreeMap<String, EngineState>,
-    listed: bool,
+    /// The list as it was told last; engines that are gone are in none.
+    listed: BTreeMap<String, EngineEntry>,
+    /// Out by hand, whatever the list says.
+    by_hand: BTreeSet<String>,
+    /// When operators put an engine back: they have restarted it by then.
+    put_back: BTreeMap<String, Millis>,
+    has_list: bool,
     /// Shutting down: every answer is due by then.
     stop_by: Option<Millis>,
     figures: Figures,
@@ -134,8 +139,10 @@
             pending: VecDeque::new(),
             commands: vec![],
             touched: vec![],
-            engines: BTreeMap::new(),
-            listed: false,
+            listed: BTreeMap::new(),
+            by_hand: BTreeSet::new(),
+            put_back: BTreeMap::new(),
+            has_list: false,
             stop_by: None,
             figures,
         })
@@ -234,25 +241,73 @@
         }
     }
 
-    pub fn engines(&mut self, now: Millis, update: ListUpdate, entries: Vec<EngineEntry>) {
+    pub fn engines(&mut self, now: Millis, update: ListUpdate, told: Vec<EngineEntry>) {
         if update != ListUpdate::Patch {
-            self.engines.values_mut().for_each(|s| *s = EngineState::Gone);
+            self.listed.clear();
         }
-        self.engines.extend(entries.iter().map(|e| (e.engine.clone(), e.state)));
+        let entries: Vec<EngineEntry> = told.iter().map(|e| self.overlaid(e.clone())).collect();
+        self.listed.extend(told.into_iter().map(|e| (e.engine.clone(), e)));
         // New ids come all day: those that are gone are not kept.
-        self.engines.retain(|_, s| *s != EngineState::Gone);
-        self.listed = true;
+        self.listed.retain(|_, e| e.state != EngineState::Gone);
+        self.put_back.retain(|id, _| self.listed.contains_key(id));
+        self.has_list = true;
         self.report(now, Report::Engines { update, entries });
     }
 
     /// New work may still be written to this engine.
     pub fn in_service(&self, engine: &str) -> bool {
-        self.engines.get(engine) == Some(&EngineState::Ready)
+        !self.by_hand.contains(engine)
+            && self.listed.get(engine).is_some_and(|e| e.state == EngineState::Ready)
+    }
+
+    /// What operators say in place of the list.
+    fn overlaid(&self, mut e: EngineEntry) -> EngineEntry {
+        if self.by_hand.contains(&e.engine) && e.state == EngineState::Ready {
+            e.state = EngineState::Draining;
+        }
+        // The list may tell of its restart late, or never: what was learned of the old process is void.
+        let back = self.put_back.get(&e.engine).copied();
+        e.started = e.started.into_iter().chain(back).reduce(f64::max);
+        e
+    }
+
+    /// Somebody has this id: it is in the list, or was when operators took it out.
+    pub fn knows(&self, engine: &str) -> bool {
+        self.listed.contains_key(engine) || self.by_hand.contains(engine)
+    }
+
+    pub fn by_hand(&self) -> &BTreeSet<String> {
+        &self.by_hand
+    }
+
+    /// From now on it drains, whatever the list says, until [`Core::put_back`].
+    pub fn hold_out(&mut self, now: Millis, engine: &str) -> Option<EngineEntry> {
+        self.put_back.remove(engine);
+        let new = self.by_hand.insert(engine.to_string());
+        self.retold(now, engine).filter(|_| new)
+    }
+
+    /// It is what the list says again, with a process that has just started.
+    pub fn put_back(&mut self, now: Millis, engine: &str) -> Option<EngineEntry> {
+        if !self.by_hand.remove(engine) {
+            return None;
+        }
+        if self.listed.contains_key(engine) {
+            self.put_back.insert(engine.to_string(), now);
+        }
+        self.retold(now, engine)
+    }
+
+    /// Tells the module how a listed engine stands now.
+    fn retold(&mut self, now: Millis, engine: &str) -> Option<EngineEntry> {
+        let entry = self.overlaid(self.listed.get(engine)?.clone());
+        self.report(now, Report::Engines { update: ListUpdate::Patch, entries: vec![entry.clone()] });
+        Some(entry)
     }
 
     /// Ready for clients: a list of engines is in hand and no end is near.
     pub fn ready(&self) -> bool {
-        self.listed && self.stop_by.is_none()
+        self.has_list && self.stop_by.is_none()
     }
 
     /// No new life after `by`: every answer still owed is given until then.
@@ -450,13 +505,11 @@
     }
 
     pub fn figures(&self) -> Figures {
-        let avoided = |(name, state): &(&String, &EngineState)| {
-            **state != EngineState::Ready || self.facade.avoids(name)
-        };
+        let avoided = |name: &&String| !self.in_service(name) || self.facade.avoids(name);
         Figures {
             concurrent: self.owed(),
-            targets: self.engines.len(),
-            targets_disabled: self.engines.iter().filter(avoided).count(),
+            targets: self.listed.len(),
+            targets_disabled: self.listed.keys().filter(avoided).count(),
             ..self.figures.clone()
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,9 +10,11 @@
 use hitchwinch::net::mysql;
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::shared::Shared;
 use hitchwinch::net::{span, unix_ms};
 use hitchwinch::say;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -24,6 +26,8 @@
 const MARGIN: f64 = 40.0;
 /// A result that has begun may stay without its next page for this long.
 const PAGE_WAIT: f64 = 600.0;
+/// How often a process looks at what another of this dispatcher was told: an operator's call holds after 1 s.
+const FOLLOW: Duration = Duration::from_millis(250);
 
 type Error = Box<dyn std::error::Error>;
 
@@ -59,7 +63,8 @@
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
     let front = Front::new(hub.clone(), pool.clone(), &config.limits);
-    operators(&hub, &pool, config.admin).await?;
+    let shared = share(&hub, config.state.as_deref())?;
+    operators(&hub, &pool, &shared, config.admin).await?;
 
     let sink = hub.clone();
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
@@ -94,7 +99,8 @@
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
     let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone());
-    operators(&hub, &pool, config.admin).await?;
+    let shared = share(&hub, config.state.as_deref())?;
+    operators(&hub, &pool, &shared, config.admin).await?;
     let mut following = follow(&hub, &config.source);
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
@@ -127,14 +133,38 @@
 }
 
 /// Listens where operators call, if that is said.
-async fn operators<L: Leg>(hub: &Rc<Hub<L>>, pool: &Pool, at: Option<SocketAddr>) -> Result<(), Error> {
+async fn operators<L: Leg>(
+    hub: &Rc<Hub<L>>,
+    pool: &Pool,
+    shared: &Rc<Shared>,
+    at: Option<SocketAddr>,
+) -> Result<(), Error> {
     let Some(at) = at else { return Ok(()) };
     let listener = TcpListener::bind(at).await.map_err(|e| format!("admin_addr {at}: {e}"))?;
     say!("operators call at {}", listener.local_addr()?);
-    spawn_local(Admin::new(hub.clone(), pool.clone()).accept(listener));
+    spawn_local(Admin::new(hub.clone(), pool.clone(), shared.clone()).accept(listener));
     Ok(())
 }
 
+/// What this dispatcher's processes have been told by hand is in force before the first engine is known.
+fn share<L: Leg>(hub: &Rc<Hub<L>>, folder: Option<&Path>) -> Result<Rc<Shared>, Error> {
+    let named = |e: std::io::Error| format!("the folder for state ({folder:?}): {e}");
+    let shared = Rc::new(Shared::open(folder).map_err(named)?);
+    hub.all_by_hand(&shared.held_out().map_err(named)?.unwrap_or_default());
+    let (hub, following) = (hub.clone(), shared.clone());
+    spawn_local(async move {
+        loop {
+            tokio::time::sleep(FOLLOW).await;
+            match following.held_out() {
+                Ok(out) => out.iter().for_each(|out| hub.all_by_hand(out)),
+                // What cannot be read changes nothing.
+                Err(e) => say!("the folder for state: {e}"),
+            }
+        }
+    });
+    Ok(shared)
+}
+
 /// Takes the engines from where the configuration says; the task that goes on asking, if there is one.
 fn follow(hub: &Rc<Hub<mysql::leg::MysqlLeg>>, source: &Source) -> Option<AbortHandle> {
     match source {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -4,6 +4,7 @@
 use crate::net::hub::{Hub, Leg};
 use crate::net::places::{Places, Use};
 use crate::net::pool::{Pool, Wire};
+use crate::net::shared::{self, Shared};
 use crate::say;
 use bytes::{BufMut, BytesMut};
 use futures_util::SinkExt;
@@ -95,12 +96,13 @@
 pub struct Admin<L: Leg> {
     hub: Rc<Hub<L>>,
     pool: Pool,
+    shared: Rc<Shared>,
     places: Rc<Places>,
 }
 
 impl<L: Leg> Admin<L> {
-    pub fn new(hub: Rc<Hub<L>>, pool: Pool) -> Rc<Self> {
-        Rc::new(Admin { hub, pool, places: Places::new(CALLERS, Use::Silent) })
+    pub fn new(hub: Rc<Hub<L>>, pool: Pool, shared: Rc<Shared>) -> Rc<Self> {
+        Rc::new(Admin { hub, pool, shared, places: Places::new(CALLERS, Use::Silent) })
     }
 
     /// Accepts callers for ever.
@@ -145,12 +147,15 @@
     /// Carries a call out.
     fn call(&self, call: &Call) -> Answer {
         let path = call.path.split('?').next().unwrap_or_default();
+        let engine = |what| path.strip_prefix("/_engines/")?.strip_prefix(what)?.strip_prefix('/');
         let (method, reply): (&str, &dyn Fn() -> Answer) = match path {
             "/_ready" => ("GET", &|| match self.hub.ready() {
                 true => answer(200, "ready\n"),
                 false => answer(503, "not ready: no list of engines yet, or shutting down\n"),
             }),
             "/_vars" => ("GET", &|| answer(200, self.hub.figures())),
+            _ if engine("detach").is_some() => ("POST", &|| self.by_hand(engine("detach"), true)),
+            _ if engine("attach").is_some() => ("POST", &|| self.by_hand(engine("attach"), false)),
             _ => return answer(404, format!("no call is named {path}\n")),
         };
         match call.method == method {
@@ -158,4 +163,17 @@
             false => answer(405, format!("{path} is called with {method}\n")),
         }
     }
+
+    /// Kept first, so that a yes holds whatever becomes of this process.
+    fn by_hand(&self, engine: Option<&str>, out: bool) -> Answer {
+        let Some(id) = engine.and_then(shared::decoded).filter(|id| self.hub.knows(id)) else {
+            return answer(404, "no engine has this id\n");
+        };
+        let kept = if out { self.shared.hold_out(&id) } else { self.shared.put_back(&id) };
+        if let Err(e) = kept {
+            return answer(503, format!("it could not be kept: {e}\n"));
+        }
+        self.hub.by_hand(&id, out);
+        answer(200, if out { "out\n" } else { "in use\n" })
+    }
 }
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -3,11 +3,11 @@
 use crate::config::{Names, find};
 use crate::core::{Answer, AttemptId, Command, Core, End, NewRequest, RequestId};
 use crate::interface::*;
-use crate::net::discovery::Change;
+use crate::net::discovery::{Change, Engine};
 use crate::net::{span, unix_ms};
 use crate::say;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -158,6 +158,41 @@
         self.carry_out();
     }
 
+    /// Somebody has this engine id.
+    pub fn knows(&self, engine: &str) -> bool {
+        self.core.borrow().knows(engine)
+    }
+
+    /// Operators take an engine out, or put it back; doing so twice changes nothing.
+    pub fn by_hand(self: &Rc<Self>, engine: &str, out: bool) {
+        let told = match out {
+            true => self.core.borrow_mut().hold_out(unix_ms(), engine),
+            false => self.core.borrow_mut().put_back(unix_ms(), engine),
+        };
+        if let Some(e) = told {
+            say!("engine {engine}: {} by hand", if out { "taken out" } else { "put back" });
+            // Where it is the leg knows; connections to the process before lead to nobody.
+            let engine = Engine {
+                id: e.engine,
+                address: None,
+                state: e.state,
+                zone: None,
+                kind: None,
+                cell: e.cell,
+                started: e.started,
+            };
+            self.leg.change(&Change { update: ListUpdate::Patch, engines: vec![engine] });
+        }
+        self.carry_out();
+    }
+
+    /// Exactly these are out by hand: another process of this dispatcher may have been told so.
+    pub fn all_by_hand(self: &Rc<Self>, out: &BTreeSet<String>) {
+        let now = self.core.borrow().by_hand().clone();
+        out.difference(&now).for_each(|engine| self.by_hand(engine, true));
+        now.difference(out).for_each(|engine| self.by_hand(engine, false));
+    }
+
     pub fn ready(&self) -> bool {
         !self.stopping.get() && self.core.borrow().ready()
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod places;
 pub mod pool;
 pub mod resp;
+pub mod shared;
 pub mod statement;
 
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,6 +1,6 @@
 //! Scenarios on an injected clock, a step a line: `send NAME CLASS MS`, `start NAME` (an attempt is to
 //! start), `begin NAME` (its result has begun), `end NAME OUTCOME`, `drop NAME` (an attempt is to be dropped),
-//! `leave NAME`, `expect NAME ANSWER`, `wait MS`, `stop MS`, `nothing` (no command is left).
+//! `out ENGINE`, `back ENGINE` (by hand), `start NAME ENGINE` (there), `leave NAME`, `expect NAME ANSWER`, `wait MS`, `stop MS`, `nothing` (no command is left).
 
 mod scenario;
 
@@ -52,6 +52,17 @@
                     last.insert(attempt.request, attempt);
                 }
             }
+            ["start", name, on] => {
+                let of = |c: &Command| {
+                    matches!(c, Command::Start { attempt, engine, .. }
+                        if attempt.request == ids[name] && engine == on)
+                };
+                if let Command::Start { attempt, .. } = next(&of) {
+                    last.insert(attempt.request, attempt);
+                }
+            }
+            ["out", engine] => drop(core.hold_out(now, engine)),
+            ["back", engine] => drop(core.put_back(now, engine)),
             ["drop", name] => {
                 let attempt = last[&ids[name]];
                 next(&|c| *c == Command::Drop { attempt });
@@ -134,3 +145,24 @@
          expect b late-and-may-have-run\n send d lookup 5000\n expect d refused\n nothing",
     );
 }
+
+/// Guards against an engine that operators have mended and that is left out for what its old process did.
+#[test]
+fn an_engine_that_is_put_back_is_judged_by_its_new_process() {
+    play(
+        "out b
+        send x lookup 4000
+        start x a
+        out a
+        back b
+        wait 100
+        send y lookup 4000
+        start y b
+        back a
+        wait 1
+        end x reset
+        start x b
+        send z lookup 4000
+        start z a",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -18,6 +18,7 @@
 //! - `again`: the client connects anew, beside what it has open;
 //! - `call CODE METHOD PATH`: an operator calls and gets this status; `callers N`: so many open a connection and
 //!   complete no call, and stay; `figures NAME=VALUE...`: what operators are told now;
+//! - `detach`, `attach`: an operator takes this engine out, or puts it back, and gets a yes;
 //! - `wait ms`: time passes; `ran N`: so many requests reached engines in all.
 #![allow(dead_code)]
 
@@ -30,6 +31,7 @@
 use hitchwinch::net::discovery::{Change, Engine};
 use hitchwinch::net::hub::{Hub, Leg};
 use hitchwinch::net::pool::Pool;
+use hitchwinch::net::shared::Shared;
 use hitchwinch::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -170,7 +172,9 @@
     let mut crowd = vec![];
     let operators = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = operators.local_addr().unwrap();
-    spawn_local(Admin::new(hub.clone(), Pool::default()).accept(operators));
+    spawn_local(
+        Admin::new(hub.clone(), Pool::default(), Rc::new(Shared::open(None).unwrap())).accept(operators),
+    );
     for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
         let words: Vec<&str> = line.split_whitespace().collect();
         let engine = || last.as_ref().expect("an engine was spoken of").engine;
@@ -222,6 +226,10 @@
                 let answer = call(at, method, path).await;
                 assert!(answer.starts_with(&format!("HTTP/1.1 {code} ")), "{line}: {answer}");
             }
+            [what @ ("detach" | "attach")] => {
+                let answer = call(at, "POST", &format!("/_engines/{what}/e{}", engine())).await;
+                assert!(answer.starts_with("HTTP/1.1 200 "), "{line}: {answer}");
+            }
             ["figures", ref wanted @ ..] => {
                 let told = call(at, "GET", "/_vars").await;
                 wanted.iter().for_each(|w| assert!(told.lines().any(|l| l == *w), "{w}: {told}"));
@@ -238,7 +246,7 @@
 }
 
 /// Scenarios that come out alike on both fronts: what each tells, and its script.
-pub const ALIKE: [(&str, &str); 16] = [
+pub const ALIKE: [(&str, &str); 18] = [
     ("a request is served", "send a lookup\n engine lookup\n reply rows\n expect a served\n ran 1"),
     (
         "a lookup that breaks off is sent again, elsewhere",
@@ -296,6 +304,19 @@
          figures replies.lookup.overload=1 replies.lookup.error=0 replies.load.error=1 replies.load.success=0
          figures concurrent=0 targets=2 targets_disabled=1",
     ),
+    (
+        "an engine that operators took out gets nothing, whatever the list says, until it is put back",
+        "send a lookup\n engine lookup\n reply rows\n expect a served\n detach\n detach\n back
+         send b lookup\n engine lookup\n moved\n reply rows\n expect b served\n figures targets_disabled=1
+         send c lookup\n engine lookup\n detach\n reply rows\n expect c served
+         send d lookup\n expect d refused\n figures targets=2 targets_disabled=2\n attach
+         send e lookup\n engine lookup\n reply rows\n expect e served\n figures targets_disabled=1
+         call 404 POST /_engines/detach/none\n call 404 POST /_engines/attach/none",
+    ),
+    (
+        "an engine that is put back has started anew: what it had before is gone, a load is failed",
+        "send a load\n engine load\n detach\n wait 20\n attach\n expect a failed\n ran 1",
+    ),
     (
         "operators are answered though others complete no call, and told what is wrong with theirs",
         "callers 40\n call 200 GET /_ready\n call 404 GET /ready\n call 405 POST /_ready\n call 400 G@T /_vars",
