Take over under load: inherited listening socket, bounds and engines out by hand shared by two

The log shows that the old one ends 2.3 to 3.3 s after SIGTERM. At fault besides: accept() in frames.rs took a connection off the queue before it had a place, so that ending it dropped one unheard; now it stays in the queue, where the other process finds it. The module shares what a cold engine may get between the processes; quotas and budgets it does not, since the old one keeps most clients for a while. No `unsafe` was needed.

--- a/src/config.rs
+++ b/src/config.rs
@@ -78,6 +78,8 @@
     pub journal: SocketAddr,
     /// Where operators call; nowhere if it is not said.
     pub admin: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, if the platform holds that.
+    pub inherited: Option<i32>,
     /// A folder that all processes of this dispatcher see.
     pub state: Option<PathBuf>,
     /// The journal's events up to now, not yet read.
@@ -101,6 +103,14 @@
     told.or(key.map(|v| ("admin_addr", v))).map(|(key, v)| address(key, &v)).transpose()
 }
 
+/// The inherited descriptor: `PROXY_INHERITED_FD` goes before the key.
+fn inherited(var: &impl Fn(&str) -> Option<String>, key: Option<i32>) -> Result<Option<i32>, ConfigError> {
+    let faulty = |v: &str| bad("PROXY_INHERITED_FD", format!("{v:?} is no descriptor"));
+    let read = |v: String| v.parse().ok().filter(|n| *n >= 0).ok_or_else(|| faulty(&v));
+    let told = var("PROXY_INHERITED_FD").filter(|v| !v.is_empty()).map(read).transpose()?;
+    Ok(told.or(key))
+}
+
 impl Platform {
     /// What a running program cannot take from `new`: learned state and open requests rest on it.
     pub fn needs_restart(&self, new: &Platform) -> Option<&'static str> {
@@ -149,6 +159,7 @@
             seed: u64::from_str_radix(&seed, 16)
                 .or_else(|_| seed.parse())
                 .map_err(|_| bad("seed", format!("{seed:?} is no hexadecimal number")))?,
+            inherited: inherited(&var, None)?,
             state: var("TMPDIR").filter(|v| !v.is_empty()).map(PathBuf::from),
             limits: raw.limits,
             admin: admin(&var, raw.admin_addr)?,
@@ -259,6 +270,8 @@
     pub listen: SocketAddr,
     /// Where operators call; nowhere if it is not said.
     pub admin: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, if what starts this program holds that.
+    pub inherited: Option<i32>,
     /// A folder that all processes of this dispatcher see, and no other.
     pub state: Option<PathBuf>,
     pub front: MysqlFront,
@@ -274,6 +287,7 @@
 struct RawMysql {
     listen: String,
     admin_addr: Option<String>,
+    inherited_fd: Option<i32>,
     state_dir: Option<PathBuf>,
     #[serde(default = "one")]
     gateways: u32,
@@ -546,6 +560,7 @@
         Ok(Mysql {
             listen: address("listen", &raw.listen)?,
             admin: admin(&var, raw.admin_addr)?,
+            inherited: inherited(&var, raw.inherited_fd)?,
             state: raw.state_dir,
             sockets: Sockets {
                 connect_timeout,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -70,6 +70,7 @@
     alarm: Millis,
     ask_at: Millis, // When to subscribe to the engine list: at once, then 2 s after a failure.
     heard: Millis,  // When any engine was last heard.
+    processes: f64, // Of this gateway: two while one takes over from the other.
 }
 
 impl Controller {
@@ -100,6 +101,7 @@
             alarm: f64::MIN,
             ask_at: f64::MIN,
             heard: f64::MIN,
+            processes: 1.0,
             s: settings,
         })
     }
@@ -689,6 +691,11 @@
         self.failing(e) > FAIL_LIMIT || x.out.iter().any(|r| self.overdue(x, r))
     }
 
+    /// So many processes make the decisions of this gateway now, and share what a cold engine may get.
+    pub fn share(&mut self, processes: u32) {
+        self.processes = f64::from(processes.max(1));
+    }
+
     /// Whether this engine is left out now, by its name.
     pub fn avoids(&self, engine: &str) -> bool {
         self.names.get(engine).is_some_and(|&e| self.doubtful(e))
@@ -1029,7 +1036,7 @@
         if !self.cold(x) {
             return true;
         }
-        let (r, n) = (&self.s.rules, f64::from(self.s.gateways));
+        let (r, n) = (&self.s.rules, f64::from(self.s.gateways) * self.processes);
         let stands = r.fall_multiple * r.cold_from * self.cores(x) * r.fall_window / work;
         let mean = ((4.0 + stands).sqrt() - 2.0).powi(2) * (PERIOD / r.fall_window).min(1.0);
         let sent: f64 =
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -119,6 +119,7 @@
     /// Shutting down: every answer is due by then.
     stop_by: Option<Millis>,
     figures: Figures,
+    processes: usize,
 }
 
 fn bits(at: Millis) -> u64 {
@@ -145,6 +146,7 @@
             has_list: false,
             stop_by: None,
             figures,
+            processes: 1,
         })
     }
 
@@ -161,7 +163,9 @@
         let out_of_range = r.class >= self.unsafe_class.len() || !due.is_finite();
         let refusal = match () {
             // Held beyond this, requests would outgrow the memory that the machine gives.
-            () if self.requests.len() >= self.bounds.open => Some("too many requests are open"),
+            () if self.requests.len() >= self.bounds.open / self.processes => {
+                Some("too many requests are open")
+            }
             () if due <= now => Some("too little time is left"),
             () => None,
         };
@@ -499,6 +503,12 @@
         self.figures.count(class, end);
     }
 
+    /// So many processes of this dispatcher live: each takes its part of what is bounded for all.
+    pub fn share(&mut self, processes: u32) {
+        self.processes = processes.max(1) as usize;
+        self.facade.share(processes);
+    }
+
     /// The last byte of an attempt is written.
     pub fn written(&mut self) {
         self.figures.dispatches += 1;
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// So many processes share this gateway's part.
+    pub fn share(&mut self, processes: u32) {
+        self.controller.share(processes);
+    }
+
     /// The module leaves this engine out while others are well. Read only, for operators.
     pub fn avoids(&self, engine: &str) -> bool {
         self.controller.avoids(engine)
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,11 +7,11 @@
 use hitchwinch::net::discovery::{Discovery, eureka::Eureka, fixed, journal::Journal};
 use hitchwinch::net::frames::{self, Front};
 use hitchwinch::net::hub::{Hub, Leg};
-use hitchwinch::net::mysql;
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
 use hitchwinch::net::shared::Shared;
-use hitchwinch::net::{span, unix_ms};
+use hitchwinch::net::unix_ms;
+use hitchwinch::net::{listener, mysql};
 use hitchwinch::say;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -29,6 +29,11 @@
 /// How often a process looks at what another of this dispatcher was told: an operator's call holds after 1 s.
 const FOLLOW: Duration = Duration::from_millis(250);
 
+/// After the goodbye requests that crossed it still come.
+const LAST: Duration = Duration::from_millis(300);
+/// The same where clients have another process to go to, and nothing presses.
+const LINGER: Duration = Duration::from_millis(1000);
+
 type Error = Box<dyn std::error::Error>;
 
 fn main() {
@@ -60,10 +65,11 @@
     let hub = Hub::new(core, config.names.clone(), leg);
     let (at, address) = watch::channel(config.journal);
     let journal = Journal::new(address, config.known.take()).map_err(|e| format!("known: {e}"))?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = listener::listen(config.listen, config.inherited).await?;
     let listen = listener.local_addr()?;
     let front = Front::new(hub.clone(), pool.clone(), &config.limits);
-    let shared = share(&hub, config.state.as_deref())?;
+    let sharing = front.clone();
+    let shared = share(&hub, config.state.as_deref(), move |living| sharing.share(living))?;
     operators(&hub, &pool, &shared, config.admin).await?;
 
     let sink = hub.clone();
@@ -71,7 +77,7 @@
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
     say!("{} listens on {listen}", config.name);
-    let longest = config.sockets.longest;
+    let (longest, handed_over) = (config.sockets.longest, config.inherited.is_some());
     let reconfigured = front.clone();
     spawn_local(reload(hup, read, move |new: Platform| {
         let kept = config.needs_restart(&new);
@@ -79,9 +85,10 @@
         reconfigured.limit(&new.limits);
         Ok(kept)
     }));
-    wind_down(&mut term, &hub, longest, || {
+
+    wind_down(&mut term, &hub, longest, handed_over, || {
         accepting.abort();
-        front.farewell.send_replace(true);
+        front.goodbye(handed_over);
     })
     .await;
     Ok(())
@@ -96,16 +103,17 @@
     let core = Core::new(config.settings.clone(), unix_ms() as u64, bounds)?;
     let leg = mysql::leg::MysqlLeg::new(config.access.clone(), config.sockets.clone(), pool.clone());
     let hub = Hub::new(core, config.names.clone(), leg);
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = listener::listen(config.listen, config.inherited).await?;
     let listen = listener.local_addr()?;
     let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone());
-    let shared = share(&hub, config.state.as_deref())?;
+    let sharing = front.clone();
+    let shared = share(&hub, config.state.as_deref(), move |living| sharing.share(living))?;
     operators(&hub, &pool, &shared, config.admin).await?;
     let mut following = follow(&hub, &config.source);
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
     say!("the MySQL front listens on {listen}");
-    let longest = config.sockets.longest;
+    let (longest, handed_over) = (config.sockets.longest, config.inherited.is_some());
     let (path, changed, reconfigured) = (file.to_string(), hub.clone(), front.clone());
     let mut config = config;
     spawn_local(reload(
@@ -124,7 +132,7 @@
             Ok(None)
         },
     ));
-    wind_down(&mut term, &hub, longest, || {
+    wind_down(&mut term, &hub, longest, handed_over, || {
         accepting.abort();
         front.stop();
     })
@@ -147,14 +155,33 @@
 }
 
 /// What this dispatcher's processes have been told by hand is in force before the first engine is known.
-fn share<L: Leg>(hub: &Rc<Hub<L>>, folder: Option<&Path>) -> Result<Rc<Shared>, Error> {
+fn share<L: Leg>(
+    hub: &Rc<Hub<L>>,
+    folder: Option<&Path>,
+    front: impl Fn(u32) + 'static,
+) -> Result<Rc<Shared>, Error> {
     let named = |e: std::io::Error| format!("the folder for state ({folder:?}): {e}");
     let shared = Rc::new(Shared::open(folder).map_err(named)?);
     hub.all_by_hand(&shared.held_out().map_err(named)?.unwrap_or_default());
     let (hub, following) = (hub.clone(), shared.clone());
+    let divide = move |hub: &Hub<L>, living| {
+        hub.share(living);
+        front(living);
+    };
+    let mut before = shared.processes().map_err(named)?;
+    divide(&hub, before);
     spawn_local(async move {
         loop {
             tokio::time::sleep(FOLLOW).await;
+            match following.processes() {
+                Ok(living) if living != before => {
+                    say!("{living} processes of this dispatcher share its limits");
+                    divide(&hub, living);
+                    before = living;
+                }
+                Ok(_) => {}
+                Err(e) => say!("the folder for state: {e}"),
+            }
             match following.held_out() {
                 Ok(out) => out.iter().for_each(|out| hub.all_by_hand(out)),
                 // What cannot be read changes nothing.
@@ -196,15 +223,28 @@
 }
 
 /// Waits for SIGTERM. Clients go on coming for a while: they are served, told that this dispatcher is not
-/// ready, and then asked to go elsewhere. The last answers are given before the kill can come.
-async fn wind_down<L: Leg>(term: &mut Signal, hub: &Rc<Hub<L>>, longest: f64, farewell: impl FnOnce()) {
+/// ready, and then asked to go elsewhere. With a listening socket that others hold as well (`handed_over`) no
+/// more are accepted, for they would find an end here that another process could give them a whole life: only
+/// those that were accepted are read and answered on. The last answers are given before the kill can come.
+async fn wind_down<L: Leg>(
+    term: &mut Signal,
+    hub: &Rc<Hub<L>>,
+    longest: f64,
+    handed_over: bool,
+    farewell: impl Fn(),
+) {
     term.recv().await;
-    say!("SIGTERM: {} requests are open", hub.owed());
     let began = tokio::time::Instant::now();
-    hub.stop(unix_ms() + frames::stop_span(longest).as_secs_f64() * 1000.0);
-    tokio::time::sleep(frames::ACCEPT_FOR).await;
-    farewell();
-    tokio::time::sleep(span(300.0)).await;
+    hub.stop(unix_ms() + frames::stop_span(longest, handed_over).as_secs_f64() * 1000.0);
+    if handed_over {
+        farewell();
+    }
+    say!("SIGTERM: {} requests are open", hub.owed());
+    if !handed_over {
+        tokio::time::sleep(frames::ACCEPT_FOR).await;
+        farewell();
+    }
+    tokio::time::sleep(if handed_over { LINGER } else { LAST }).await;
     while hub.owed() > 0 && began.elapsed() < Duration::from_secs(30) {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -294,39 +294,65 @@
     pub budget: Budget,
     ids: Ids,
     places: Rc<Places>,
+    limits: RefCell<Machine>,
+    processes: Cell<usize>,
+    /// Another process of this dispatcher takes its clients.
+    handed_over: Cell<bool>,
     /// All must say goodbye.
-    pub farewell: tokio::sync::watch::Sender<bool>,
+    farewell: tokio::sync::watch::Sender<bool>,
 }
 
 impl<L: Leg<Work = Work, Output = Buffer>> Front<L> {
     pub fn new(hub: Rc<Hub<L>>, pool: Pool, limits: &Machine) -> Rc<Self> {
         let (farewell, _) = tokio::sync::watch::channel(false);
         let (budget, places) = (Budget::new(0), Places::new(0, Use::Idle));
-        let front = Front { hub, pool, budget, ids: Ids::default(), places, farewell };
-        front.limit(limits);
+        let front = Front {
+            hub,
+            pool,
+            budget,
+            ids: Ids::default(),
+            places,
+            limits: RefCell::new(limits.clone()),
+            processes: Cell::new(1),
+            handed_over: Cell::new(false),
+            farewell,
+        };
+        front.bound();
         Rc::new(front)
     }
 
     /// Bounds by the machine's limits, which a new configuration may change.
     pub fn limit(&self, limits: &Machine) {
+        *self.limits.borrow_mut() = limits.clone();
+        self.bound();
+    }
+
+    /// So many processes of this dispatcher share the limits.
+    pub fn share(&self, processes: u32) {
+        self.processes.set(processes.max(1) as usize);
+        self.bound();
+    }
+
+    fn bound(&self) {
+        let (limits, processes) = (self.limits.borrow(), self.processes.get());
         // A quarter of the memory for statements.
-        self.budget.most.set(limits.memory_mb * 1024 * 1024 / 4);
+        self.budget.most.set(limits.memory_mb * 1024 * 1024 / 4 / processes);
         // Clients hold up to a third of the descriptors, so this many are let in.
-        self.places.bound(limits.sockets * 2 / 5);
+        self.places.bound(limits.sockets * 2 / 5 / processes);
+    }
+
+    /// No new request is wanted on any connection; what comes all the same is answered. `to_another`: another
+    /// process holds the listening socket and takes clients.
+    pub fn goodbye(&self, to_another: bool) {
+        self.handed_over.set(to_another);
+        self.farewell.send_replace(true);
     }
 
     /// Accepts connections until it is dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((tcp, _)) => {
-                    let place = loop {
-                        match self.places.take(Instant::now()) {
-                            Some(place) => break place,
-                            // All are busy: further ones wait in the machine's own queue.
-                            None => self.places.freed().await,
-                        }
-                    };
+            match self.places.accept(&listener).await {
+                Ok((tcp, place)) => {
                     let front = self.clone();
                     tokio::task::spawn_local(async move {
                         if let Err(e) = connection(&front, &place, tcp).await {
@@ -588,7 +614,8 @@
             Ok(())
         }
         _ => {
-            let code = if front.hub.ready() { SERVED } else { REFUSED };
+            // Asked is whether the dispatcher is ready, and that it is with any process.
+            let code = if front.hub.ready() || front.handed_over.get() { SERVED } else { REFUSED };
             send(framed, Send { kind: STATE, stream, code: Some(code), fields: &[], body: &[] }).await
         }
     }
@@ -597,7 +624,8 @@
 /// How long after SIGTERM connections are still accepted, and until when every answer must be given.
 pub const ACCEPT_FOR: Duration = Duration::from_millis(500);
 
-pub fn stop_span(longest: f64) -> Duration {
-    // SIGKILL comes no earlier than the longest deadline (3 s at most counts) plus 0.7 s.
-    span(longest.min(3000.0) + 700.0 - 350.0)
+/// SIGKILL comes no earlier than the longest deadline (3 s at most counts, 5 s where another process has taken
+/// over) plus 0.7 s.
+pub fn stop_span(longest: f64, handed_over: bool) -> Duration {
+    span(longest.min(if handed_over { 5000.0 } else { 3000.0 }) + 700.0 - 350.0)
 }
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -32,6 +32,8 @@
     /// The attempt is given up; no end of it is wanted.
     fn drop_attempt(&self, attempt: AttemptId);
     fn change(&self, change: &Change);
+    /// So many processes share the bounds on connections to engines.
+    fn share(&self, processes: usize);
 }
 
 /// The final answer as a front gets it.
@@ -193,6 +195,12 @@
         now.difference(out).for_each(|engine| self.by_hand(engine, false));
     }
 
+    /// So many processes of this dispatcher live.
+    pub fn share(&self, processes: u32) {
+        self.core.borrow_mut().share(processes);
+        self.leg.share(processes as usize);
+    }
+
     pub fn ready(&self) -> bool {
         !self.stopping.get() && self.core.borrow().ready()
     }
--- /dev/null
+++ b/src/net/listener.rs
@@ -0,0 +1,69 @@
+//! The clients' listening socket: bound here, or inherited from a platform that holds it for all processes of
+//! this dispatcher, so that no connection is refused while one takes over from the other.
+
+use rustix::net::sockopt::socket_acceptconn;
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::RawFd;
+use tokio::net::TcpListener;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ListenError {
+    #[error("listen {0}: {1}")]
+    Bind(SocketAddr, io::Error),
+    #[error("descriptor {0} cannot be taken: {1}")]
+    Descriptor(RawFd, io::Error),
+    #[error("descriptor {0} is no listening socket")]
+    NoListener(RawFd),
+    #[error("descriptor {0} listens on {1}, not on {2}")]
+    Address(RawFd, SocketAddr, SocketAddr),
+}
+
+/// Listens at this address, on the inherited descriptor if there is one. That one is never shut down: it is the
+/// other process's and the platform's as well.
+pub async fn listen(at: SocketAddr, inherited: Option<RawFd>) -> Result<TcpListener, ListenError> {
+    let Some(number) = inherited else {
+        return TcpListener::bind(at).await.map_err(|e| ListenError::Bind(at, e));
+    };
+    let failed = |e: io::Error| ListenError::Descriptor(number, e);
+    // By its number alone it could only be owned unsafely; asked for from ourselves it is a safe duplicate.
+    let own = pidfd_open(getpid(), PidfdFlags::empty()).map_err(|e| failed(e.into()))?;
+    let socket = pidfd_getfd(own, number, PidfdGetfdFlags::empty()).map_err(|e| failed(e.into()))?;
+    if !socket_acceptconn(&socket).unwrap_or(false) {
+        return Err(ListenError::NoListener(number));
+    }
+    let listener = std::net::TcpListener::from(socket);
+    let bound = listener.local_addr().map_err(failed)?;
+    if bound.ip() != at.ip() || at.port() != 0 && bound.port() != at.port() {
+        return Err(ListenError::Address(number, bound, at));
+    }
+    listener.set_nonblocking(true).map_err(failed)?;
+    TcpListener::from_std(listener).map_err(failed)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::os::fd::AsRawFd;
+
+    #[test]
+    fn an_inherited_socket_is_taken_only_if_it_is_the_one() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let held = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let (at, number) = (held.local_addr().unwrap(), held.as_raw_fd());
+            let taken = listen(at, Some(number)).await.unwrap();
+            let client = tokio::net::TcpStream::connect(at);
+            assert!(tokio::join!(client, taken.accept()).1.is_ok());
+            drop(taken);
+            assert!(std::net::TcpStream::connect(at).is_ok(), "it still listens for the others");
+            let other = "127.0.0.1:1".parse().unwrap();
+            assert!(matches!(listen(other, Some(number)).await, Err(ListenError::Address(..))));
+            let client = std::net::TcpStream::connect(at).unwrap();
+            let wrong = listen(at, Some(client.as_raw_fd())).await;
+            assert!(matches!(wrong, Err(ListenError::NoListener(_))));
+            assert!(matches!(listen(at, Some(9999)).await, Err(ListenError::Descriptor(..))));
+        });
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod discovery;
 pub mod frames;
 pub mod hub;
+pub mod listener;
 pub mod mysql;
 pub mod places;
 pub mod pool;
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -35,6 +35,7 @@
     /// Swapped whole by a new configuration; a session keeps to the one in force at each step.
     config: RefCell<Rc<MysqlFront>>,
     places: Rc<Places>,
+    processes: Cell<usize>,
     turned_away: Cell<usize>,
     next: Cell<u32>,
     stopping: tokio::sync::watch::Sender<bool>,
@@ -79,7 +80,16 @@
         // Sessions keep their place while they are idle, for they hold what they prepared.
         let places = Places::new(config.max_clients, Use::Silent);
         let config = RefCell::new(Rc::new(config));
-        Rc::new(Front { hub, pool, config, places, turned_away: Cell::new(0), next: Cell::new(1), stopping })
+        Rc::new(Front {
+            hub,
+            pool,
+            config,
+            places,
+            processes: Cell::new(1),
+            turned_away: Cell::new(0),
+            next: Cell::new(1),
+            stopping,
+        })
     }
 
     fn config(&self) -> Rc<MysqlFront> {
@@ -88,8 +98,14 @@
 
     /// Takes a new configuration: sessions that are open go on, under its bounds.
     pub fn configure(&self, config: MysqlFront) {
-        self.places.bound(config.max_clients);
         *self.config.borrow_mut() = Rc::new(config);
+        self.share(self.processes.get() as u32);
+    }
+
+    /// So many processes of this dispatcher share the bound on clients.
+    pub fn share(&self, processes: u32) {
+        self.processes.set(processes.max(1) as usize);
+        self.places.bound((self.config().max_clients / self.processes.get()).max(1));
     }
 
     /// Sessions between statements end now, the others after the answer that they wait for.
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -83,6 +83,7 @@
     engines: RefCell<HashMap<String, Slot>>,
     running: RefCell<HashMap<AttemptId, Running>>,
     kills: Cell<usize>,
+    processes: Cell<usize>,
     access: Access,
     sockets: Sockets,
     pool: Pool,
@@ -113,6 +114,7 @@
             engines: RefCell::default(),
             running: RefCell::default(),
             kills: Cell::new(0),
+            processes: Cell::new(1),
             access,
             sockets,
             pool,
@@ -169,6 +171,10 @@
         }
     }
 
+    fn share(&self, processes: usize) {
+        self.0.processes.set(processes.max(1));
+    }
+
     fn change(&self, change: &Change) {
         let mut engines = self.0.engines.borrow_mut();
         let mut lost: HashMap<String, Millis> = HashMap::new();
@@ -295,7 +301,7 @@
         if let Some(i) = known.or_else(|| slot.idle.iter().rposition(fits)) {
             return Ok(Some(slot.idle.swap_remove(i)));
         }
-        if slot.open >= self.access.connections {
+        if slot.open >= (self.access.connections / self.processes.get()).max(1) {
             // One that does not fit makes room for one that does.
             if slot.idle.pop().is_none() {
                 return Err(Outcome::Full);
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -1,8 +1,12 @@
 //! Places for clients' connections: how many there may be, and whose gives way when all are taken.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Instant;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// What a connection holds its place for, least first: that is the order in which they give way.
@@ -41,6 +45,29 @@
 
     pub fn bound(&self, most: usize) {
         self.most.set(most);
+        self.freed.notify_one();
+    }
+
+    /// A new connection would get a place, if need be that of one that gives way.
+    pub fn room(&self) -> bool {
+        let yields = |p: &Rc<Place>| p.state.get().0 <= self.yields;
+        let taken = self.taken.borrow();
+        taken.len() < self.most.get() || taken.iter().any(yields)
+    }
+
+    /// Accepts a connection once there is a place for it. It stays in the machine's queue until then, where
+    /// another process that holds the same listening socket may take it, and nothing is dropped unheard.
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) -> io::Result<(TcpStream, Taken)> {
+        loop {
+            let accepted = poll_fn(|cx| if self.room() { listener.poll_accept(cx) } else { Poll::Pending });
+            let (tcp, _) = tokio::select! {
+                accepted = accepted => accepted?,
+                () = self.freed.notified() => continue,
+            };
+            if let Some(place) = self.take(Instant::now()) {
+                return Ok((tcp, place));
+            }
+        }
     }
 
     /// A place for a new connection. At the bound the oldest without a request gives way, else the one idle for longest:
@@ -71,10 +98,6 @@
             None => false,
         }
     }
-
-    pub async fn freed(&self) {
-        self.freed.notified().await;
-    }
 }
 
 impl Place {
@@ -140,4 +163,29 @@
         let _seventh = places.take(at(12)).unwrap();
         assert!(cut(&sixth) && !cut(&young), "older, and no more than asked");
     }
+
+    /// Guards against a connection that is taken off the queue, has no place, and is lost when accepting ends.
+    #[test]
+    fn without_a_place_a_connection_stays_in_the_queue_for_others() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let here = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            here.set_nonblocking(true).unwrap();
+            let other = TcpListener::from_std(here.try_clone().unwrap()).unwrap();
+            let here = TcpListener::from_std(here).unwrap();
+            let places = Places::new(1, Use::Idle);
+            let at = here.local_addr().unwrap();
+            let _a = TcpStream::connect(at).await.unwrap();
+            let (_, busy) = places.accept(&here).await.unwrap();
+            busy.uses(Use::Busy, Instant::now());
+            let _b = TcpStream::connect(at).await.unwrap();
+            tokio::select! {
+                _ = places.accept(&here) => panic!("there is no place"),
+                taken = other.accept() => assert!(taken.is_ok()),
+            }
+            let _c = TcpStream::connect(at).await.unwrap();
+            let (free, accepted) = (async { drop(busy) }, places.accept(&here));
+            assert!(tokio::join!(free, accepted).1.is_ok(), "once a place is free");
+        });
+    }
 }
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -224,6 +224,8 @@
     report_fields: Vec<String>,
     pool: Pool,
     next: Cell<u64>,
+    /// Connections to one engine.
+    most: Cell<usize>,
 }
 
 pub struct RespLeg(Rc<Shared>);
@@ -237,6 +239,7 @@
             report_fields,
             pool,
             next: Cell::new(0),
+            most: Cell::new(CONNECTIONS),
         }))
     }
 
@@ -269,7 +272,7 @@
         if let Some(c) = fitting.clone().find(free) {
             return Some(c.clone());
         }
-        if slot.connections.len() >= CONNECTIONS {
+        if slot.connections.len() >= self.0.most.get() {
             return fitting.next().cloned();
         }
         let (orders, inbox) = mpsc::channel(QUEUE);
@@ -335,6 +338,10 @@
         }
     }
 
+    fn share(&self, processes: usize) {
+        self.0.most.set((CONNECTIONS / processes).max(2));
+    }
+
     /// An address may pass to another engine, or a process start again under its id: connections from before
     /// lead to nobody.
     fn change(&self, change: &Change) {
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -2,6 +2,8 @@
 //! the engines that operators took out by hand, a file for each, so that no process overwrites another's.
 
 use std::collections::BTreeSet;
+use std::ffi::OsString;
+use std::fs::{File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -10,13 +12,46 @@
 const NAME: usize = 255;
 
 /// Without a folder nothing outlives the process.
-pub struct Shared(Option<PathBuf>);
+pub struct Shared(Option<Folder>);
+
+struct Folder {
+    path: PathBuf,
+    /// Locked for as long as this process lives: so others know that it does.
+    _here: File,
+    name: OsString,
+}
 
 impl Shared {
     pub fn open(folder: Option<&Path>) -> io::Result<Self> {
-        let folder = folder.map(|f| f.join("hitchwinch"));
-        folder.iter().try_for_each(std::fs::create_dir_all)?;
-        Ok(Shared(folder))
+        let Some(path) = folder.map(|f| f.join("hitchwinch")) else { return Ok(Shared(None)) };
+        std::fs::create_dir_all(&path)?;
+        // Locked before it has the name that others look for: one without a lock is of a process that ended.
+        let (id, draft) = (std::process::id(), path.join(format!("new-{}", std::process::id())));
+        let here = File::create(&draft)?;
+        here.try_lock()?;
+        let name = OsString::from(format!("here-{id}"));
+        std::fs::rename(draft, path.join(&name))?;
+        Ok(Shared(Some(Folder { path, _here: here, name })))
+    }
+
+    /// Processes of this dispatcher that live, this one included.
+    pub fn processes(&self) -> io::Result<u32> {
+        let Some(folder) = &self.0 else { return Ok(1) };
+        let mut living = 1;
+        for entry in std::fs::read_dir(&folder.path)? {
+            let name = entry?.file_name();
+            if name == folder.name || !name.to_string_lossy().starts_with("here-") {
+                continue;
+            }
+            let path = folder.path.join(name);
+            match File::open(&path).map(|f| f.try_lock_shared()) {
+                Ok(Err(TryLockError::WouldBlock)) => living += 1,
+                // It has ended, and is not to be looked at again.
+                Ok(_) => drop(std::fs::remove_file(path)),
+                Err(_) => {}
+            }
+        }
+        Ok(living)
     }
 
     /// Kept before the operator gets a yes; to keep it twice changes nothing.
@@ -38,7 +73,7 @@
 
     /// All that are out; none if nothing is shared.
     pub fn held_out(&self) -> io::Result<Option<BTreeSet<String>>> {
-        let Some(folder) = &self.0 else { return Ok(None) };
+        let Some(Folder { path: folder, .. }) = &self.0 else { return Ok(None) };
         let mut out = BTreeSet::new();
         for entry in std::fs::read_dir(folder)? {
             let name = entry?.file_name();
@@ -48,7 +83,7 @@
     }
 
     fn path(&self, engine: &str) -> io::Result<Option<PathBuf>> {
-        let Some(folder) = &self.0 else { return Ok(None) };
+        let Some(Folder { path: folder, .. }) = &self.0 else { return Ok(None) };
         let name = format!("out-{}", encoded(engine));
         match name.len() {
             0..=NAME => Ok(Some(folder.join(name))),
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -2,7 +2,8 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::time::Duration;
@@ -15,6 +16,8 @@
 struct Program {
     child: Child,
     address: String,
+    /// Where operators call.
+    admin: String,
     config: PathBuf,
     log: mpsc::Receiver<String>,
 }
@@ -22,6 +25,7 @@
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
+        let _ = self.child.wait();
         std::fs::remove_file(&self.config).unwrap();
     }
 }
@@ -30,8 +34,22 @@
     fn run(test: &str, config: &str, args: &[&str]) -> Self {
         let path = std::env::temp_dir().join(format!("hitchwinch-{}-{test}.conf", std::process::id()));
         std::fs::write(&path, config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_hitchwinch"));
-        command.env("PROXY_CONFIG", &path).args(args).stderr(Stdio::piped());
+        Self::start(Command::new(env!("CARGO_BIN_EXE_hitchwinch")), path, args)
+    }
+
+    /// One of several processes that share a folder and inherit the clients' socket as descriptor 7.
+    fn beside(test: &str, config: &str, args: &[&str], folder: &Path, socket: &TcpListener) -> Self {
+        let path = folder.join(format!("{test}.conf"));
+        std::fs::write(&path, config.replace("FOLDER", folder.to_str().unwrap())).unwrap();
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" \"$@\" 7<&0", env!("CARGO_BIN_EXE_hitchwinch")]);
+        command.stdin(OwnedFd::from(socket.try_clone().unwrap())).env("TMPDIR", folder);
+        command.env("PROXY_INHERITED_FD", "7").env("PROXY_ADMIN_ADDR", "127.0.0.1:0");
+        Self::start(command, path, args)
+    }
+
+    fn start(mut command: Command, path: PathBuf, args: &[&str]) -> Self {
+        command.args(args).env("PROXY_CONFIG", &path).stderr(Stdio::piped());
         if !args.is_empty() {
             command.arg(&path);
         }
@@ -39,11 +57,33 @@
         let (say, log) = mpsc::channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.for_each(|l| drop(say.send(l.unwrap()))));
-        let mut program = Program { child, address: String::new(), config: path, log };
-        program.address = program.says("listens on ").split_once("listens on ").unwrap().1.to_string();
+        let (address, admin) = (String::new(), String::new());
+        let mut program = Program { child, address, admin, config: path, log };
+        while program.address.is_empty() {
+            let line = program.says(" ");
+            if let Some((_, at)) = line.split_once("operators call at ") {
+                program.admin = at.into();
+            } else if let Some((_, at)) = line.split_once("listens on ") {
+                program.address = at.into();
+            }
+        }
         program
     }
 
+    /// What an operator's call comes to.
+    fn call(&self, method: &str, path: &str) -> String {
+        let mut tcp = connect(&self.admin);
+        tcp.write_all(format!("{method} {path} HTTP/1.1\r\n\r\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        tcp.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    /// Engines that get nothing now, as this process tells.
+    fn disabled(&self) -> String {
+        self.call("GET", "/_vars").lines().last().unwrap().split_once('=').unwrap().1.to_string()
+    }
+
     /// The next line of its log that holds this.
     fn says(&self, what: &str) -> String {
         loop {
@@ -143,6 +183,52 @@
     program.ends_well();
 }
 
+/// A new process beside the old: both follow an operator's call to either, no client is refused, what the old
+/// one has is answered, and it takes no more.
+fn takes_over(test: &str, config: &str, args: &[&str], engine: &str, greets: impl Fn(&str) -> bool) {
+    let folder = std::env::temp_dir().join(format!("hitchwinch-{}-{test}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = socket.local_addr().unwrap().to_string();
+    let beside = |name| Program::beside(name, config, args, &folder, &socket);
+    let old = beside("old");
+    assert!(old.call("GET", "/_ready").starts_with("HTTP/1.1 200") && greets(&at));
+    let new = beside("new");
+    old.says("2 processes");
+    for (one, other, what, then) in [(&old, &new, "detach", "1"), (&new, &old, "attach", "0")] {
+        assert!(one.call("POST", &format!("/_engines/{what}/{engine}")).starts_with("HTTP/1.1 200"));
+        std::thread::sleep(Duration::from_millis(900));
+        assert_eq!((one.disabled().as_str(), other.disabled().as_str()), (then, then), "{what}");
+    }
+    old.call("POST", &format!("/_engines/detach/{engine}"));
+    old.signal("-TERM");
+    old.says("SIGTERM");
+    assert!((0..20).all(|_| greets(&at)), "by the new one");
+    old.ends_well();
+    new.says("1 processes");
+    assert_eq!(new.disabled(), "1", "still out");
+    new.ends_well();
+    assert_eq!(beside("third").disabled(), "1", "with no process in between");
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn a_new_process_takes_over_from_the_old() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    takes_over("over", &config(Some(&engine), "127.0.0.1:1"), &[], "e", |at| ready(&mut connect(at)));
+}
+
+#[test]
+fn a_new_process_takes_over_from_the_old_on_mysql_too() {
+    let file = include_str!("../deploy/mysql.toml");
+    let listen = file.lines().find(|l| l.starts_with("listen")).unwrap();
+    let file = file.replace(listen, "listen = \"127.0.0.1:0\"\nstate_dir = \"FOLDER\"");
+    takes_over("mysql-over", &file, &["--mysql"], "engine-1", |at| {
+        let mut head = [0; 5];
+        connect(at).read_exact(&mut head).is_ok() && head[4] == 10
+    });
+}
+
 #[test]
 fn without_a_list_it_is_not_ready() {
     let program = start("no-list", None);
