Close dead engine connections after missing notes, send lost attempts anew

At fault: overdue() in controller.rs counts silence by engine; start() in resp.rs called a dead connection fresh as soon as its last attempt was given up, so that it was used again and again (silent for 1.3, 1.7, 1.4 s).

Now a connection that owes answers is closed after three missing notes, unless a load is on it; an attempt is sent anew after six, if its engine has spoken on since without a pause and some zone is calm. On MySQL no notes come and a connection carries one command, so that there is nothing to close early.

--- a/src/config.rs
+++ b/src/config.rs
@@ -28,6 +28,8 @@
     pub idle: Millis,
     /// Attempts carried together on one connection.
     pub streams: usize,
+    /// Every attempt on its way brings a note this often; 0: none tells.
+    pub notes: Millis,
     pub most_open: usize,
     /// The longest time that a client of any class waits.
     pub longest: Millis,
@@ -539,6 +541,7 @@
                 most_grant: 0.4,
                 tells_cost: false,
                 overcommits: false,
+                notes_every: 0.0,
             },
             rules: Rules {
                 answer_grace: 20.0,
@@ -566,6 +569,7 @@
                 connect_timeout,
                 idle: 30_000.0,
                 streams: 1,
+                notes: 0.0,
                 most_open: 1024,
                 longest: deadlines.iter().copied().fold(0.0, f64::max),
             },
@@ -642,6 +646,7 @@
     holds_tables: Vec<bool>,
     most_grant: Option<f64>,
     on_shortage: Option<String>,
+    progress: Option<f64>,
     #[serde(default)]
     ram_of_kind_mb: Vec<f64>,
     takes_grants: Option<bool>,
@@ -725,6 +730,7 @@
             connect_timeout: c.connect_timeout.unwrap_or(250.0),
             idle: c.conn_idle.unwrap_or(30_000.0),
             streams: c.streams_per_conn.unwrap_or(100).clamp(1, 1024),
+            notes: self.extra.as_ref().and_then(|x| x.progress).unwrap_or(0.0),
             most_open: c.max_open.unwrap_or(20_000),
             longest,
         }
@@ -810,6 +816,7 @@
                 most_grant: x.most_grant.unwrap_or(0.0),
                 tells_cost,
                 overcommits: x.on_shortage.as_deref() == Some("overcommit"),
+                notes_every: x.progress.unwrap_or(0.0),
             },
             rules: Rules {
                 answer_grace: r.grace_to_answer,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -32,6 +32,7 @@
 const FAIL_LIMIT: f64 = 0.3; // Failure share above which an engine is doubtful.
 const OVERDUE: f64 = 5.0; // An attempt is overdue at this multiple of its expected latency.
 const SILENCE_MIN: Millis = 2000.0; // No silence counts before this, ms: a pause is no death.
+const LOST: f64 = 6.0; // Notes that fail to come before an attempt counts as lost.
 const HOLD_TOLD: Millis = 1000.0; // A note of a load that holds a group keeps others off for this long, ms.
 const BAD_PLAN: f64 = 4.0; // A plan is bad when its progress is this many times slower than its peers'.
 const COLD_SAFETY: f64 = 0.6; // Part of the cold budget used: speeds and estimates are not known exactly.
@@ -674,6 +675,13 @@
         }
     }
 
+    /// Notes of it have ceased though its engine speaks on: its answer got lost on the way, or never will be
+    /// one. Harm: where notes of one get lost alone, it is sent anew in vain.
+    fn lost(&self, e: &Engine, r: &Running) -> bool {
+        let every = self.s.engines.notes_every;
+        every > 0.0 && self.least_crowd() <= HOME_FULL && e.heard > r.heard.max(e.speaks) + LOST * every
+    }
+
     /// It owes this answer for long and is silent since, while others speak.
     fn overdue(&self, e: &Engine, r: &Running) -> bool {
         let since = r.sent.max(e.heard);
@@ -724,7 +732,8 @@
         let stood = x.out.iter().any(|r| (r.id, r.attempt) == (e.id, e.attempt) && r.stood);
         x.out.retain(|r| (r.id, r.attempt) != (e.id, e.attempt));
         if !matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
-            (x.heard, self.heard) = (now, now);
+            x.hear(now, LOST * self.s.engines.notes_every);
+            self.heard = now;
         }
         let stretch = (now - sent) * threads / self.usual_work(class);
         if e.outcome == Outcome::Served {
@@ -807,8 +816,10 @@
         let (engine, class) = (a.engine, h.q.class);
         let threads = self.s.classes[class].threads;
         let x = &mut self.engines[engine];
-        (x.heard, self.heard) = (self.now, self.now);
+        x.hear(self.now, LOST * self.s.engines.notes_every);
+        self.heard = self.now;
         let Some(r) = x.out.iter_mut().find(|r| (r.id, r.attempt) == (id, attempt)) else { return };
+        r.heard = self.now;
         if note == Note::WaitsForMemory {
             // It stands in the engine's line and nothing has run: a full refusal in other words, and a move
             // is free. Harm: an attempt and its place in line, in vain where every engine has a line.
@@ -893,7 +904,8 @@
             self.lines.retain(|_, l| !l.ids.is_empty() || l.rest_until > self.now);
             self.period_end = self.now + PERIOD;
         }
-        let silent = self.engines.iter().flat_map(|x| x.out.iter().filter(|r| self.overdue(x, r)));
+        let silent =
+            self.engines.iter().flat_map(|x| x.out.iter().filter(|r| self.overdue(x, r) || self.lost(x, r)));
         let silent: Vec<_> = silent.map(|r| (r.id, r.attempt)).collect();
         for (id, attempt) in silent {
             self.rescue(id, attempt, out);
@@ -1113,6 +1125,7 @@
             work,
             sent: now,
             done: 0.0,
+            heard: now,
             granted,
             stood: false,
         };
--- a/src/controller_tests.rs
+++ b/src/controller_tests.rs
@@ -38,6 +38,7 @@
             most_grant: 0.0,
             tells_cost: false,
             overcommits: false,
+            notes_every: 0.0,
         },
         rules: Rules {
             answer_grace: 20.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,6 +108,8 @@
     pub tells_cost: bool,
     /// When memory runs out, queries are let in and all slow down.
     pub overcommits: bool,
+    /// Every attempt that runs or stands brings a note this often; 0: none tells.
+    pub notes_every: Millis,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -172,6 +174,7 @@
             ("cross_zone_price".into(), self.cross_zone_price),
             ("limits.max_retry_after".into(), self.limits.max_retry_after),
             ("engines.most_grant".into(), self.engines.most_grant),
+            ("engines.notes_every".into(), self.engines.notes_every),
             ("rules.answer_grace".into(), r.answer_grace),
             ("rules.drain_grace".into(), r.drain_grace),
             ("rules.cold_from".into(), r.cold_from),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 //!         most_attempts: 3, second_copies: false, cancel: true, probes: false,
 //!         retry_advice: true, max_retry_after: 500.0,
 //!     },
-//!     engines: EngineFacts { takes_grants: false, takes_priority: false, most_grant: 0.4, tells_cost: false, overcommits: false },
+//!     engines: EngineFacts { takes_grants: false, takes_priority: false, most_grant: 0.4, tells_cost: false, overcommits: false, notes_every: 0.0 },
 //!     rules: Rules {
 //!         answer_grace: 20.0, drain_grace: 250.0, cold_from: 0.3, warm_within: 14000.0,
 //!         fall_multiple: 3.0, fall_window: 1500.0, order_rest: 0.0, attempt_budget: None,
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -32,6 +32,10 @@
 const PAGE: usize = 6000;
 /// An answer that has begun, or a result, comes on within this, or its connection is of no further use.
 const STALL: Millis = 600.0;
+/// How often a connection looks at these times.
+const CHECK: Millis = 150.0;
+/// Notes that fail to come before a connection that owes answers counts as dead.
+const NOTES: f64 = 3.0;
 /// A connection that owes an answer and says nothing for this long gets nothing new.
 const SILENT: Millis = 1000.0;
 /// An engine that takes no bytes for this long is cut off.
@@ -391,6 +395,15 @@
 }
 
 impl Connection {
+    /// It owes answers and says nothing, for as long as several notes would take. Used on, a connection that
+    /// leads to nobody took each new request for another second. One with a load is left: its answer would be
+    /// worth a wait, and closing it would end what may not be repeated.
+    fn dead(&self, now: Millis, notes: Millis) -> bool {
+        let pending = self.pending.borrow();
+        let owes = pending.values().any(|p| !matches!(p.stage, Stage::Waiting(..)));
+        owes && notes > 0.0 && now > self.heard.get() + NOTES * notes && !pending.values().any(|p| p.alone)
+    }
+
     /// A result that began does not go on.
     fn stalled(&self, now: Millis) -> bool {
         let stands = |p: &Pending| matches!(p.stage, Stage::Paging { at, .. } if now > at + STALL);
@@ -444,7 +457,7 @@
     ) -> Result<(), RespError> {
         // Closed by us well before the engine does: a request must not cross its close.
         let idle = span(self.sockets.idle * 0.8);
-        let mut check = tokio::time::interval(span(STALL / 2.0));
+        let mut check = tokio::time::interval(span(CHECK));
         let mut partial = 0;
         loop {
             let mut gets = 0;
@@ -479,7 +492,8 @@
                 }
                 _ = check.tick(), if !c.pending.borrow().is_empty() => {
                     partial = if framed.read_buffer().is_empty() { 0 } else { partial + 1 };
-                    if partial > 2 || c.stalled(unix_ms()) {
+                    let now = unix_ms();
+                    if partial > 5 || c.stalled(now) || c.dead(now, self.sockets.notes) {
                         return Err(RespError::Stalled);
                     }
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     pub work: f64,
     pub sent: Millis,
     pub done: f64,
+    /// When a note of it last came; at first, when it was sent.
+    pub heard: Millis,
     /// Memory asked for it, MB; 0 is the engine's choice.
     pub granted: f64,
     /// It stood still behind a load.
@@ -92,6 +94,8 @@
     pub reported: Millis,
     pub fails: Mean,
     pub heard: Millis,
+    /// Since when it speaks without a pause.
+    pub speaks: Millis,
     /// This period's draw, 0 to 1, for a budget below one query.
     pub draw: f64,
     /// Work sent while cold, by time.
@@ -104,6 +108,13 @@
     pub fn threads(&self) -> f64 {
         self.out.iter().map(|r| r.threads).sum()
     }
+    /// It speaks; after a silence longer than `pause` it does so anew.
+    pub fn hear(&mut self, now: Millis, pause: Millis) {
+        if now > self.heard + pause {
+            self.speaks = now;
+        }
+        self.heard = now;
+    }
     pub fn work(&self) -> f64 {
         self.out.iter().map(|r| r.work * (1.0 - r.done)).sum()
     }
@@ -192,6 +203,7 @@
             reported: f64::MIN,
             fails: Mean::default(),
             heard: f64::MIN,
+            speaks: f64::MIN,
             draw: 0.0,
             cold_sent: VecDeque::new(),
             held: BTreeMap::new(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -42,6 +42,7 @@
             most_grant: 0.4,
             tells_cost: true,
             overcommits: false,
+            notes_every: 0.0,
         },
         rules: Rules {
             answer_grace: 20.0,
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -117,6 +117,28 @@
     }
 }
 
+/// Its engine answers others, so that the engine is not silent: only the one whose notes cease is sent anew.
+#[test]
+fn an_attempt_whose_notes_cease_is_sent_anew_while_its_engine_speaks_on() {
+    for ceases in [true, false] {
+        let mut s = settings(vec![class(1.0, 8000.0)]);
+        s.engines.notes_every = 100.0;
+        let mut g = Gateway::new(s, fleet(1));
+        let late = Query { time_left: 8000.0, ..query(1, 0) };
+        assert_eq!(sends(&g.take(late)).len(), 1);
+        let mut all = vec![];
+        for id in 2..20 {
+            g.take(query(id, 0));
+            all.extend(g.pass(100.0));
+            if !ceases {
+                g.does(Event::Progress { id: 1, attempt: 0, note: Note::Done(0.1) });
+            }
+            g.end(id, 0, Outcome::Served);
+        }
+        assert_eq!(all.contains(&Action::Cancel { id: 1, attempt: 0 }), ceases);
+    }
+}
+
 #[test]
 fn the_budget_binds_only_on_an_engine_that_reports_a_crowd() {
     let mut g = Gateway::new(settings(vec![class(1.0, 3000.0)]), fleet(1));
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -189,11 +189,18 @@
     }
 }
 
-/// A client before the front, with both engines behind it.
-async fn set_up()
--> (std::rc::Rc<Hub<RespLeg>>, FramesClient, Vec<std::net::SocketAddr>, mpsc::UnboundedReceiver<Seen>) {
+type SetUp =
+    (std::rc::Rc<Hub<RespLeg>>, FramesClient, Vec<std::net::SocketAddr>, mpsc::UnboundedReceiver<Seen>);
+
+async fn set_up() -> SetUp {
+    set_up_with_notes(0.0).await
+}
+
+/// A client before the front, with both engines behind it that are to tell notes this often.
+async fn set_up_with_notes(notes: f64) -> SetUp {
     let (addresses, seen) = engines(engine).await;
-    let (core, names, sockets) = core();
+    let (core, names, mut sockets) = core();
+    sockets.notes = notes;
     let pool = Pool::default();
     let hub = Hub::new(core, names, RespLeg::new(sockets, vec![], pool.clone()));
     hub.change(&change(&addresses, None));
@@ -215,6 +222,17 @@
     }
 }
 
+/// It stays open and leads to nobody. A load on it is waited for: to give it up would gain nothing.
+#[test]
+fn a_connection_without_notes_is_dead_unless_a_load_is_on_it() {
+    let script = "send a lookup\n engine lookup\n engine lookup\n reply rows\n expect a served
+        send b load\n engine load\n wait 500\n reply rows\n expect b served\n ran 3";
+    on_one_thread(async {
+        let (hub, mut client, addresses, mut seen) = set_up_with_notes(50.0).await;
+        play(&hub, &mut client, &addresses, &mut seen, script).await;
+    });
+}
+
 /// What is turned away at the door counts as well; what its client has left does not.
 #[test]
 fn every_end_and_every_attempt_is_counted_once() {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -77,8 +77,14 @@
         tells_cost: false,
         report_fields: vec![],
     };
-    let sockets =
-        Sockets { connect_timeout: 250.0, idle: 30_000.0, streams: 100, most_open: 100, longest: 5000.0 };
+    let sockets = Sockets {
+        connect_timeout: 250.0,
+        idle: 30_000.0,
+        streams: 100,
+        notes: 0.0,
+        most_open: 100,
+        longest: 5000.0,
+    };
     let bounds = Bounds { open: 100, margin: 20.0, page_wait: 600.0 };
     (Core::new(settings(), 1, bounds).unwrap(), names, sockets)
 }
