Let loads wait for their half of the engines, charge cold engines by estimates

Traced by attempt: of late look-ups 64 of 78, 83 of 84, 84 of 84, 93 of 94 in 5 s stood behind a load, and 350 to 530 attempts in 5 s were called off for that; only a handful for memory alone. At fault: place() in controller.rs sends a load past its half of the engines as soon as none there is free, though loads have seconds to spare and a reader has none; cold_work(), which charged a cold engine what answers took, in a jam several times their work, so that an engine put back bore a third of what it could for 17 s. Ruled out: the operators' calls (none late, none unused), CPU (0.08 s a second).

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -33,6 +33,7 @@
 const OVERDUE: f64 = 5.0; // An attempt is overdue at this multiple of its expected latency.
 const SILENCE_MIN: Millis = 2000.0; // No silence counts before this, ms: a pause is no death.
 const LOST: f64 = 6.0; // Notes that fail to come before an attempt counts as lost.
+const PATIENCE: f64 = 0.7; // Part of its spare time that a load waits for an engine of its half.
 const HOLD_TOLD: Millis = 1000.0; // A note of a load that holds a group keeps others off for this long, ms.
 const BAD_PLAN: f64 = 4.0; // A plan is bad when its progress is this many times slower than its peers'.
 const COLD_SAFETY: f64 = 0.6; // Part of the cold budget used: speeds and estimates are not known exactly.
@@ -294,10 +295,11 @@
         self.classes[class].work.after(BELIEVE, guess).max(1.0)
     }
 
-    /// The class's work for a cold engine: never below what its answers took.
-    fn cold_work(&self, class: ClassId) -> f64 {
-        let took = self.classes[class].latency.or(0.0) * self.s.classes[class].threads;
-        if self.s.engines.tells_cost { self.usual_work(class) } else { self.usual_work(class).max(took) }
+    /// Its work for a cold engine: its class's usual or more, or what answers took if nothing else tells.
+    fn cold_work(&self, q: &Query) -> f64 {
+        let took = self.classes[q.class].latency.or(0.0) * self.s.classes[q.class].threads;
+        let told = self.s.engines.tells_cost || q.work.is_some();
+        self.usual_work(q.class).max(self.work(q)).max(if told { 0.0 } else { took })
     }
 
     /// Attempt latency expected of this much work now: stretched as the fleet's answers of late were.
@@ -495,8 +497,17 @@
                 let held = |r: &Running| r.tables == Some(t) && self.s.classes[r.class].holds_tables;
                 let told = |x: &Engine| x.held.get(&t).is_some_and(|at| self.now < at + HOLD_TOLD);
                 let free = |x: &Engine| !x.out.iter().any(held) && !told(x);
+                let half = |e: usize| (hash(&self.engines[e]) < middle) == c.holds_tables;
+                // A load waits for one there in part of its spare time, so that no reader stands behind it.
+                let (k, work) = (h.q.class, self.work(&h.q));
+                let spare = self.aim(k, work).min(h.deadline - h.arrived) - self.expected(k, work);
+                let own = |&e: &usize| half(e) && free(&self.engines[e]);
+                let waits = c.holds_tables && self.stalls() && self.now < h.arrived + PATIENCE * spare;
+                if waits && !found.iter().any(own) {
+                    return None;
+                }
                 self.prefer(&mut found, |e| free(&self.engines[e]));
-                self.prefer(&mut found, |e| (hash(&self.engines[e]) < middle) == c.holds_tables);
+                self.prefer(&mut found, half);
             }
             // No more of our queries than the median: a pair drawn blind would often be two of our busiest.
             let mut counts: Vec<usize> = found.iter().map(|&e| self.engines[e].out.len()).collect();
@@ -675,8 +686,7 @@
         }
     }
 
-    /// Notes of it have ceased though its engine speaks on: its answer got lost on the way, or never will be
-    /// one. Harm: where notes of one get lost alone, it is sent anew in vain.
+    /// Its notes have ceased though its engine speaks on. Harm: where only notes get lost, a repeat in vain.
     fn lost(&self, e: &Engine, r: &Running) -> bool {
         let every = self.s.engines.notes_every;
         every > 0.0 && self.least_crowd() <= HOME_FULL && e.heard > r.heard.max(e.speaks) + LOST * every
@@ -685,7 +695,6 @@
     /// It owes this answer for long and is silent since, while others speak.
     fn overdue(&self, e: &Engine, r: &Running) -> bool {
         let since = r.sent.max(e.heard);
-        // What the process before a restart had says nothing of this one.
         e.started.is_none_or(|t| r.sent >= t)
             && self.heard > since
             && self.now - since > (OVERDUE * self.expected(r.class, r.work)).max(SILENCE_MIN)
@@ -732,16 +741,13 @@
         let stood = x.out.iter().any(|r| (r.id, r.attempt) == (e.id, e.attempt) && r.stood);
         x.out.retain(|r| (r.id, r.attempt) != (e.id, e.attempt));
         if !matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot) {
-            x.hear(now, LOST * self.s.engines.notes_every);
-            self.heard = now;
+            self.heard = x.hear(now, LOST * self.s.engines.notes_every);
         }
         let stretch = (now - sent) * threads / self.usual_work(class);
         if e.outcome == Outcome::Served {
             self.engines[engine].stretch.add(stretch.min(BAD_PLAN), KEEP_PERIOD);
         }
-        if !void {
-            self.report(engine, &e.report);
-        }
+        self.report(engine, if void { &[] } else { &e.report });
         // No answer, so no report, and none since it was sent: that it ran for so long is all that tells of a
         // jam, where no probe may ask. Harm: lost answers and bad plans count, as their part of all.
         let unanswered = matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) && !stood;
@@ -778,9 +784,7 @@
                 c.read_memory.add(est.ln(), m.ln(), KEEP_CLASS);
             }
         }
-        if !void {
-            self.judge(engine, e.outcome);
-        }
+        self.judge(engine, if void { Outcome::Moot } else { e.outcome });
         let aim = self.aim(class, e.work.unwrap_or(self.usual_work(class)));
         let in_time = e.outcome == Outcome::Served && now - sent <= aim;
         // Only a window in use grows: one that was never filled says nothing of what engines bear.
@@ -816,8 +820,7 @@
         let (engine, class) = (a.engine, h.q.class);
         let threads = self.s.classes[class].threads;
         let x = &mut self.engines[engine];
-        x.hear(self.now, LOST * self.s.engines.notes_every);
-        self.heard = self.now;
+        self.heard = x.hear(self.now, LOST * self.s.engines.notes_every);
         let Some(r) = x.out.iter_mut().find(|r| (r.id, r.attempt) == (id, attempt)) else { return };
         r.heard = self.now;
         if note == Note::WaitsForMemory {
@@ -1032,7 +1035,7 @@
             // 3: only to engines in service; the grace is not used.
             && x.state == EngineState::Ready
             // 4: a cold engine gets our part of its budget over any window.
-            && self.cold_room(x, self.cold_work(h.q.class).max(self.work(&h.q)))
+            && self.cold_room(x, self.cold_work(&h.q))
             // 5: the key's turn.
             && self.turn(h)
             // 6: placement.
@@ -1075,7 +1078,7 @@
     fn send(&mut self, id: QueryId, e: usize, out: &mut Vec<Action>) -> bool {
         let Some(h) = self.held.get(&id).filter(|h| self.may_send(h, e)) else { return false };
         let class = h.q.class;
-        let (work, cold_work) = (self.work(&h.q), self.cold_work(class));
+        let (work, cold_work) = (self.work(&h.q), self.cold_work(&h.q));
         let threads = self.s.classes[class].threads;
         let facts = &self.s.engines;
         let mut granted = 0.0;
@@ -1113,7 +1116,7 @@
         let x = &mut self.engines[e];
         if cold {
             x.cold_sent.retain(|(t, _)| *t > now - window);
-            x.cold_sent.push_back((now, cold_work.max(work)));
+            x.cold_sent.push_back((now, cold_work));
         }
         let tables = h.q.tables;
         let run = Running {
--- a/src/state.rs
+++ b/src/state.rs
@@ -108,12 +108,13 @@
     pub fn threads(&self) -> f64 {
         self.out.iter().map(|r| r.threads).sum()
     }
-    /// It speaks; after a silence longer than `pause` it does so anew.
-    pub fn hear(&mut self, now: Millis, pause: Millis) {
+    /// It speaks now; after a silence longer than `pause` it does so anew.
+    pub fn hear(&mut self, now: Millis, pause: Millis) -> Millis {
         if now > self.heard + pause {
             self.speaks = now;
         }
         self.heard = now;
+        now
     }
     pub fn work(&self) -> f64 {
         self.out.iter().map(|r| r.work * (1.0 - r.done)).sum()
