--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -10,9 +10,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-/// A comment comes each second; a stream that is silent for this long is cut off and opened anew, for its
-/// news counts as told after 7 s whether or not it came.
-const SILENCE: Duration = Duration::from_millis(2300);
+/// A comment comes each second; a stream that is silent for this long is cut off and opened anew: its news count
+/// as told whether or not they came, 2 s after a new process has said that it is ready.
+const SILENCE: Duration = Duration::from_millis(1500);
 const CONNECT: Duration = Duration::from_millis(1000);
 const AGAIN: Duration = Duration::from_millis(100);
 const AGAIN_MOST: Duration = Duration::from_millis(400);
