--- a/src/config.rs
+++ b/src/config.rs
@@ -407,6 +407,7 @@
             () if self.listen != new.listen => Some("listen"),
             () if self.admin != new.admin => Some("admin_addr"),
             () if self.state != new.state => Some("state_dir"),
+            () if self.inherited != new.inherited => Some("inherited_fd"),
             () if self.settings != new.settings || self.names != new.names => {
                 Some("class, tenant, kind or zone")
             }
@@ -888,6 +889,8 @@
             ("connections = 32", "connections = 0", "engines.connections"),
             ("connections = 32", "conections = 32", "conections"),
             ("address = \"127.0.0.1:4002\"", "address = \"there\"", "engine[1].address"),
+            ("# admin_addr = \"127.0.0.1:3307\"", "admin_addr = \"there\"", "admin_addr"),
+            ("# inherited_fd = 7", "inherited_fd = \"x\"", "inherited_fd"),
         ];
         for (good, faulty, key) in cases {
             assert!(MYSQL.contains(good), "{good}");
@@ -917,6 +920,20 @@
         }
     }
 
+    #[test]
+    fn the_operators_address_and_the_inherited_socket_are_read_with_the_variable_first() {
+        let file = PLATFORM.replacen('{', "{\"admin_addr\":\"127.0.0.1:7\",", 1);
+        let port = |v: &[(&str, &str)]| {
+            let var = |name: &str| v.iter().find(|v| v.0 == name).map(|v| v.1.to_string());
+            Platform::parse(&file, var).map(|p| (p.admin.map(|a| a.port()), p.inherited))
+        };
+        assert_eq!(port(&[]).unwrap(), (Some(7), None));
+        let both = [("PROXY_ADMIN_ADDR", "127.0.0.1:8"), ("PROXY_INHERITED_FD", "7")];
+        assert_eq!(port(&both).unwrap(), (Some(8), Some(7)));
+        let faulty = port(&[("PROXY_INHERITED_FD", "-1")]).unwrap_err().to_string();
+        assert!(faulty.contains("PROXY_INHERITED_FD"), "{faulty}");
+    }
+
     #[test]
     fn a_write_stays_a_write_whatever_it_claims() {
         let rules = Mysql::parse(MYSQL, |_| None).map(|m| m.front.rules).unwrap();
