--- /dev/null
+++ b/src/config/platform.rs
@@ -0,0 +1,98 @@
+//! What the platform tells one dispatcher: its variables and its JSON.
+
+use super::*;
+use std::path::PathBuf;
+
+#[derive(Deserialize)]
+struct RawPlatform {
+    name: Option<String>,
+    listen: String,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Machine,
+    journal: String,
+    known: Option<serde_json::Value>,
+    admin_addr: Option<String>,
+    settings: Profile,
+}
+
+/// Everything that the platform tells one dispatcher.
+pub struct Platform {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub limits: Machine,
+    pub journal: SocketAddr,
+    /// Where operators call; nowhere if it is not said.
+    pub admin: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, if the platform holds that.
+    pub inherited: Option<i32>,
+    /// A folder that all processes of this dispatcher see.
+    pub state: Option<PathBuf>,
+    /// The journal's events up to now, not yet read.
+    pub known: serde_json::Value,
+    pub settings: Settings,
+    pub names: Names,
+    pub sockets: Sockets,
+}
+
+impl Platform {
+    /// What a running program cannot take from `new`: learned state and open requests rest on it.
+    pub fn needs_restart(&self, new: &Platform) -> Option<&'static str> {
+        match () {
+            () if self.listen != new.listen => Some("listen"),
+            () if self.admin != new.admin => Some("admin_addr"),
+            () if self.settings != new.settings || self.names != new.names || self.sockets != new.sockets => {
+                Some("settings")
+            }
+            () => None,
+        }
+    }
+
+    /// Reads the file that `PROXY_CONFIG` names; `PROXY_LISTEN` and `PROXY_NAME` go before what it says.
+    pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = var("PROXY_CONFIG").ok_or_else(|| bad("PROXY_CONFIG", "is not set"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Source {
+            what: format!("PROXY_CONFIG ({path})"),
+            problem: e.to_string(),
+        })?;
+        Self::parse(&text, var)
+    }
+
+    pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let de = &mut serde_json::Deserializer::from_str(text);
+        let raw: RawPlatform =
+            serde_path_to_error::deserialize(de).map_err(|e| bad(&e.path().to_string(), e.inner()))?;
+        let seed = raw.seed.unwrap_or_default();
+        if raw.limits.sockets < 64 {
+            return Err(bad("limits.sockets", "at least 64 are needed"));
+        }
+        let sockets = raw.settings.sockets();
+        for (key, v) in [("connect_timeout", sockets.connect_timeout), ("conn_idle", sockets.idle)] {
+            if !(v.is_finite() && v > 0.0) {
+                return Err(bad(&format!("settings.ceilings.{key}"), "must be above 0"));
+            }
+        }
+        let (settings, names) = raw.settings.settings().map_err(|e| bad("settings", e))?;
+        settings.check().map_err(|e| bad(&format!("settings.{}", e.field), e.problem))?;
+        Ok(Platform {
+            name: var("PROXY_NAME").or(raw.name).unwrap_or_else(|| "hitchwinch".into()),
+            listen: match var("PROXY_LISTEN") {
+                Some(text) => address("PROXY_LISTEN", &text)?,
+                None => address("listen", &raw.listen)?,
+            },
+            seed: u64::from_str_radix(&seed, 16)
+                .or_else(|_| seed.parse())
+                .map_err(|_| bad("seed", format!("{seed:?} is no hexadecimal number")))?,
+            inherited: inherited(&var, None)?,
+            state: var("TMPDIR").filter(|v| !v.is_empty()).map(PathBuf::from),
+            limits: raw.limits,
+            admin: admin(&var, raw.admin_addr)?,
+            journal: address("journal", &raw.journal)?,
+            known: raw.known.unwrap_or(serde_json::Value::Null),
+            settings,
+            names,
+            sockets,
+        })
+    }
+}
--- /dev/null
+++ b/src/config/profile.rs
@@ -0,0 +1,250 @@
+//! The settings' own form, shared by the platform and the simulator.
+
+use super::*;
+
+/// The settings as the simulator's first message and the platform's `settings` hold them.
+#[derive(Deserialize)]
+pub struct Profile {
+    ceilings: Ceilings,
+    deductions: Option<Deductions>,
+    discovery: Option<String>,
+    extra: Option<Extra>,
+    feedback: Option<Feedback>,
+    fleet_size: u32,
+    grades: Vec<Grade>,
+    locality: Option<String>,
+    machine_types: Vec<String>,
+    over_share_worth: Option<f64>,
+    rules: RulesIn,
+    step: f64,
+    tenants: Option<Vec<TenantIn>>,
+    zones: Option<Vec<String>>,
+}
+
+#[derive(Deserialize)]
+struct Ceilings {
+    cancel: Option<bool>,
+    conn_idle: Option<f64>,
+    connect_timeout: Option<f64>,
+    max_open: Option<usize>,
+    max_retry_after: Option<f64>,
+    most_tries: Option<u32>,
+    probes: Option<bool>,
+    retry_after: Option<bool>,
+    second_copies: Option<bool>,
+    streams_per_conn: Option<usize>,
+}
+
+#[derive(Deserialize)]
+struct Deductions {
+    cross_zone: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+struct Extra {
+    #[serde(default)]
+    class_waits: Vec<bool>,
+    #[serde(default)]
+    cores_by_kind: Vec<f64>,
+    cost_in_answers: Option<bool>,
+    #[serde(default)]
+    holds_tables: Vec<bool>,
+    most_grant: Option<f64>,
+    on_shortage: Option<String>,
+    progress: Option<f64>,
+    #[serde(default)]
+    ram_of_kind_mb: Vec<f64>,
+    takes_grants: Option<bool>,
+    takes_priority: Option<bool>,
+    #[serde(default)]
+    width_by_class: Vec<f64>,
+}
+
+#[derive(Deserialize)]
+struct Feedback {
+    fields: Option<Vec<String>>,
+}
+
+#[derive(Deserialize)]
+struct Grade {
+    name: String,
+    aim: f64,
+    aim_stretch: Option<f64>,
+    dedup_window: Option<f64>,
+    effect: String,
+    hard_limit: Option<f64>,
+    group: Option<String>,
+    late_share: Option<f64>,
+    one_at_a_time: Option<bool>,
+    confined_to: Option<Vec<String>>,
+    machine_types_only: Option<Vec<String>>,
+    worth: f64,
+}
+
+#[derive(Deserialize)]
+struct RulesIn {
+    budget_span: Option<f64>,
+    cold_from: f64,
+    drain_grace: f64,
+    extra_per_request: Option<f64>,
+    fall_multiple: f64,
+    grace_to_answer: f64,
+    overload_for: f64,
+    spare_attempts: Option<f64>,
+    turn_gap: Option<f64>,
+    warm_within: f64,
+}
+
+#[derive(Deserialize)]
+struct TenantIn {
+    name: String,
+    quota_per_s: Option<f64>,
+}
+
+fn at<T: Copy>(list: &[T], i: usize, absent: T, len: usize, field: &str) -> Result<T, String> {
+    match list.len() {
+        0 => Ok(absent),
+        n if n == len => Ok(list[i]),
+        n => Err(format!("{field}: {n} entries where {len} belong")),
+    }
+}
+
+impl Profile {
+    /// What the sockets need to know of the settings.
+    pub fn sockets(&self) -> Sockets {
+        let c = &self.ceilings;
+        let longest = self.grades.iter().filter_map(|g| g.hard_limit).fold(0.0, f64::max);
+        Sockets {
+            connect_timeout: c.connect_timeout.unwrap_or(250.0),
+            idle: c.conn_idle.unwrap_or(30_000.0),
+            streams: c.streams_per_conn.unwrap_or(100).clamp(1, 1024),
+            notes: self.extra.as_ref().and_then(|x| x.progress).unwrap_or(0.0),
+            most_open: c.max_open.unwrap_or(20_000),
+            longest,
+        }
+    }
+
+    /// The module's settings, and the names behind its numbers.
+    pub fn settings(self) -> Result<(Settings, Names), String> {
+        let x = self.extra.unwrap_or_default();
+        let zones = self.zones.unwrap_or_default();
+        let kinds = self.machine_types;
+        let n = self.grades.len();
+        let mut classes = Vec::with_capacity(n);
+        for (i, g) in self.grades.iter().enumerate() {
+            let effect = match g.effect.as_str() {
+                "retryable" => Effect::Safe,
+                "fragile" => Effect::Unsafe,
+                "dedup" => Effect::Keyed {
+                    group: match g.group.as_deref() {
+                        Some("all") => Group::All,
+                        Some("zone") => Group::Zone,
+                        Some("cell") | None => Group::Cell,
+                        Some(other) => return Err(format!("grades[{i}].group: unknown word {other:?}")),
+                    },
+                    window: g.dedup_window.unwrap_or(0.0),
+                },
+                other => return Err(format!("grades[{i}].effect: unknown word {other:?}")),
+            };
+            // A name that is not listed can match no engine: it is left out, which is the stricter reading.
+            let numbers = |names: &Option<Vec<String>>, list: &[String]| {
+                names.as_ref().map(|v| v.iter().filter_map(|s| find(list, s)).collect())
+            };
+            classes.push(Class {
+                worth: g.worth,
+                aim: g.aim,
+                aim_stretch: g.aim_stretch.unwrap_or(0.0),
+                late_share: g.late_share.unwrap_or(0.0),
+                effect,
+                in_order: g.one_at_a_time.unwrap_or(false),
+                only_zones: numbers(&g.confined_to, &zones),
+                only_kinds: numbers(&g.machine_types_only, &kinds),
+                threads: at(&x.width_by_class, i, 1.0, n, "extra.width_by_class")?,
+                holds_tables: at(&x.holds_tables, i, false, n, "extra.holds_tables")?,
+                waits_for_loads: at(&x.class_waits, i, false, n, "extra.class_waits")?,
+            });
+        }
+        let m = kinds.len();
+        let kind_facts = (0..m)
+            .map(|i| {
+                Ok(Kind {
+                    cores: at(&x.cores_by_kind, i, 1.0, m, "extra.cores_by_kind")?,
+                    memory_mb: at(&x.ram_of_kind_mb, i, 0.0, m, "extra.ram_of_kind_mb")?,
+                })
+            })
+            .collect::<Result<_, String>>()?;
+        let tenants = self.tenants.unwrap_or_default();
+        let r = self.rules;
+        let budget = (r.budget_span, r.spare_attempts, r.extra_per_request);
+        let c = self.ceilings;
+        let fields = self.feedback.and_then(|f| f.fields).unwrap_or_default();
+        let tells_cost = x.cost_in_answers.unwrap_or(false);
+        let settings = Settings {
+            gateways: self.fleet_size,
+            zone: self.locality.and_then(|z| find(&zones, &z)),
+            step: self.step,
+            classes,
+            tenants: tenants
+                .iter()
+                .map(|t| Tenant { quota_per_s: t.quota_per_s.unwrap_or(f64::MAX) })
+                .collect(),
+            kinds: kind_facts,
+            over_share_worth: self.over_share_worth.unwrap_or(1.0),
+            limits: Limits {
+                most_attempts: c.most_tries.unwrap_or(1),
+                second_copies: c.second_copies.unwrap_or(false),
+                cancel: c.cancel.unwrap_or(false),
+                probes: c.probes.unwrap_or(false),
+                retry_advice: c.retry_after.unwrap_or(false),
+                max_retry_after: c.max_retry_after.unwrap_or(0.0),
+            },
+            engines: EngineFacts {
+                takes_grants: x.takes_grants.unwrap_or(false),
+                takes_priority: x.takes_priority.unwrap_or(false),
+                most_grant: x.most_grant.unwrap_or(0.0),
+                tells_cost,
+                overcommits: x.on_shortage.as_deref() == Some("overcommit"),
+                notes_every: x.progress.unwrap_or(0.0),
+            },
+            rules: Rules {
+                answer_grace: r.grace_to_answer,
+                drain_grace: r.drain_grace,
+                cold_from: r.cold_from,
+                warm_within: r.warm_within,
+                fall_multiple: r.fall_multiple,
+                fall_window: r.overload_for,
+                order_rest: r.turn_gap.unwrap_or(0.0),
+                attempt_budget: match budget {
+                    (None, None, None) => None,
+                    (span, free, share) => Some(AttemptBudget {
+                        span: span.unwrap_or(0.0),
+                        free: free.unwrap_or(0.0),
+                        share: share.unwrap_or(0.0),
+                    }),
+                },
+            },
+            report_fields: fields
+                .iter()
+                .map(|f| match f.as_str() {
+                    "rif" => ReportField::Inflight,
+                    "q" => ReportField::MemoryQueue,
+                    "busy" => ReportField::CpuBusy,
+                    "x0" => ReportField::MemoryGranted,
+                    "x1" => ReportField::DiskBusy,
+                    _ => ReportField::Other,
+                })
+                .collect(),
+            must_subscribe: self.discovery.as_deref() == Some("subscribe"),
+            cross_zone_price: self.deductions.and_then(|d| d.cross_zone).unwrap_or(0.0),
+        };
+        let names = Names {
+            classes: self.grades.into_iter().map(|g| g.name).collect(),
+            kinds,
+            zones,
+            tenants: tenants.into_iter().map(|t| t.name).collect(),
+            tells_cost,
+            report_fields: fields,
+        };
+        Ok((settings, names))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,8 +44,10 @@
 pub mod facade;
 mod interface;
 pub mod log;
+pub mod membership;
 pub mod net;
 mod state;
+pub mod store;
 
 pub use controller::Controller;
 pub use interface::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,20 +1,23 @@
 //! The real dispatcher: wiring and signals. Without arguments it serves the platform; with `--mysql FILE` it
 //! serves the MySQL protocol as that file says.
 
-use hitchwinch::config::{ConfigError, Mysql, Platform, Source};
+use hitchwinch::config::{ConfigError, EurekaSource, Mysql, Platform, Source};
 use hitchwinch::core::{Bounds, Core};
 use hitchwinch::net::admin::Admin;
-use hitchwinch::net::discovery::{Discovery, eureka::Eureka, fixed, journal::Journal};
+use hitchwinch::net::discovery::eureka::{self, lease::Lease, lease::Stand};
+use hitchwinch::net::discovery::{Discovery, fixed, journal::Journal};
 use hitchwinch::net::frames::{self, Front};
 use hitchwinch::net::hub::{Hub, Leg};
+use hitchwinch::net::members::Members;
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
 use hitchwinch::net::shared::Shared;
 use hitchwinch::net::unix_ms;
 use hitchwinch::net::{listener, mysql};
 use hitchwinch::say;
+use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -70,7 +73,7 @@
     let front = Front::new(hub.clone(), pool.clone(), &config.limits);
     let sharing = front.clone();
     let shared = share(&hub, config.state.as_deref(), move |living| sharing.share(living))?;
-    operators(&hub, &pool, &shared, config.admin).await?;
+    operators(&hub, &pool, &shared, config.admin, Rc::default()).await?;
 
     let sink = hub.clone();
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
@@ -97,7 +100,7 @@
 /// Serves MySQL clients until SIGTERM and the last answer.
 async fn serve_mysql(file: &str) -> Result<(), Error> {
     let (mut term, hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let config = Mysql::read(file)?;
+    let mut config = Mysql::read(file)?;
     let pool = Pool::default();
     let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
     let core = Core::new(config.settings.clone(), unix_ms() as u64, bounds)?;
@@ -108,14 +111,19 @@
     let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone());
     let sharing = front.clone();
     let shared = share(&hub, config.state.as_deref(), move |living| sharing.share(living))?;
-    operators(&hub, &pool, &shared, config.admin).await?;
-    let mut following = follow(&hub, &config.source);
+    let members = Rc::new(RefCell::new(None));
+    operators(&hub, &pool, &shared, config.admin, members.clone()).await?;
+    let stand = standing(&hub, &shared);
+    // The folder of this dispatcher's own, which `share` has made.
+    let state = config.state.as_ref().map(|s| s.join("hitchwinch"));
+    let following = Following { hub: hub.clone(), state, members, registry: None };
+    let following = Rc::new(RefCell::new(following));
+    following.borrow_mut().follow(&config.source, &stand);
     spawn_local(hub.clone().clock());
     let accepting = spawn_local(front.clone().accept(listener));
     say!("the MySQL front listens on {listen}");
     let (longest, handed_over) = (config.sockets.longest, config.inherited.is_some());
-    let (path, changed, reconfigured) = (file.to_string(), hub.clone(), front.clone());
-    let mut config = config;
+    let (path, changed, reconfigured) = (file.to_string(), following.clone(), front.clone());
     spawn_local(reload(
         hup,
         move || Mysql::read(&path),
@@ -125,8 +133,7 @@
             }
             reconfigured.configure(new.front.clone());
             if new.source != config.source {
-                following.iter().for_each(AbortHandle::abort);
-                following = follow(&changed, &new.source);
+                changed.borrow_mut().follow(&new.source, &stand);
             }
             config = new;
             Ok(None)
@@ -137,6 +144,8 @@
         front.stop();
     })
     .await;
+    let lease = following.borrow().registry.as_ref().and_then(|r| r.lease.clone());
+    cancel(lease.as_deref()).await;
     Ok(())
 }
 
@@ -146,14 +155,28 @@
     pool: &Pool,
     shared: &Rc<Shared>,
     at: Option<SocketAddr>,
+    members: Rc<RefCell<Option<Rc<Members>>>>,
 ) -> Result<(), Error> {
     let Some(at) = at else { return Ok(()) };
     let listener = TcpListener::bind(at).await.map_err(|e| format!("admin_addr {at}: {e}"))?;
     say!("operators call at {}", listener.local_addr()?);
-    spawn_local(Admin::new(hub.clone(), pool.clone(), shared.clone()).accept(listener));
+    spawn_local(Admin::new(hub.clone(), pool.clone(), shared.clone(), members).accept(listener));
     Ok(())
 }
 
+/// How this dispatcher stands, for those who look for it at a registry.
+fn standing<L: Leg>(hub: &Rc<Hub<L>>, shared: &Rc<Shared>) -> Rc<dyn Fn() -> Stand> {
+    let (hub, shared) = (hub.clone(), shared.clone());
+    Rc::new(move || match () {
+        () if hub.stopping() => match shared.processes() {
+            Ok(2..) => Stand::HandedOver,
+            _ => Stand::Ending,
+        },
+        () if hub.ready() => Stand::Ready,
+        () => Stand::Starting,
+    })
+}
+
 /// What this dispatcher's processes have been told by hand is in force before the first engine is known.
 fn share<L: Leg>(
     hub: &Rc<Hub<L>>,
@@ -192,20 +215,100 @@
     Ok(shared)
 }
 
-/// Takes the engines from where the configuration says; the task that goes on asking, if there is one.
-fn follow(hub: &Rc<Hub<mysql::leg::MysqlLeg>>, source: &Source) -> Option<AbortHandle> {
-    match source {
-        Source::Fixed(engines) => {
-            hub.change(&fixed(engines));
-            None
-        }
-        Source::Eureka(source) => {
-            let (registry, sink) = (Eureka::new(source.clone()), hub.clone());
-            Some(spawn_local(registry.run(Box::new(move |change| sink.change(&change)))).abort_handle())
+/// Where the engines of the MySQL front come from now.
+struct Following {
+    hub: Rc<Hub<mysql::leg::MysqlLeg>>,
+    state: Option<PathBuf>,
+    /// What is believed of engines that a registry lists; operators look at it.
+    members: Rc<RefCell<Option<Rc<Members>>>>,
+    registry: Option<Registry>,
+}
+
+/// The tasks that follow a registry.
+struct Registry {
+    source: watch::Sender<Rc<EurekaSource>>,
+    tasks: Vec<AbortHandle>,
+    lease: Option<Rc<Lease>>,
+    keeping: Option<AbortHandle>,
+}
+
+impl Following {
+    /// Takes the engines from where the configuration says. A registry that takes another's place finds what was
+    /// believed.
+    fn follow(&mut self, source: &Source, stand: &Rc<dyn Fn() -> Stand>) {
+        match source {
+            Source::Fixed(engines) => {
+                if let Some(registry) = self.registry.take() {
+                    registry.tasks.iter().chain(&registry.keeping).for_each(AbortHandle::abort);
+                    spawn_local(async move { cancel(registry.lease.as_deref()).await });
+                }
+                *self.members.borrow_mut() = None;
+                self.hub.leg().watch(None);
+                self.hub.change(&fixed(engines));
+            }
+            Source::Eureka(source) => {
+                let source = Rc::new((**source).clone());
+                let members = self.members.borrow().clone();
+                match (&mut self.registry, members) {
+                    (Some(registry), Some(members)) => {
+                        members.configure(&source);
+                        let same = registry.source.borrow().register == source.register
+                            && registry.source.borrow().servers == source.servers;
+                        registry.source.send_replace(source.clone());
+                        if !same {
+                            registry.keeping.take().iter().for_each(AbortHandle::abort);
+                            let old = registry.lease.take();
+                            if source.register.is_none() {
+                                spawn_local(async move { cancel(old.as_deref()).await });
+                            }
+                            (registry.lease, registry.keeping) = keep_lease(&source, &members, stand);
+                        }
+                    }
+                    _ => {
+                        let (sink, hub) = (self.hub.clone(), self.hub.clone());
+                        let members = Members::new(
+                            &source,
+                            self.state.as_deref(),
+                            Box::new(move |change| sink.change(&change)),
+                            Box::new(move || hub.out_by_hand()),
+                        );
+                        self.hub.leg().watch(Some(members.clone()));
+                        let (tell, told) = watch::channel(source.clone());
+                        let tasks = vec![
+                            spawn_local(eureka::follow(told, members.clone())).abort_handle(),
+                            spawn_local(members.clone().clock()).abort_handle(),
+                            spawn_local(members.clone().keep()).abort_handle(),
+                        ];
+                        let (lease, keeping) = keep_lease(&source, &members, stand);
+                        self.registry = Some(Registry { source: tell, tasks, lease, keeping });
+                        *self.members.borrow_mut() = Some(members);
+                    }
+                }
+            }
         }
     }
 }
 
+/// Registers this dispatcher, if the configuration says so.
+fn keep_lease(
+    source: &Rc<EurekaSource>,
+    members: &Rc<Members>,
+    stand: &Rc<dyn Fn() -> Stand>,
+) -> (Option<Rc<Lease>>, Option<AbortHandle>) {
+    let lease = Lease::new(source.clone());
+    let shown = lease.clone();
+    members.lease(Rc::new(move || shown.as_ref().and_then(|l| l.differs())));
+    let stand = stand.clone();
+    let keeping = lease.clone().map(|lease| spawn_local(lease.keep(move || stand())).abort_handle());
+    (lease, keeping)
+}
+
+async fn cancel(lease: Option<&Lease>) {
+    if let Some(lease) = lease {
+        lease.cancel().await;
+    }
+}
+
 /// On every SIGHUP reads the configuration again. One that is not whole and valid changes nothing; of a valid
 /// one `take` swaps in what it changes, or tells the key that a running program cannot take.
 async fn reload<C>(
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,12 +2,14 @@
 //! well, so that clients' load takes none of them and a caller who completes no call delays nobody.
 
 use crate::net::hub::{Hub, Leg};
+use crate::net::members::Members;
 use crate::net::places::{Places, Use};
 use crate::net::pool::{Pool, Wire};
 use crate::net::shared::{self, Shared};
 use crate::say;
 use bytes::{BufMut, BytesMut};
 use futures_util::SinkExt;
+use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -42,11 +44,12 @@
 #[derive(Debug, PartialEq)]
 pub struct Answer {
     code: u16,
+    json: bool,
     text: String,
 }
 
 fn answer(code: u16, text: impl Into<String>) -> Answer {
-    Answer { code, text: text.into() }
+    Answer { code, json: false, text: text.into() }
 }
 
 struct HttpCodec;
@@ -82,9 +85,10 @@
             _ => "Service Unavailable",
         };
         let head = format!(
-            "HTTP/1.1 {} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {}\r\n\
+            "HTTP/1.1 {} {reason}\r\nContent-Type: {}; charset=utf-8\r\nContent-Length: {}\r\n\
              Cache-Control: no-store\r\nConnection: close\r\n\r\n",
             a.code,
+            if a.json { "application/json" } else { "text/plain" },
             a.text.len()
         );
         dst.put_slice(head.as_bytes());
@@ -97,12 +101,19 @@
     hub: Rc<Hub<L>>,
     pool: Pool,
     shared: Rc<Shared>,
+    members: Rc<RefCell<Option<Rc<Members>>>>,
     places: Rc<Places>,
 }
 
 impl<L: Leg> Admin<L> {
-    pub fn new(hub: Rc<Hub<L>>, pool: Pool, shared: Rc<Shared>) -> Rc<Self> {
-        Rc::new(Admin { hub, pool, shared, places: Places::new(CALLERS, Use::Silent) })
+    /// `members` is what is believed of engines that a registry lists, while one does.
+    pub fn new(
+        hub: Rc<Hub<L>>,
+        pool: Pool,
+        shared: Rc<Shared>,
+        members: Rc<RefCell<Option<Rc<Members>>>>,
+    ) -> Rc<Self> {
+        Rc::new(Admin { hub, pool, shared, members, places: Places::new(CALLERS, Use::Silent) })
     }
 
     /// Accepts callers for ever.
@@ -146,7 +157,7 @@
 
     /// Carries a call out.
     fn call(&self, call: &Call) -> Answer {
-        let path = call.path.split('?').next().unwrap_or_default();
+        let (path, query) = call.path.split_once('?').unwrap_or((&call.path, ""));
         let engine = |what| path.strip_prefix("/_engines/")?.strip_prefix(what)?.strip_prefix('/');
         let (method, reply): (&str, &dyn Fn() -> Answer) = match path {
             "/_ready" => ("GET", &|| match self.hub.ready() {
@@ -154,6 +165,7 @@
                 false => answer(503, "not ready: no list of engines yet, or shutting down\n"),
             }),
             "/_vars" => ("GET", &|| answer(200, self.hub.figures())),
+            "/_members" => ("GET", &|| self.page(query)),
             _ if engine("detach").is_some() => ("POST", &|| self.by_hand(engine("detach"), true)),
             _ if engine("attach").is_some() => ("POST", &|| self.by_hand(engine("attach"), false)),
             _ => return answer(404, format!("no call is named {path}\n")),
@@ -164,6 +176,15 @@
         }
     }
 
+    /// What is believed of the engines, and why.
+    fn page(&self, query: &str) -> Answer {
+        match self.members.borrow().as_ref().map(|m| m.page(query)) {
+            Some(Ok(text)) => Answer { code: 200, json: true, text },
+            Some(Err(e)) => answer(400, format!("{e}\n")),
+            None => answer(404, "no registry lists the engines\n"),
+        }
+    }
+
     /// Kept first, so that a yes holds whatever becomes of this process.
     fn by_hand(&self, engine: Option<&str>, out: bool) -> Answer {
         let Some(id) = engine.and_then(shared::decoded).filter(|id| self.hub.knows(id)) else {
--- /dev/null
+++ b/src/net/discovery/eureka/format.rs
@@ -0,0 +1,345 @@
+//! The two formats of a registry's documents, JSON and XML, as its public API words them. Both read the same
+//! [`Document`]; what is not known is passed over, what is missing and needed is an error.
+
+use super::model::{Application, Document, Instance, Port};
+use serde::de::{self, Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::marker::PhantomData;
+
+/// Why a body is no document.
+#[derive(Debug, thiserror::Error)]
+pub enum FormatError {
+    #[error("the body is neither JSON nor XML (Content-Type {0:?})")]
+    Unknown(String),
+    #[error("JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("XML: {0}")]
+    Xml(#[from] quick_xml::DeError),
+    #[error("XML: its root is <{0}>")]
+    Root(String),
+    #[error("it holds no applications")]
+    Empty,
+    #[error("the text is not UTF-8")]
+    Text,
+}
+
+/// Reads a body. Its type counts where it is told; else its first byte does.
+///
+/// # Errors
+/// What is wrong with it. Nothing of a body that cannot be read to its end is used.
+pub fn parse(content_type: &str, body: &[u8]) -> Result<Document, FormatError> {
+    let kind = content_type.split(';').next().unwrap_or_default().trim().to_ascii_lowercase();
+    let first = body.iter().find(|b| !b.is_ascii_whitespace());
+    match (kind.as_str(), first) {
+        (k, _) if k.ends_with("/json") || k.ends_with("+json") => json(body),
+        (k, _) if k.ends_with("/xml") || k.ends_with("+xml") => xml(body),
+        ("" | "text/plain" | "application/octet-stream", Some(b'{')) => json(body),
+        ("" | "text/plain" | "application/octet-stream", Some(b'<')) => xml(body),
+        _ => Err(FormatError::Unknown(kind.chars().take(64).collect())),
+    }
+}
+
+/// One or many: the registry's JSON leaves the brackets out where there is one. Read without a copy in between,
+/// for a whole list is many megabytes.
+struct Many<T>(Vec<T>);
+
+impl<T> Default for Many<T> {
+    fn default() -> Self {
+        Many(vec![])
+    }
+}
+
+impl<'de, T: Deserialize<'de>> Deserialize<'de> for Many<T> {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        struct OneOrMany<T>(PhantomData<T>);
+        impl<'de, T: Deserialize<'de>> Visitor<'de> for OneOrMany<T> {
+            type Value = Many<T>;
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("one or many")
+            }
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+                let mut all = vec![];
+                while let Some(one) = seq.next_element()? {
+                    all.push(one);
+                }
+                Ok(Many(all))
+            }
+            fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Self::Value, A::Error> {
+                T::deserialize(de::value::MapAccessDeserializer::new(map)).map(|one| Many(vec![one]))
+            }
+            fn visit_unit<E>(self) -> Result<Self::Value, E> {
+                Ok(Many(vec![]))
+            }
+        }
+        d.deserialize_any(OneOrMany(PhantomData))
+    }
+}
+
+/// A text, a number or a truth, as a text: registries differ in which they write. What is deeper is passed over.
+struct Loose(Option<String>);
+
+impl<'de> Deserialize<'de> for Loose {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        struct Text;
+        impl<'de> Visitor<'de> for Text {
+            type Value = Loose;
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a text or a number")
+            }
+            fn visit_str<E>(self, v: &str) -> Result<Loose, E> {
+                Ok(Loose(Some(v.to_string())))
+            }
+            fn visit_bool<E>(self, v: bool) -> Result<Loose, E> {
+                Ok(Loose(Some(v.to_string())))
+            }
+            fn visit_u64<E>(self, v: u64) -> Result<Loose, E> {
+                Ok(Loose(Some(v.to_string())))
+            }
+            fn visit_i64<E>(self, v: i64) -> Result<Loose, E> {
+                Ok(Loose(Some(v.to_string())))
+            }
+            fn visit_f64<E>(self, v: f64) -> Result<Loose, E> {
+                Ok(Loose(Some(v.to_string())))
+            }
+            fn visit_unit<E>(self) -> Result<Loose, E> {
+                Ok(Loose(None))
+            }
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Loose, A::Error> {
+                while seq.next_element::<de::IgnoredAny>()?.is_some() {}
+                Ok(Loose(None))
+            }
+            fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Loose, A::Error> {
+                // An element of XML that holds a text.
+                let mut text = None;
+                while let Some(key) = map.next_key::<String>()? {
+                    match key.as_str() {
+                        "$text" => text = map.next_value::<Loose>()?.0,
+                        _ => drop(map.next_value::<de::IgnoredAny>()?),
+                    }
+                }
+                Ok(Loose(text))
+            }
+        }
+        d.deserialize_any(Text)
+    }
+}
+
+fn number(loose: Option<Loose>) -> Option<f64> {
+    loose.and_then(|l| l.0).and_then(|t| t.trim().parse().ok())
+}
+
+/// Metadata of ours is text; entries of other kinds are passed over.
+fn texts(all: Option<BTreeMap<String, Loose>>) -> BTreeMap<String, String> {
+    let all = all.unwrap_or_default().into_iter();
+    // Only what is used is kept: others' metadata may be long.
+    let used = all.filter(|(k, _)| matches!(k.as_str(), "zone" | "kind"));
+    used.filter_map(|(k, v)| Some((k, v.0?))).collect()
+}
+
+/// What both formats word alike, but for ports and metadata.
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Common<P> {
+    instance_id: Option<String>,
+    host_name: Option<String>,
+    ip_addr: Option<String>,
+    status: String,
+    #[serde(alias = "overriddenStatus")]
+    overriddenstatus: Option<String>,
+    port: Option<P>,
+    secure_port: Option<P>,
+    action_type: Option<String>,
+    lease_info: Option<Lease>,
+    metadata: Option<BTreeMap<String, Loose>>,
+    last_updated_timestamp: Option<Loose>,
+    last_dirty_timestamp: Option<Loose>,
+    data_center_info: Option<DataCentre>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Lease {
+    service_up_timestamp: Option<Loose>,
+}
+
+#[derive(serde::Deserialize)]
+struct DataCentre {
+    metadata: Option<BTreeMap<String, Loose>>,
+}
+
+#[derive(serde::Deserialize)]
+struct JsonPort {
+    #[serde(rename = "$")]
+    number: Loose,
+    #[serde(rename = "@enabled")]
+    enabled: Option<Loose>,
+}
+
+#[derive(serde::Deserialize)]
+struct XmlPort {
+    #[serde(rename = "$text")]
+    number: Option<Loose>,
+    #[serde(rename = "@enabled")]
+    enabled: Option<Loose>,
+}
+
+fn port(number: Option<Loose>, enabled: Option<Loose>) -> Port {
+    let number = number.and_then(|l| l.0).and_then(|t| t.trim().parse().ok());
+    Port { number, enabled: enabled.and_then(|l| l.0).is_none_or(|e| e == "true") }
+}
+
+impl<P> Common<P> {
+    fn instance<E>(
+        self,
+        port: impl Fn(P) -> Port,
+        missing: impl Fn(&'static str) -> E,
+    ) -> Result<Instance, E> {
+        let zone = self.data_center_info.and_then(|d| d.metadata);
+        let zone = zone.and_then(|mut m| m.remove("availability-zone")).and_then(|l| l.0);
+        let id = self.instance_id.filter(|id| !id.is_empty()).or(self.host_name);
+        Ok(Instance {
+            id: id.ok_or_else(|| missing("instanceId"))?,
+            ip: self.ip_addr,
+            status: self.status,
+            overridden: self.overriddenstatus,
+            port: self.port.map(&port),
+            secure_port: self.secure_port.map(&port),
+            action: self.action_type,
+            started: number(self.lease_info.and_then(|l| l.service_up_timestamp)),
+            dirty: number(self.last_dirty_timestamp),
+            updated: number(self.last_updated_timestamp),
+            metadata: texts(self.metadata),
+            zone,
+        })
+    }
+}
+
+struct JsonInstance(Instance);
+
+impl<'de> Deserialize<'de> for JsonInstance {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let common = Common::<JsonPort>::deserialize(d)?;
+        common.instance(|p| port(Some(p.number), p.enabled), de::Error::missing_field).map(JsonInstance)
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct JsonApplication {
+    name: String,
+    #[serde(default = "Many::default")]
+    instance: Many<JsonInstance>,
+}
+
+#[derive(serde::Deserialize)]
+struct JsonApplications {
+    #[serde(rename = "apps__hashcode")]
+    hashcode: Option<String>,
+    #[serde(default = "Many::default")]
+    application: Many<JsonApplication>,
+}
+
+#[derive(serde::Deserialize)]
+struct JsonDocument {
+    applications: Option<JsonApplications>,
+    application: Option<JsonApplication>,
+    instance: Option<JsonInstance>,
+}
+
+/// Reads JSON: `{"applications": …}`, `{"application": …}` or `{"instance": …}`.
+///
+/// # Errors
+/// Where it breaks off or what is missing.
+pub fn json(body: &[u8]) -> Result<Document, FormatError> {
+    let one = |a: JsonApplication| Application {
+        name: a.name,
+        instances: a.instance.0.into_iter().map(|i| i.0).collect(),
+    };
+    let document: JsonDocument = serde_json::from_slice(body)?;
+    match document {
+        // Without a hash code it is some other service's answer, or half of one.
+        JsonDocument {
+            applications: Some(JsonApplications { hashcode: Some(hash), application }), ..
+        } => {
+            Ok(Document { hashcode: Some(hash), applications: application.0.into_iter().map(one).collect() })
+        }
+        JsonDocument { application: Some(a), .. } => {
+            Ok(Document { hashcode: None, applications: vec![one(a)] })
+        }
+        JsonDocument { instance: Some(i), .. } => Ok(single(i.0)),
+        _ => Err(FormatError::Empty),
+    }
+}
+
+fn single(instance: Instance) -> Document {
+    Document {
+        hashcode: None,
+        applications: vec![Application { name: String::new(), instances: vec![instance] }],
+    }
+}
+
+struct XmlInstance(Instance);
+
+impl<'de> Deserialize<'de> for XmlInstance {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let common = Common::<XmlPort>::deserialize(d)?;
+        common.instance(|p| port(p.number, p.enabled), de::Error::missing_field).map(XmlInstance)
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct XmlApplication {
+    name: String,
+    #[serde(default)]
+    instance: Vec<XmlInstance>,
+}
+
+#[derive(serde::Deserialize)]
+struct XmlApplications {
+    #[serde(rename = "apps__hashcode")]
+    hashcode: String,
+    #[serde(default)]
+    application: Vec<XmlApplication>,
+}
+
+/// Reads XML: a root of `<applications>`, `<application>` or `<instance>`.
+///
+/// # Errors
+/// Where it breaks off or what is missing.
+pub fn xml(body: &[u8]) -> Result<Document, FormatError> {
+    let text = std::str::from_utf8(body).map_err(|_| FormatError::Text)?;
+    let one = |a: XmlApplication| Application {
+        name: a.name,
+        instances: a.instance.into_iter().map(|i| i.0).collect(),
+    };
+    match root(text)?.as_str() {
+        "applications" => {
+            let all: XmlApplications = quick_xml::de::from_str(text)?;
+            Ok(Document {
+                hashcode: Some(all.hashcode),
+                applications: all.application.into_iter().map(one).collect(),
+            })
+        }
+        "application" => {
+            let app: XmlApplication = quick_xml::de::from_str(text)?;
+            Ok(Document { hashcode: None, applications: vec![one(app)] })
+        }
+        "instance" => Ok(single(quick_xml::de::from_str::<XmlInstance>(text)?.0)),
+        other => Err(FormatError::Root(other.chars().take(64).collect())),
+    }
+}
+
+/// The name of the first element.
+fn root(text: &str) -> Result<String, FormatError> {
+    use quick_xml::events::Event;
+    let mut reader = quick_xml::Reader::from_str(text);
+    loop {
+        match reader.read_event().map_err(quick_xml::DeError::from)? {
+            Event::Start(e) | Event::Empty(e) => {
+                return Ok(e.local_name().as_ref().to_string());
+            }
+            Event::Eof => return Err(FormatError::Empty),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/net/discovery/eureka/http.rs
@@ -0,0 +1,251 @@
+//! HTTP to registries, on hyper: one kept connection to each server, every exchange within a time and a size, and
+//! nothing sent anywhere but to servers that the configuration names.
+
+use crate::config::eureka::Server;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io::{self, Read};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use url::Url;
+
+/// Redirections that one exchange follows.
+const HOPS: usize = 3;
+/// The longest head of an answer, in bytes.
+const HEAD: usize = 32 * 1024;
+/// Bodies up to this are unpacked and read on the spot, in bytes; longer ones beside the runtime, for all requests
+/// wait while it reads.
+pub const SMALL: usize = 64 * 1024;
+
+/// Why an exchange gave nothing that can be used.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    #[error("no connection: {0}")]
+    Connect(io::Error),
+    #[error("no whole answer within {0:?}")]
+    Time(Duration),
+    #[error("{0}")]
+    Exchange(#[from] hyper::Error),
+    #[error("the answer is above the bound of {0} bytes")]
+    Long(usize),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("it redirects to {0:?}, which is no server of the configuration")]
+    Astray(String),
+    #[error("it redirects more than {HOPS} times")]
+    Circle,
+    #[error("the encoding {0:?} was not asked for")]
+    Encoding(String),
+    #[error("it cannot be unpacked: {0}")]
+    Gzip(io::Error),
+    #[error("the request cannot be worded: {0}")]
+    Request(#[from] hyper::http::Error),
+}
+
+/// What came back, as it was sent.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub kind: String,
+    pub gzip: bool,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as it was before it was packed. Takes its time on a long one.
+    ///
+    /// # Errors
+    /// What is no gzip, or longer than `most` bytes.
+    pub fn unpacked(&self, most: usize) -> Result<Bytes, HttpError> {
+        if !self.gzip {
+            return Ok(self.body.clone());
+        }
+        let mut plain = vec![];
+        let packed = flate2::read::MultiGzDecoder::new(&self.body[..]);
+        packed.take(most as u64 + 1).read_to_end(&mut plain).map_err(HttpError::Gzip)?;
+        if plain.len() > most { Err(HttpError::Long(most)) } else { Ok(plain.into()) }
+    }
+}
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub method: Method,
+    /// Behind the server's own path, with its query.
+    pub path: String,
+    pub accept: &'static str,
+    /// Its type and its bytes.
+    pub body: Option<(&'static str, Bytes)>,
+}
+
+impl Call {
+    pub fn get(path: String, accept: &'static str) -> Self {
+        Call { method: Method::GET, path, accept, body: None }
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Exchanges with the servers of one configuration.
+pub struct Client {
+    servers: Vec<Server>,
+    /// One idle connection a server, by its name.
+    idle: RefCell<HashMap<String, Sender>>,
+    timeout: Duration,
+    most: usize,
+}
+
+impl Client {
+    /// `timeout` bounds a whole exchange, redirections included; `most` a body as sent, in bytes.
+    pub fn new(servers: Vec<Server>, timeout: Duration, most: usize) -> Self {
+        Client { servers, idle: RefCell::default(), timeout, most }
+    }
+
+    pub fn servers(&self) -> &[Server] {
+        &self.servers
+    }
+
+    /// One exchange with a server, by its place.
+    ///
+    /// # Errors
+    /// Whatever keeps a whole answer from coming. A status that is no success is none here.
+    pub async fn call(&self, server: usize, call: &Call) -> Result<Answer, HttpError> {
+        let exchange = tokio::time::timeout(self.timeout, self.follow(server, call));
+        exchange.await.unwrap_or(Err(HttpError::Time(self.timeout)))
+    }
+
+    async fn follow(&self, server: usize, call: &Call) -> Result<Answer, HttpError> {
+        let mut server = &self.servers[server];
+        let mut path = call.path.clone();
+        for _ in 0..=HOPS {
+            let (answer, location) = self.exchange(server, call, &path).await?;
+            let Some(location) = location else { return Ok(answer) };
+            (server, path) = self.redirected(server, &path, &location)?;
+        }
+        Err(HttpError::Circle)
+    }
+
+    /// The server that a redirection names, and the path behind its own.
+    fn redirected(&self, from: &Server, path: &str, to: &str) -> Result<(&Server, String), HttpError> {
+        let astray = || HttpError::Astray(to.chars().take(200).collect());
+        let base = Url::parse(&format!("{}{path}", from.name)).map_err(|_| astray())?;
+        let url = base.join(to).map_err(|_| astray())?;
+        let host = url.host_str().unwrap_or_default().trim_start_matches('[').trim_end_matches(']');
+        let port = url.port().unwrap_or(80);
+        let asked = match url.query() {
+            Some(query) => format!("{}?{query}", url.path()),
+            None => url.path().to_string(),
+        };
+        let found = self.servers.iter().filter(|s| s.host == host && s.port == port);
+        let found = found.filter_map(|s| Some((s, asked.strip_prefix(&s.path)?)));
+        let found = found.filter(|(_, rest)| rest.starts_with('/')).max_by_key(|(s, _)| s.path.len());
+        match found {
+            Some((server, rest)) if url.scheme() == "http" => Ok((server, rest.to_string())),
+            _ => Err(astray()),
+        }
+    }
+
+    /// One request and its answer; the second is where it redirects to.
+    async fn exchange(
+        &self,
+        server: &Server,
+        call: &Call,
+        path: &str,
+    ) -> Result<(Answer, Option<String>), HttpError> {
+        // A kept connection may have been closed meanwhile: what was never answered there is asked anew, once, on a
+        // new one. Every call of ours may be repeated.
+        if let Some(kept) = self.kept(server)
+            && let Ok(done) = self.on(kept, server, call, path).await
+        {
+            return Ok(done);
+        }
+        let fresh = self.connect(server).await?;
+        self.on(fresh, server, call, path).await
+    }
+
+    fn kept(&self, server: &Server) -> Option<Sender> {
+        let kept = self.idle.borrow_mut().remove(&server.name)?;
+        (!kept.is_closed()).then_some(kept)
+    }
+
+    async fn connect(&self, server: &Server) -> Result<Sender, HttpError> {
+        let tcp =
+            TcpStream::connect((server.host.as_str(), server.port)).await.map_err(HttpError::Connect)?;
+        tcp.set_nodelay(true).map_err(HttpError::Connect)?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD).max_headers(64);
+        let (sender, connection) = builder.handshake(TokioIo::new(tcp)).await?;
+        // It ends with its sender.
+        tokio::task::spawn_local(async move { drop(connection.await) });
+        Ok(sender)
+    }
+
+    async fn on(
+        &self,
+        mut sender: Sender,
+        server: &Server,
+        call: &Call,
+        path: &str,
+    ) -> Result<(Answer, Option<String>), HttpError> {
+        sender.ready().await?;
+        let host = if server.host.contains(':') { format!("[{}]", server.host) } else { server.host.clone() };
+        let mut request = Request::builder()
+            .method(&call.method)
+            .uri(format!("{}{path}", server.path))
+            .header(header::HOST, format!("{host}:{}", server.port))
+            .header(header::ACCEPT, call.accept)
+            .header(header::ACCEPT_ENCODING, "gzip")
+            .header(header::USER_AGENT, concat!("hitchwinch/", env!("CARGO_PKG_VERSION")));
+        if let Some(value) = &server.authorization {
+            request = request.header(header::AUTHORIZATION, value);
+        }
+        let bytes = match &call.body {
+            Some((kind, bytes)) => {
+                request = request.header(header::CONTENT_TYPE, *kind);
+                bytes.clone()
+            }
+            None => Bytes::new(),
+        };
+        let response = sender.send_request(request.body(Full::new(bytes))?).await?;
+        let (head, mut body) = response.into_parts();
+        let encoding = text(&head.headers, header::CONTENT_ENCODING);
+        let gzip = match encoding.as_str() {
+            "" | "identity" => false,
+            "gzip" | "x-gzip" => true,
+            _ => return Err(HttpError::Encoding(encoding)),
+        };
+        let told =
+            head.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+        if told.is_some_and(|n| n > self.most as u64) {
+            return Err(HttpError::Long(self.most));
+        }
+        let mut whole = Vec::with_capacity(told.unwrap_or(0) as usize);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            if whole.len() + data.len() > self.most {
+                return Err(HttpError::Long(self.most));
+            }
+            whole.extend_from_slice(&data);
+        }
+        // Its body is read to the end: the connection serves again.
+        if !sender.is_closed() {
+            self.idle.borrow_mut().insert(server.name.clone(), sender);
+        }
+        let location = head.headers.get(header::LOCATION).and_then(|v| v.to_str().ok());
+        let elsewhere = matches!(head.status.as_u16(), 301 | 302 | 303 | 307 | 308);
+        let location = location.filter(|_| elsewhere && call.method == Method::GET).map(str::to_string);
+        let kind = text(&head.headers, header::CONTENT_TYPE);
+        Ok((Answer { status: head.status, kind, gzip, body: whole.into() }, location))
+    }
+}
+
+fn text(headers: &HeaderMap<HeaderValue>, name: header::HeaderName) -> String {
+    let value = headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    value.trim().to_ascii_lowercase().chars().take(100).collect()
+}
--- /dev/null
+++ b/src/net/discovery/eureka/lease.rs
@@ -0,0 +1,229 @@
+//! Registers this dispatcher, so that proxies find it: `registration` decides, here it is sent.
+
+use super::http::{Answer, Call, Client, HttpError};
+use super::registration::{Outcome, Registration, Step};
+use super::servers::Servers;
+use super::{format, random};
+use crate::config::EurekaSource;
+use crate::config::eureka::Register;
+use crate::membership::Status;
+use crate::net::{span, unix_ms};
+use crate::say;
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// How often it is looked at how the dispatcher stands: proxies hear of its end within this and an exchange.
+const LOOK: Duration = Duration::from_millis(100);
+/// The end waits no longer for a registry.
+const GOODBYE: Duration = Duration::from_millis(800);
+/// Renewals between two looks at what the registry shows of us.
+const LOOK_BACK: u64 = 4;
+
+/// How this dispatcher stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stand {
+    Starting,
+    Ready,
+    /// Winding down, and nobody goes on in its place.
+    Ending,
+    /// Winding down, and another process of this dispatcher goes on under the same lease.
+    HandedOver,
+}
+
+/// Our lease at the registries.
+pub struct Lease {
+    source: Rc<EurekaSource>,
+    register: Register,
+    client: Client,
+    servers: RefCell<Servers>,
+    state: RefCell<Registration>,
+    wake: Notify,
+    /// What the registry showed of us last, if that is not what we told.
+    differs: RefCell<Option<String>>,
+    busy: Cell<bool>,
+}
+
+impl Lease {
+    /// None if the configuration registers nothing.
+    pub fn new(source: Rc<EurekaSource>) -> Option<Rc<Self>> {
+        let register = source.register.clone()?;
+        let zones: Vec<Option<String>> = source.servers.iter().map(|s| s.zone.clone()).collect();
+        let renew = register.renew.as_secs_f64() * 1000.0;
+        Some(Rc::new(Lease {
+            client: Client::new(source.servers.clone(), source.timeout.min(Duration::from_secs(5)), 1 << 20),
+            servers: RefCell::new(Servers::new(&zones, source.zone.as_deref(), random)),
+            state: RefCell::new(Registration::new(unix_ms(), renew)),
+            wake: Notify::new(),
+            differs: RefCell::default(),
+            busy: Cell::new(false),
+            register,
+            source,
+        }))
+    }
+
+    /// Keeps the lease for ever, as `stand` tells of the dispatcher.
+    pub async fn keep(self: Rc<Self>, stand: impl Fn() -> Stand) {
+        loop {
+            let now = unix_ms();
+            let status = match stand() {
+                Stand::Starting => Status::Starting,
+                Stand::Ready => Status::Up,
+                Stand::Ending => Status::OutOfService,
+                Stand::HandedOver => {
+                    self.state.borrow_mut().leave();
+                    return;
+                }
+            };
+            self.state.borrow_mut().want(now, status);
+            let step = self.state.borrow().due(now);
+            if let Some(step) = step {
+                self.busy.set(true);
+                let outcome = self.send(step).await;
+                self.busy.set(false);
+                self.state.borrow_mut().done(unix_ms(), step, outcome, random());
+                self.wake.notify_waiters();
+                let renewed = self.state.borrow().renewed;
+                if matches!(step, Step::Renew(_)) && renewed % LOOK_BACK == 1 {
+                    self.look_back(status).await;
+                }
+                continue;
+            }
+            let Some(next) = self.state.borrow().next() else { return };
+            tokio::time::sleep(span(next - now).min(LOOK)).await;
+        }
+    }
+
+    /// Tells the registry that we are gone; takes no longer than a moment.
+    pub async fn cancel(&self) {
+        if self.state.borrow_mut().finish() {
+            let outcome = tokio::time::timeout(GOODBYE, self.send(Step::Cancel)).await;
+            match outcome {
+                Ok(Outcome::Done | Outcome::Unknown) => say!("eureka: our registration is cancelled"),
+                _ => say!("eureka: our registration could not be cancelled, and ends with its lease"),
+            }
+        }
+    }
+
+    /// What the registry shows of us, where it is not what we told (an operator's override, say).
+    pub fn differs(&self) -> Option<String> {
+        self.differs.borrow().clone()
+    }
+
+    /// Sends a step to the first server that takes it.
+    async fn send(&self, step: Step) -> Outcome {
+        let call = self.call(step);
+        let mut tried = vec![];
+        loop {
+            let chosen = self.servers.borrow().choose(unix_ms(), self.source.servers.len());
+            let Some(server) = chosen.into_iter().find(|s| !tried.contains(s)) else {
+                return Outcome::Failed;
+            };
+            tried.push(server);
+            let name = &self.source.servers[server].name;
+            match self.client.call(server, &call).await {
+                Ok(Answer { status, .. }) if status.is_success() => {
+                    self.servers.borrow_mut().answered(server);
+                    if let Step::Register(s) = step {
+                        say!(
+                            "eureka {name}: registered as {} with status {}",
+                            self.register.instance,
+                            s.word()
+                        );
+                    }
+                    return Outcome::Done;
+                }
+                Ok(Answer { status, .. }) if status.as_u16() == 404 => {
+                    self.servers.borrow_mut().answered(server);
+                    return Outcome::Unknown;
+                }
+                other => {
+                    let problem = match other {
+                        Ok(answer) => HttpError::Status(answer.status).to_string(),
+                        Err(e) => e.to_string(),
+                    };
+                    say!("eureka {name}: our registration: {problem}");
+                    self.servers.borrow_mut().failed(unix_ms(), server, random());
+                }
+            }
+        }
+    }
+
+    fn call(&self, step: Step) -> Call {
+        let r = &self.register;
+        let (dirty, own) = (self.state.borrow().dirty(), format!("/apps/{}/{}", r.app, r.instance));
+        let accept = "application/json";
+        match step {
+            Step::Register(status) => Call {
+                method: Method::POST,
+                path: format!("/apps/{}", r.app),
+                accept,
+                body: Some((accept, Bytes::from(instance(r, status, dirty).to_string()))),
+            },
+            Step::Renew(status) => Call {
+                method: Method::PUT,
+                path: format!("{own}?status={}&lastDirtyTimestamp={dirty}", status.word()),
+                accept,
+                body: None,
+            },
+            Step::Cancel => Call { method: Method::DELETE, path: own, accept, body: None },
+        }
+    }
+
+    /// Reads our own instance back: somebody may have set another status over ours.
+    async fn look_back(&self, told: Status) {
+        let Some(server) = self.servers.borrow().choose(unix_ms(), 1).first().copied() else { return };
+        let call = Call::get(format!("/instances/{}", self.register.instance), "application/json");
+        let Ok(answer) = self.client.call(server, &call).await else { return };
+        let Ok(body) = answer.unpacked(1 << 20) else { return };
+        let Ok(document) = format::parse(&answer.kind, &body) else { return };
+        let Some(shown) = document.applications.iter().flat_map(|a| &a.instances).next() else { return };
+        let fact = shown.fact(false);
+        let status = fact.overridden.unwrap_or(fact.status);
+        let differs = (status != told).then(|| {
+            format!(
+                "{} shows {} where {} was told",
+                self.source.servers[server].name,
+                status.word(),
+                told.word()
+            )
+        });
+        if differs != *self.differs.borrow() {
+            if let Some(text) = &differs {
+                say!("eureka: {text}");
+            }
+            *self.differs.borrow_mut() = differs;
+        }
+    }
+}
+
+/// Our own instance, as a registration words it.
+fn instance(r: &Register, status: Status, dirty: u64) -> serde_json::Value {
+    json!({ "instance": {
+        "instanceId": r.instance,
+        "hostName": r.host,
+        "app": r.app,
+        "ipAddr": r.ip.to_string(),
+        "vipAddress": r.vip,
+        "status": status.word(),
+        "overriddenstatus": "UNKNOWN",
+        "port": { "$": r.port, "@enabled": "true" },
+        "securePort": { "$": 443, "@enabled": "false" },
+        "countryId": 1,
+        "dataCenterInfo": {
+            "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo",
+            "name": "MyOwn"
+        },
+        "leaseInfo": {
+            "renewalIntervalInSecs": r.renew.as_secs().max(1),
+            "durationInSecs": r.lease.as_secs().max(1)
+        },
+        "metadata": r.metadata,
+        "lastDirtyTimestamp": dirty.to_string(),
+        "isCoordinatingDiscoveryServer": "false",
+    }})
+}
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -5,30 +5,8 @@
 pub mod journal;
 
 use crate::config::FixedEngine;
-use crate::interface::{EngineState, ListUpdate, Millis};
-use std::net::SocketAddr;
-
-/// One engine as a source lists it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Engine {
-    /// Its own id: an address may pass to another engine.
-    pub id: String,
-    /// Absent in news of one that is gone.
-    pub address: Option<SocketAddr>,
-    pub state: EngineState,
-    pub zone: Option<String>,
-    pub kind: Option<String>,
-    pub cell: i64,
-    /// When its process last started, on the Unix clock.
-    pub started: Option<Millis>,
-}
-
-/// What has changed, or the whole list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Change {
-    pub update: ListUpdate,
-    pub engines: Vec<Engine>,
-}
+use crate::interface::{EngineState, ListUpdate};
+pub use crate::membership::{Change, Engine};
 
 /// Takes changes as they come.
 pub type Sink = Box<dyn Fn(Change)>;
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -84,6 +84,11 @@
         })
     }
 
+    /// The way to the engines.
+    pub fn leg(&self) -> &L {
+        &self.leg
+    }
+
     pub fn names(&self) -> &Names {
         &self.names
     }
@@ -195,12 +200,22 @@
         now.difference(out).for_each(|engine| self.by_hand(engine, false));
     }
 
+    /// The engines that are out by hand.
+    pub fn out_by_hand(&self) -> BTreeSet<String> {
+        self.core.borrow().by_hand().clone()
+    }
+
     /// So many processes of this dispatcher live.
     pub fn share(&self, processes: u32) {
         self.core.borrow_mut().share(processes);
         self.leg.share(processes as usize);
     }
 
+    /// The end has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
     pub fn ready(&self) -> bool {
         !self.stopping.get() && self.core.borrow().ready()
     }
--- /dev/null
+++ b/src/net/members.rs
@@ -0,0 +1,250 @@
+//! Joins membership with what stands round it: the hub that takes its changes, the engine leg that sees
+//! connections, the store that outlives the process, and operators.
+
+use crate::config::EurekaSource;
+use crate::interface::Millis;
+use crate::membership::report::{Query, QueryError, Report};
+use crate::membership::{Change, Membership, Seen, Snapshot, View, snapshot};
+use crate::net::discovery::Sink;
+use crate::net::{span, unix_ms};
+use crate::say;
+use crate::store::{Disk, Kind, LoadError, RecordError, Store};
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, VecDeque};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// What connections showed and nobody has worked through yet.
+const MOST_SEEN: usize = 4096;
+/// The snapshot is written this long after a change, and at least this often so that its age tells something.
+const SAVE: Duration = Duration::from_millis(500);
+const SAVE_ANYWAY: Duration = Duration::from_secs(30);
+/// The snapshot's file, and its longest content in bytes: 20,000 engines need about 6 MB.
+const NAME: &str = "members";
+const KIND: Kind = Kind { tag: *b"MEMB", form: snapshot::FORM };
+const MOST_FILE: usize = 64 << 20;
+
+/// Sees connections to engines.
+pub trait Witness {
+    /// Something that needs no answer.
+    fn report(&self, engine: &str, seen: Seen);
+    /// One was opened, begun at `at`. True if the engine has started anew: nothing that was meant for the engine
+    /// as it was may be written on it.
+    fn opened(&self, engine: &str, at: Millis) -> bool;
+}
+
+/// What is believed of the engines of one registry source, for as long as the process lives.
+pub struct Members {
+    membership: RefCell<Membership>,
+    sink: Sink,
+    seen: RefCell<VecDeque<(String, Seen)>>,
+    wake: Notify,
+    changed: Notify,
+    store: Option<Arc<Store>>,
+    /// Something was told to the hub.
+    serving: Cell<bool>,
+    /// The last write that failed, until one succeeds.
+    unsaved: RefCell<Option<String>>,
+    lease: RefCell<Option<Shown>>,
+    /// The engines that are out by hand now.
+    hands: Hands,
+}
+
+/// What a registry shows of us, where that is not what we told.
+pub type Shown = Rc<dyn Fn() -> Option<String>>;
+/// Tells which engines operators have taken out.
+pub type Hands = Box<dyn Fn() -> BTreeSet<String>>;
+
+/// `GET /_members`, beside what membership itself reports.
+#[derive(Serialize)]
+struct Page {
+    #[serde(flatten)]
+    report: Report,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    snapshot_problem: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    registration: Option<String>,
+}
+
+impl Members {
+    /// `folder` is the folder for state, which exists; without one nothing outlives the process.
+    pub fn new(source: &EurekaSource, folder: Option<&Path>, sink: Sink, hands: Hands) -> Rc<Self> {
+        let store = folder.map(|f| Arc::new(Store::new(Disk, f, NAME, KIND, MOST_FILE)));
+        let mut membership = Membership::new(source.rules.clone());
+        let mut unsaved = None;
+        if let Some(store) = &store {
+            match load(store) {
+                Ok(Some(snapshot)) => {
+                    let (age, n) = ((unix_ms() - snapshot.written) / 1000.0, snapshot.engines.len());
+                    say!("members: a snapshot of {n} engines, {age:.0} s old, is at hand");
+                    membership.restore(unix_ms(), snapshot);
+                }
+                Ok(None) => {}
+                Err(e) => {
+                    say!("members: {e}");
+                    unsaved = Some(e.to_string());
+                }
+            }
+        }
+        Rc::new(Members {
+            membership: RefCell::new(membership),
+            sink,
+            seen: RefCell::default(),
+            wake: Notify::new(),
+            changed: Notify::new(),
+            store,
+            serving: Cell::new(false),
+            unsaved: RefCell::new(unsaved),
+            lease: RefCell::default(),
+            hands,
+        })
+    }
+
+    /// Shows on `/_members` what the registry says of us where that is not what we told.
+    pub fn lease(&self, differs: Shown) {
+        *self.lease.borrow_mut() = Some(differs);
+    }
+
+    /// Something has been told to the hub.
+    pub fn serving(&self) -> bool {
+        self.serving.get()
+    }
+
+    pub fn view(&self, view: View) {
+        self.work_through();
+        self.membership.borrow_mut().by_hand((self.hands)());
+        let change = self.membership.borrow_mut().view(unix_ms(), view);
+        self.tell(change);
+    }
+
+    pub fn failed(&self, source: &str, problem: String) {
+        let change = self.membership.borrow_mut().failed(unix_ms(), source, problem);
+        self.tell(change);
+    }
+
+    /// A new configuration: other servers and rules, the same beliefs.
+    pub fn configure(&self, source: &EurekaSource) {
+        let change = self.membership.borrow_mut().configure(unix_ms(), source.rules.clone(), &source.names());
+        self.tell(change);
+    }
+
+    /// No registry has answered: the engines of the snapshot are served, if there is one.
+    pub fn serve_restored(&self) {
+        let change = self.membership.borrow_mut().serve_restored(unix_ms());
+        if let Some(change) = &change {
+            say!("members: no registry answers: {} engines of the snapshot are served", change.engines.len());
+        }
+        self.tell(change);
+    }
+
+    /// What operators asked for, as JSON.
+    ///
+    /// # Errors
+    /// What is wrong with the query.
+    pub fn page(&self, query: &str) -> Result<String, QueryError> {
+        let query = Query::parse(query)?;
+        self.work_through();
+        self.membership.borrow_mut().by_hand((self.hands)());
+        let report = self.membership.borrow().report(unix_ms(), &query);
+        let lease = self.lease.borrow().clone();
+        let page = Page {
+            report,
+            snapshot_problem: self.unsaved.borrow().clone(),
+            registration: lease.and_then(|differs| differs()),
+        };
+        Ok(serde_json::to_string_pretty(&page).unwrap_or_default() + "\n")
+    }
+
+    fn tell(&self, change: Option<Change>) {
+        let news = self.membership.borrow_mut().news();
+        news.iter().for_each(|line| say!("members: {line}"));
+        if let Some(change) = change {
+            self.serving.set(true);
+            (self.sink)(change);
+            self.changed.notify_one();
+        }
+        self.wake.notify_one();
+    }
+
+    /// Takes in what connections showed, in the order seen.
+    fn work_through(&self) {
+        loop {
+            let Some((engine, seen)) = self.seen.borrow_mut().pop_front() else { return };
+            let (change, _) = self.membership.borrow_mut().seen(unix_ms(), &engine, seen);
+            if change.is_some() {
+                self.tell(change);
+            }
+        }
+    }
+
+    /// Does what is due; runs for ever.
+    pub async fn clock(self: Rc<Self>) {
+        loop {
+            let next = self.membership.borrow().next_wake(unix_ms());
+            let sleep = span(next.map_or(1000.0, |at| at - unix_ms()).clamp(1.0, 1000.0));
+            tokio::select! {
+                () = tokio::time::sleep(sleep) => {}
+                () = self.wake.notified() => {}
+            }
+            self.work_through();
+            let change = self.membership.borrow_mut().tick(unix_ms());
+            if change.is_some() {
+                self.tell(change);
+            }
+        }
+    }
+
+    /// Keeps the snapshot; runs for ever. The disk is written beside the runtime.
+    pub async fn keep(self: Rc<Self>) {
+        let Some(store) = self.store.clone() else { return };
+        loop {
+            let _ = tokio::time::timeout(SAVE_ANYWAY, self.changed.notified()).await;
+            // Changes come in bursts: one write for all of them.
+            tokio::time::sleep(SAVE).await;
+            let Some(snapshot) = self.membership.borrow().snapshot(unix_ms()) else { continue };
+            let store = store.clone();
+            let saved = tokio::task::spawn_blocking(move || {
+                let content = serde_json::to_vec(&snapshot).map_err(std::io::Error::other)?;
+                store.save(&content)
+            });
+            let problem = match saved.await {
+                Ok(Ok(())) => None,
+                Ok(Err(e)) => Some(format!("the snapshot cannot be written: {e}")),
+                Err(_) => Some("the snapshot cannot be written".to_string()),
+            };
+            if let Some(problem) = &problem {
+                say!("members: {problem}");
+            }
+            *self.unsaved.borrow_mut() = problem;
+        }
+    }
+}
+
+impl Witness for Members {
+    fn report(&self, engine: &str, seen: Seen) {
+        let mut queue = self.seen.borrow_mut();
+        if queue.len() >= MOST_SEEN {
+            queue.pop_front();
+        }
+        queue.push_back((engine.to_string(), seen));
+        self.wake.notify_one();
+    }
+
+    fn opened(&self, engine: &str, at: Millis) -> bool {
+        self.work_through();
+        let (change, anew) = self.membership.borrow_mut().seen(unix_ms(), engine, Seen::Opened { at });
+        if change.is_some() || anew {
+            self.tell(change);
+        }
+        anew
+    }
+}
+
+/// The snapshot in the store, if there is one that can be read.
+fn load(store: &Store) -> Result<Option<Snapshot>, LoadError> {
+    store.load(|content| serde_json::from_slice(content).map_err(|e| RecordError::Content(e.to_string())))
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod frames;
 pub mod hub;
 pub mod listener;
+pub mod members;
 pub mod mysql;
 pub mod places;
 pub mod pool;
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -6,8 +6,10 @@
 use crate::config::{Access, Sockets};
 use crate::core::AttemptId;
 use crate::interface::*;
+use crate::membership::Seen;
 use crate::net::discovery::Change;
 use crate::net::hub::{Hub, Leg, Start};
+use crate::net::members::Witness;
 use crate::net::pool::{Pool, Wire};
 use crate::net::{span, unix_ms};
 use crate::say;
@@ -17,7 +19,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -28,10 +30,33 @@
 const STATEMENTS: usize = 64;
 /// Kills under way at a time; beyond, closing the connection has to do.
 const KILLS: usize = 16;
+/// An engine closes a connection that was idle for too long.
+const TIRED: u16 = 4031;
 
 type Key = (Context, Bytes);
 
+/// Counts an engine's connections that are logged in, and tells how each ended.
+struct Live {
+    shared: Weak<Shared>,
+    engine: String,
+    open: Rc<Cell<usize>>,
+    /// It ended as it should not have.
+    broken: bool,
+}
+
+impl Drop for Live {
+    fn drop(&mut self) {
+        let left = self.open.get().saturating_sub(1);
+        self.open.set(left);
+        let seen = if self.broken { Seen::Broken { left } } else { Seen::Closed { left } };
+        if let Some(shared) = self.shared.upgrade() {
+            shared.report(&self.engine, seen);
+        }
+    }
+}
+
 struct Connection {
+    live: Option<Live>,
     wire: Wire<PacketCodec>,
     /// Its number at the engine, by which it can be killed.
     number: u32,
@@ -44,6 +69,18 @@
 }
 
 impl Connection {
+    /// Idle, and still of use. One that the engine has closed meanwhile, or has said something on, must not get a
+    /// statement: what breaks after the write may have run.
+    fn rests(&mut self) -> bool {
+        let Some(said) = self.wire.next().now_or_never() else { return true };
+        // An engine that is tired of waiting says so, and has not ended.
+        let tired = matches!(&said, Some(Ok(p)) if p.first() == Some(&0xff) && read_err(p).code == TIRED);
+        if !tired && let Some(live) = &mut self.live {
+            live.broken = true;
+        }
+        false
+    }
+
     /// It can be taken there: what it has set can be set anew, but not unset.
     fn can_enter(&self, context: &Context) -> bool {
         let has = &self.context;
@@ -57,6 +94,10 @@
     idle: Vec<Connection>,
     /// Connections, idle or not.
     open: usize,
+    /// Those of them that are logged in.
+    live: Rc<Cell<usize>>,
+    /// Its engine is listed no more: it goes with its last connection.
+    gone: bool,
 }
 
 impl Slot {
@@ -80,6 +121,7 @@
 }
 
 struct Shared {
+    weak: Weak<Shared>,
     engines: RefCell<HashMap<String, Slot>>,
     running: RefCell<HashMap<AttemptId, Running>>,
     kills: Cell<usize>,
@@ -87,6 +129,8 @@
     access: Access,
     sockets: Sockets,
     pool: Pool,
+    /// Who is told what connections show.
+    witness: RefCell<Option<Rc<dyn Witness>>>,
 }
 
 pub struct MysqlLeg(Rc<Shared>);
@@ -100,17 +144,22 @@
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
+        let mut engines = self.shared.engines.borrow_mut();
         if !self.kept
-            && let Some(slot) = self.shared.engines.borrow_mut().get_mut(self.engine)
+            && let Some(slot) = engines.get_mut(self.engine)
         {
             slot.open = slot.open.saturating_sub(1);
+            if slot.gone && slot.open == 0 {
+                engines.remove(self.engine);
+            }
         }
     }
 }
 
 impl MysqlLeg {
     pub fn new(access: Access, sockets: Sockets, pool: Pool) -> Self {
-        MysqlLeg(Rc::new(Shared {
+        MysqlLeg(Rc::new_cyclic(|weak| Shared {
+            weak: weak.clone(),
             engines: RefCell::default(),
             running: RefCell::default(),
             kills: Cell::new(0),
@@ -118,8 +167,19 @@
             access,
             sockets,
             pool,
+            witness: RefCell::default(),
         }))
     }
+
+    /// From now on this one is told what connections show; nobody, if none is given.
+    pub fn watch(&self, witness: Option<Rc<dyn Witness>>) {
+        *self.0.witness.borrow_mut() = witness;
+    }
+
+    /// Engines that anything is kept of.
+    pub fn engines(&self) -> usize {
+        self.0.engines.borrow().len()
+    }
 }
 
 impl Leg for MysqlLeg {
@@ -178,24 +238,27 @@
     fn change(&self, change: &Change) {
         let mut engines = self.0.engines.borrow_mut();
         let mut lost: HashMap<String, Millis> = HashMap::new();
-        let mut taken: Vec<(SocketAddr, String)> = vec![];
+        let mut taken: HashMap<SocketAddr, &str> = HashMap::new();
         if change.update != ListUpdate::Patch {
             let listed: HashSet<&str> = change.engines.iter().map(|e| e.id.as_str()).collect();
             for (_, slot) in engines.iter_mut().filter(|(id, _)| !listed.contains(id.as_str())) {
                 slot.address = None;
+                slot.gone = true;
                 slot.keep(|_| false);
             }
         }
+        // What is open at an engine's address for another leads to nobody, also if the list has named that one
+        // gone before.
+        let addressed = change.engines.iter().filter(|e| e.state != EngineState::Gone);
+        taken.extend(addressed.filter_map(|e| Some((e.address?, e.id.as_str()))));
+        for (id, slot) in engines.iter_mut() {
+            let others = |a: &SocketAddr| taken.get(a).is_some_and(|owner| *owner != id);
+            slot.keep(|c| !others(&c.address));
+            slot.address = slot.address.filter(|a| !others(a));
+        }
         for e in &change.engines {
-            // What is open at its address for another engine leads to nobody, also if the list has named that
-            // one gone before.
-            for (_, slot) in engines.iter_mut().filter(|(id, _)| **id != e.id) {
-                let Some(address) = e.address.filter(|_| e.state != EngineState::Gone) else { break };
-                slot.keep(|c| c.address != address);
-                slot.address = slot.address.filter(|a| *a != address);
-                taken.push((address, e.id.clone()));
-            }
             let slot = engines.entry(e.id.clone()).or_default();
+            slot.gone = e.state == EngineState::Gone;
             if slot.address.is_some() && e.address.is_some() && slot.address != e.address {
                 slot.keep(|_| false);
                 lost.insert(e.id.clone(), f64::INFINITY);
@@ -209,10 +272,12 @@
                 slot.keep(|_| false);
             }
         }
+        // New ids come all day: of those that are gone nothing is kept.
+        engines.retain(|_, slot| !slot.gone || slot.open > 0);
         let running = self.0.running.borrow();
         for r in running.values() {
             let started = lost.get(&r.engine).is_some_and(|t| r.opened < *t);
-            let passed = taken.iter().any(|(a, id)| r.address == Some(*a) && r.engine != *id);
+            let passed = r.address.and_then(|a| taken.get(&a)).is_some_and(|id| r.engine != *id);
             if started || passed {
                 r.cut.notify_one();
             }
@@ -236,9 +301,20 @@
         let mut c = match idle {
             Some(c) => c,
             None => match self.connect(&start.engine).await {
-                Ok(c) => c,
+                Ok(c) => {
+                    // An engine that has just started is a cold one: what was meant for it as it was is given back,
+                    // and the module chooses anew.
+                    if self.opened(&start.engine, c.opened) {
+                        self.give(place, c);
+                        return Err(Outcome::Moot);
+                    }
+                    c
+                }
                 Err(e) => {
                     say!("engine {}: {e}", start.engine);
+                    if matches!(&e, PacketError::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused) {
+                        self.report(&start.engine, Seen::Refused { left: self.left(&start.engine) });
+                    }
                     let full = matches!(&e, PacketError::Sql(e) if full(e.code));
                     return Err(if full { Outcome::Full } else { Outcome::Unreachable });
                 }
@@ -246,8 +322,17 @@
         };
         let result = tokio::select! {
             result = self.run(&mut c, work, written, &in_service, &sent, start.until) => result,
-            () = cut.notified() => Err(io::Error::from(io::ErrorKind::ConnectionReset).into()),
+            () = cut.notified() => Err(PacketError::Cut),
         };
+        if let (Err(PacketError::Io(e)), Some(live)) = (&result, &mut c.live) {
+            live.broken = e.kind() != io::ErrorKind::TimedOut;
+        }
+        // An engine that has ended takes all its connections along: those that rest are not waited for.
+        if c.live.as_ref().is_some_and(|l| l.broken)
+            && let Some(slot) = self.engines.borrow_mut().get_mut(&start.engine)
+        {
+            slot.keep(Connection::rests);
+        }
         let wrote = written.take().is_some();
         match result {
             Ok(packets) => {
@@ -279,7 +364,7 @@
                 Err(match (wrote, &e) {
                     (false, PacketError::Sql(e)) if full(e.code) => Outcome::Full,
                     (false, _) => Outcome::Unreachable,
-                    (true, PacketError::Io(_)) => Outcome::Reset,
+                    (true, PacketError::Io(_) | PacketError::Cut) => Outcome::Reset,
                     (true, _) => Outcome::Error,
                 })
             }
@@ -291,9 +376,7 @@
         let mut engines = self.engines.borrow_mut();
         let slot = engines.get_mut(engine).ok_or(Outcome::Unreachable)?;
         let idle = span(self.sockets.idle * 0.8);
-        // One that the engine has closed meanwhile, or has said something on, must not get a statement: what
-        // breaks after the write may have run.
-        slot.keep(|c| c.used.elapsed() < idle && c.wire.next().now_or_never().is_none());
+        slot.keep(|c| c.used.elapsed() < idle && c.rests());
         let key = (work.context.clone(), work.sql.clone());
         // A connection cannot leave all schemas again: a session without one needs a fresh connection.
         let fits = |c: &Connection| c.can_enter(&work.context);
@@ -324,7 +407,29 @@
     async fn connect(&self, engine: &str) -> Result<Connection, PacketError> {
         let address = self.engines.borrow().get(engine).and_then(|s| s.address);
         let address = address.ok_or(PacketError::Protocol("it has no address"))?;
-        self.open(address).await
+        let mut c = self.open(address).await?;
+        let open = self.engines.borrow().get(engine).map(|s| s.live.clone()).unwrap_or_default();
+        open.set(open.get() + 1);
+        let shared = self.weak.clone();
+        c.live = Some(Live { shared, engine: engine.to_string(), open, broken: false });
+        Ok(c)
+    }
+
+    fn report(&self, engine: &str, seen: Seen) {
+        if let Some(witness) = self.witness.borrow().as_ref() {
+            witness.report(engine, seen);
+        }
+    }
+
+    /// True if the engine has started anew since its last connections.
+    fn opened(&self, engine: &str, at: Millis) -> bool {
+        let witness = self.witness.borrow().clone();
+        witness.is_some_and(|w| w.opened(engine, at))
+    }
+
+    /// Its connections that are logged in.
+    fn left(&self, engine: &str) -> usize {
+        self.engines.borrow().get(engine).map_or(0, |s| s.live.get())
     }
 
     /// Connects and logs in, each within the time for a connection.
@@ -339,6 +444,7 @@
         let login = tokio::time::timeout(limit, self.log_in(&mut wire));
         let number = login.await.map_err(io::Error::from)??;
         Ok(Connection {
+            live: None,
             wire,
             number,
             address,
--- a/src/net/mysql/packet.rs
+++ b/src/net/mysql/packet.rs
@@ -46,6 +46,8 @@
     Sql(SqlError),
     #[error("{0}")]
     Protocol(&'static str),
+    #[error("the connection leads to nobody any more")]
+    Cut,
     #[error(transparent)]
     Io(#[from] io::Error),
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -179,7 +179,8 @@
     let operators = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = operators.local_addr().unwrap();
     spawn_local(
-        Admin::new(hub.clone(), Pool::default(), Rc::new(Shared::open(None).unwrap())).accept(operators),
+        Admin::new(hub.clone(), Pool::default(), Rc::new(Shared::open(None).unwrap()), Rc::default())
+            .accept(operators),
     );
     for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
         let words: Vec<&str> = line.split_whitespace().collect();
