Play the hard cases of membership on the program, with stand-in registries and engines

Need: nothing played a registry that lags, forgets, lies or is away, nor an engine that restarts unseen, against the program itself.

A contradiction is shown also where one side is only behind; a clock that is set back stops nothing; drafts of killed processes are swept. make check covers the workspace.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,11 @@
 	cargo build --release --locked
 
 test: build
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 # The whole verdict, as CI asks for it.
 check: lint test
--- /dev/null
+++ b/crates/lab/src/engine.rs
@@ -0,0 +1,287 @@
+//! A stand-in for an engine that speaks MySQL: it runs every statement for a while, keeps an exact account of what
+//! it was sent and when, and can end, return, and hang.
+
+use crate::now;
+use bytes::Bytes;
+use futures_util::SinkExt;
+use hitchwinch::net::mysql::packet::*;
+use hitchwinch::net::mysql::{SqlError, auth, code};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio_stream::StreamExt;
+use tokio_util::codec::Framed;
+
+/// The password that a dispatcher's `[engines]` names.
+pub const PASSWORD: &str = "lab";
+/// Statements that are remembered.
+const REMEMBERED: usize = 1_000_000;
+
+/// One statement that an engine was sent whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ran {
+    /// When its last byte was here, in milliseconds.
+    pub at: f64,
+    pub sql: String,
+    /// The process of the engine, counted from its first start.
+    pub process: u32,
+    /// Its answer was written.
+    pub answered: bool,
+}
+
+struct Inner {
+    name: String,
+    address: Cell<SocketAddr>,
+    work: Cell<Duration>,
+    process: Cell<u32>,
+    /// When this process started, in milliseconds.
+    started: Cell<f64>,
+    ran: RefCell<Vec<Ran>>,
+    running: Cell<usize>,
+    most_running: Cell<usize>,
+    tasks: RefCell<Vec<AbortHandle>>,
+    connections: Cell<u32>,
+}
+
+/// One engine. Cloned handles are the same engine.
+#[derive(Clone)]
+pub struct Engine(Rc<Inner>);
+
+/// Counts what runs, however it ends.
+struct Running<'a>(&'a Inner);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+impl Engine {
+    /// An engine at this address (port 0 takes a free one) that works on each statement for `work`.
+    ///
+    /// # Errors
+    /// The address cannot be listened on.
+    pub async fn start(name: &str, address: SocketAddr, work: Duration) -> io::Result<Self> {
+        let inner = Inner {
+            name: name.into(),
+            address: Cell::new(address),
+            work: Cell::new(work),
+            process: Cell::new(0),
+            started: Cell::new(now()),
+            ran: RefCell::default(),
+            running: Cell::new(0),
+            most_running: Cell::new(0),
+            tasks: RefCell::default(),
+            connections: Cell::new(0),
+        };
+        let engine = Engine(Rc::new(inner));
+        engine.again().await?;
+        Ok(engine)
+    }
+
+    /// Its process starts anew, at the same address.
+    ///
+    /// # Errors
+    /// The address cannot be listened on.
+    pub async fn again(&self) -> io::Result<()> {
+        let listener = TcpListener::bind(self.0.address.get()).await?;
+        self.0.address.set(listener.local_addr()?);
+        self.0.process.set(self.0.process.get() + 1);
+        self.0.started.set(now());
+        let inner = Rc::downgrade(&self.0);
+        let accepting = spawn_local(async move {
+            while let Ok((tcp, _)) = listener.accept().await {
+                let Some(engine) = inner.upgrade().map(Engine) else { return };
+                let session = engine.clone();
+                let task = spawn_local(async move { drop(session.session(tcp).await) });
+                let mut tasks = engine.0.tasks.borrow_mut();
+                tasks.retain(|t| !t.is_finished());
+                tasks.push(task.abort_handle());
+            }
+        });
+        self.0.tasks.borrow_mut().push(accepting.abort_handle());
+        Ok(())
+    }
+
+    /// Its process ends: all connections break off, and new ones are refused.
+    pub fn end(&self) {
+        self.0.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
+    }
+
+    pub fn name(&self) -> &str {
+        &self.0.name
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.address.get()
+    }
+
+    /// When its process started last, in milliseconds.
+    pub fn started(&self) -> f64 {
+        self.0.started.get()
+    }
+
+    /// How long it works on a statement from now on.
+    pub fn work(&self, span: Duration) {
+        self.0.work.set(span);
+    }
+
+    /// All that it was sent, in order.
+    pub fn ran(&self) -> Vec<Ran> {
+        self.0.ran.borrow().clone()
+    }
+
+    /// The last moment at which a statement came, in milliseconds.
+    pub fn last(&self) -> Option<f64> {
+        self.0.ran.borrow().last().map(|r| r.at)
+    }
+
+    pub fn count(&self) -> usize {
+        self.0.ran.borrow().len()
+    }
+
+    /// The most that ran at a time since the last call.
+    pub fn most_running(&self) -> usize {
+        self.0.most_running.replace(self.0.running.get())
+    }
+
+    async fn session(&self, tcp: TcpStream) -> Result<(), PacketError> {
+        tcp.set_nodelay(true)?;
+        let mut wire = Framed::new(tcp, PacketCodec { most: 1 << 22, sequence: 0 });
+        let number = self.0.connections.get() + 1;
+        self.0.connections.set(number);
+        let nonce: Vec<u8> =
+            (0..20u32).map(|i| (33 + (number.wrapping_mul(31) + i * 7) % 90) as u8).collect();
+        let greeting =
+            Greeting { connection: number, nonce, plugin: auth::NATIVE.into(), capabilities: CAPABILITIES };
+        wire.send(&greeting.write("8.0.0-lab")[..]).await?;
+        let Some(login) = wire.next().await else { return Ok(()) };
+        let login = Login::read(login?)?;
+        if !auth::proves(&login.plugin, PASSWORD, &greeting.nonce, &login.auth) {
+            return wire.send(&err(&SqlError::new(code::ACCESS, "wrong password"))[..]).await;
+        }
+        wire.send(&ok()[..]).await?;
+        let mut statements: HashMap<u32, String> = HashMap::new();
+        let mut next = 0;
+        loop {
+            wire.codec_mut().sequence = 0;
+            let Some(command) = wire.next().await else { return Ok(()) };
+            let command: Bytes = command?;
+            let Some((&kind, body)) = command.split_first() else { return Ok(()) };
+            let said = String::from_utf8_lossy(body).into_owned();
+            let id = Reader(command.slice(1..)).u32().unwrap_or(0);
+            let (sql, binary) = match kind {
+                QUIT => return Ok(()),
+                QUERY if said.starts_with("SET ") || said.starts_with("KILL ") => {
+                    wire.send(&ok()[..]).await?;
+                    continue;
+                }
+                QUERY => (said, false),
+                STMT_EXECUTE => match statements.get(&id) {
+                    Some(sql) => (sql.clone(), true),
+                    None => {
+                        wire.send(&err(&SqlError::new(code::NO_STATEMENT, "unknown statement"))[..]).await?;
+                        continue;
+                    }
+                },
+                STMT_PREPARE => {
+                    next += 1;
+                    self.prepared(&mut wire, next, &said).await?;
+                    statements.insert(next, said);
+                    continue;
+                }
+                STMT_CLOSE => {
+                    statements.remove(&id);
+                    continue;
+                }
+                STMT_SEND_LONG_DATA => continue,
+                _ => {
+                    wire.send(&ok()[..]).await?;
+                    continue;
+                }
+            };
+            self.run(&mut wire, sql, binary).await?;
+        }
+    }
+
+    async fn prepared(&self, wire: &mut Wire, id: u32, sql: &str) -> Result<(), PacketError> {
+        let parameters = sql.matches('?').count().min(250) as u8;
+        let columns = if reads(sql) { 2 } else { 0 };
+        let head = [&[0][..], &id.to_le_bytes(), &[columns, 0, parameters, 0, 0, 0, 0]].concat();
+        wire.feed(&head[..]).await?;
+        for _ in 0..parameters {
+            wire.feed(&column("?")[..]).await?;
+        }
+        if parameters > 0 {
+            wire.feed(EOF).await?;
+        }
+        if columns > 0 {
+            wire.feed(&column("engine")[..]).await?;
+            wire.feed(&column("process")[..]).await?;
+            wire.feed(EOF).await?;
+        }
+        SinkExt::<&[u8]>::flush(wire).await
+    }
+
+    async fn run(&self, wire: &mut Wire, sql: String, binary: bool) -> Result<(), PacketError> {
+        let inner = &*self.0;
+        let place = {
+            let mut ran = inner.ran.borrow_mut();
+            if ran.len() >= REMEMBERED {
+                return Err(PacketError::Protocol("the account is full"));
+            }
+            ran.push(Ran { at: now(), sql: sql.clone(), process: inner.process.get(), answered: false });
+            ran.len() - 1
+        };
+        inner.running.set(inner.running.get() + 1);
+        inner.most_running.set(inner.most_running.get().max(inner.running.get()));
+        let running = Running(inner);
+        tokio::time::sleep(inner.work.get()).await;
+        drop(running);
+        if reads(&sql) {
+            let head: &[u8] = if binary { &[0, 0] } else { &[] };
+            let row = [head, &text(&inner.name), &text(&inner.process.get().to_string())].concat();
+            for p in [&[2][..], &column("engine"), &column("process"), EOF, &row, EOF] {
+                wire.feed(p).await?;
+            }
+            SinkExt::<&[u8]>::flush(wire).await?;
+        } else {
+            wire.send(&ok()[..]).await?;
+        }
+        inner.ran.borrow_mut()[place].answered = true;
+        Ok(())
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        self.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
+    }
+}
+
+type Wire = Framed<TcpStream, PacketCodec>;
+
+const EOF: &[u8] = &[0xfe, 0, 0, 2, 0];
+
+fn reads(sql: &str) -> bool {
+    let sql = sql.trim_start();
+    let sql = sql.strip_prefix("/*").and_then(|s| s.split_once("*/")).map_or(sql, |s| s.1.trim_start());
+    sql.get(..6).is_some_and(|s| s.eq_ignore_ascii_case("select"))
+}
+
+fn text(s: &str) -> Vec<u8> {
+    let mut p = vec![];
+    put_lenenc(&mut p, s.len() as u64);
+    p.extend(s.bytes());
+    p
+}
+
+fn column(name: &str) -> Vec<u8> {
+    let words: Vec<u8> = ["def", "", "", "", name, name].into_iter().flat_map(text).collect();
+    [&words[..], &[0x0c, UTF8, 0, 0, 1, 0, 0, 0xfd, 0, 0, 0, 0, 0]].concat()
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for what stands round a dispatcher, written from public specifications, and the tools that measure it.
+//! Tests, measurements and examples share them. Everything stays on loopback and on one thread.
+
+pub mod client;
+pub mod engine;
+pub mod measure;
+pub mod program;
+pub mod registry;
+pub mod stand;
+
+/// The machine's Unix clock, in milliseconds: the stand-ins' logs and the checkers run on it.
+pub fn now() -> f64 {
+    hitchwinch::net::unix_ms()
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,170 @@
+//! The laboratory's program: stand-ins to try a dispatcher with, and measurements.
+
+use clap::{Args, Parser, Subcommand};
+use lab::measure::{self, Subject};
+use lab::registry::{Instance, Node, Rules};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+#[derive(Parser)]
+#[command(version, about, arg_required_else_help = true)]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Registries that copy each other, until Ctrl-C.
+    Registry {
+        /// The first one's port; the others follow.
+        #[arg(long, default_value_t = 8761)]
+        port: u16,
+        #[arg(long, default_value_t = 1)]
+        nodes: u16,
+        /// What changes at one is at the others so much later.
+        #[arg(long, default_value_t = 0.0)]
+        lag_ms: f64,
+        /// Answers are up to so old.
+        #[arg(long, default_value_t = 0.0)]
+        cache_ms: f64,
+        /// Engines to begin with, as NAME=PORT of this machine; they need no renewal.
+        #[arg(long = "engine")]
+        engines: Vec<String>,
+    },
+    /// Engines that speak MySQL, until Ctrl-C. Their password is `lab`.
+    Engines {
+        #[arg(long, default_value_t = 4001)]
+        port: u16,
+        #[arg(long, default_value_t = 2)]
+        count: usize,
+        #[arg(long, default_value_t = 50)]
+        work_ms: u64,
+    },
+    /// Measures a program's membership; a line of JSON each.
+    #[command(subcommand)]
+    Measure(Measure),
+}
+
+#[derive(Args)]
+struct Which {
+    /// The dispatcher's program.
+    #[arg(long, default_value = "target/release/hitchwinch")]
+    program: PathBuf,
+    /// A program that knows only the earlier form of `[eureka]`.
+    #[arg(long)]
+    earlier: bool,
+}
+
+#[derive(Subcommand)]
+enum Measure {
+    /// From the notice that an engine drains to the last statement that it gets.
+    Drains {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 1)]
+        registries: usize,
+        #[arg(long, default_value_t = 10)]
+        instances: usize,
+        #[arg(long, default_value_t = 20)]
+        drains: usize,
+    },
+    /// Processor time and memory of a round.
+    Rounds {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 10_000)]
+        instances: usize,
+        /// Whole lists; else changes.
+        #[arg(long)]
+        full: bool,
+    },
+    /// Requests lost while every registry is away.
+    Outage {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// One engine restarts cold in the middle.
+        #[arg(long)]
+        restart: bool,
+    },
+    /// A start with every registry away.
+    Start {
+        #[command(flatten)]
+        which: Which,
+    },
+}
+
+impl Which {
+    fn subject(self) -> Subject {
+        Subject { program: self.program, earlier: self.earlier }
+    }
+}
+
+type Error = Box<dyn std::error::Error>;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let run = || -> Result<(), Error> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, run(cli.what))
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("hitchwinch-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(what: What) -> Result<(), Error> {
+    match what {
+        What::Registry { port, nodes, lag_ms, cache_ms, engines } => {
+            let mut all: Vec<Node> = vec![];
+            for n in 0..nodes {
+                let at = SocketAddr::from(([127, 0, 0, 1], port + n));
+                let node = Node::start(at, Rules::default()).await?;
+                node.lag(lag_ms);
+                node.cache(cache_ms);
+                all.iter().for_each(|other| node.peer(other));
+                println!("registry at {}", node.url());
+                all.push(node);
+            }
+            for e in engines {
+                let (name, port) = e.split_once('=').ok_or(format!("{e:?} is not NAME=PORT"))?;
+                let instance = Instance::engine("ENGINES", name, port.parse()?, lab::now());
+                let forever = Instance { duration: f64::MAX, up: lab::now() - 60_000.0, ..instance };
+                all.iter().for_each(|node| node.register(forever.clone()));
+            }
+            all.iter().for_each(|node| node.evict_every(Duration::from_secs(10)));
+            tokio::signal::ctrl_c().await?;
+        }
+        What::Engines { port, count, work_ms } => {
+            let engines = measure::serve_engines(count, port, Duration::from_millis(work_ms)).await?;
+            engines.iter().for_each(|e| println!("{} at {}", e.name(), e.address()));
+            tokio::signal::ctrl_c().await?;
+            engines.iter().for_each(|e| println!("{}: {} statements", e.name(), e.count()));
+        }
+        What::Measure(m) => {
+            let line = match m {
+                Measure::Drains { which, registries, instances, drains } => {
+                    measure::drains(&which.subject(), registries.max(1), instances, drains).await?
+                }
+                Measure::Rounds { which, instances, full } => {
+                    measure::rounds(&which.subject(), instances, full).await?
+                }
+                Measure::Outage { which, seconds, restart } => {
+                    measure::outage(&which.subject(), seconds, restart).await?
+                }
+                Measure::Start { which } => measure::start_alone(&which.subject()).await?,
+            };
+            println!("{line}");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,327 @@
+//! Measurements of membership on real sockets: long, and no part of any test. Each prints a line of JSON, so that an
+//! earlier program can be measured by the same script and laid beside.
+
+use crate::client::{Clients, End, Load};
+use crate::engine::Engine;
+use crate::now;
+use crate::program::{Folder, Program, ProgramError};
+use crate::registry::{Fault, Instance, Node, Rules};
+use crate::stand::{self, free};
+use hdrhistogram::Histogram;
+use hitchwinch::membership::Status;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Why a measurement gave nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum MeasureError {
+    #[error(transparent)]
+    Program(#[from] ProgramError),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error("it never came to {0}")]
+    Never(String),
+    #[error("the lab's own clients were too slow: {0}; the figures would be theirs")]
+    Client(String),
+}
+
+/// Which program is measured, and by which form of its file.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    pub program: PathBuf,
+    /// It knows only `address` and `path`: one registry, rounds of whole seconds.
+    pub earlier: bool,
+}
+
+impl Subject {
+    fn section(&self, nodes: &[&Node], period_s: f64, more: &str) -> String {
+        match self.earlier {
+            true => format!(
+                "[eureka]\naddress = \"{}\"\npath = \"/eureka\"\napp = \"ENGINES\"\nperiod_s = {}",
+                nodes[0].address(),
+                period_s.max(1.0) as u64
+            ),
+            false => {
+                let urls: Vec<String> = nodes.iter().map(|n| format!("{:?}", n.url())).collect();
+                format!(
+                    "[eureka]\nservers = [{}]\napp = \"ENGINES\"\nperiod_s = {period_s:.3}\n{more}",
+                    urls.join(", ")
+                )
+            }
+        }
+    }
+
+    async fn start(&self, folder: &Folder, top: &str, section: &str) -> Result<Program, MeasureError> {
+        let top = format!("connect_timeout_ms = 1000\n{top}");
+        Ok(Program::start(&self.program, folder, "measured", &stand::file(&top, section)).await?)
+    }
+}
+
+/// One of the figures that operators are told.
+async fn figure(program: &Program, name: &str) -> Option<u64> {
+    let (_, text) = program.call("GET", "/_vars").await.ok()?;
+    text.lines().find_map(|l| l.strip_prefix(&format!("{name}="))?.parse().ok())
+}
+
+async fn targets(program: &Program, n: u64) -> Result<(), MeasureError> {
+    for _ in 0..1500 {
+        if figure(program, "targets").await == Some(n) {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Err(MeasureError::Never(format!("{n} engines in the list")))
+}
+
+async fn pass(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Engines that are listed and never take anything: a list of so many is as long as one that serves.
+fn fill(nodes: &[Node], from: usize, to: usize) {
+    for n in from..to {
+        let filler = Instance {
+            ip: format!("127.1.{}.{}", n / 250, n % 250 + 1),
+            status: Status::Starting,
+            ..Instance::engine("ENGINES", &format!("filler-{n}"), 3306, now())
+        };
+        nodes.iter().for_each(|node| node.register(filler.clone()));
+    }
+}
+
+async fn nodes(n: usize) -> Result<Vec<Node>, MeasureError> {
+    let mut all = vec![];
+    for _ in 0..n {
+        // Nothing is let go while it is measured, and no delta grows without end.
+        all.push(
+            Node::start(free(), Rules { preserve: 1.0, retention: 10_000.0, ..Rules::default() }).await?,
+        );
+    }
+    Ok(all)
+}
+
+#[derive(Serialize)]
+struct Spread {
+    n: u64,
+    p50_ms: f64,
+    p99_ms: f64,
+    max_ms: f64,
+}
+
+fn spread(values: &[f64]) -> Spread {
+    let Ok(mut h) = Histogram::<u64>::new(3) else {
+        return Spread { n: 0, p50_ms: 0.0, p99_ms: 0.0, max_ms: 0.0 };
+    };
+    values.iter().for_each(|v| h.saturating_record((v * 1000.0) as u64));
+    let at = |p| h.value_at_percentile(p) as f64 / 1000.0;
+    Spread { n: h.len(), p50_ms: at(50.0), p99_ms: at(99.0), max_ms: h.max() as f64 / 1000.0 }
+}
+
+/// From the notice that an engine drains to the last statement that it gets, over so many drains.
+///
+/// # Errors
+/// The program or a stand-in does not do its part.
+pub async fn drains(
+    subject: &Subject,
+    registries: usize,
+    instances: usize,
+    drains: usize,
+) -> Result<Value, MeasureError> {
+    let folder = Folder::new("measure-drains")?;
+    let nodes = nodes(registries).await?;
+    let engines = stand::engines(5, Duration::from_millis(4)).await?;
+    let all: Vec<&Node> = nodes.iter().collect();
+    stand::register(&all, &engines);
+    fill(&nodes, engines.len(), instances);
+    let program = subject.start(&folder, "", &subject.section(&all, 1.0, "ask = 1")).await?;
+    targets(&program, instances.max(engines.len()) as u64).await?;
+    // What changes at the first is at the others 300 ms later.
+    for (i, a) in nodes.iter().enumerate() {
+        a.lag(300.0);
+        nodes[i + 1..].iter().for_each(|b| a.peer(b));
+    }
+    let load = Load { clients: 20, gap: Duration::from_millis(50), loads: 0, prepared: true };
+    let clients = Clients::start(program.address, load);
+    pass(1500).await;
+    let mut late = vec![];
+    for n in 0..drains {
+        let engine = &engines[n % engines.len()];
+        nodes.iter().for_each(|node| node.watch(engine.name()));
+        // At whatever moment of a round.
+        pass((n as u64 * 137) % 1000).await;
+        nodes[0].set_status("ENGINES", engine.name(), Some(Status::OutOfService));
+        let mut notice = None;
+        for _ in 0..200 {
+            notice = nodes.iter().filter_map(|node| node.told(engine.name())).reduce(f64::min);
+            if notice.is_some() {
+                break;
+            }
+            pass(20).await;
+        }
+        let Some(notice) = notice else { return Err(MeasureError::Never("a notice".into())) };
+        pass(1400).await;
+        let last = engine.ran().iter().rev().find(|r| r.at > notice).map_or(0.0, |r| r.at - notice);
+        late.push(last);
+        let before = engine.count();
+        nodes[0].set_status("ENGINES", engine.name(), None);
+        for _ in 0..200 {
+            if engine.count() > before + 3 {
+                break;
+            }
+            pass(20).await;
+        }
+    }
+    let account = clients.stop().await;
+    Ok(json!({
+        "measure": "drains", "earlier": subject.earlier, "registries": registries, "instances": instances,
+        "notice_to_last": spread(&late), "requests": account.all(), "served": account.count(End::Served),
+        "latency_p99_ms": account.percentile(99.0),
+    }))
+}
+
+/// Processor time and memory of a round, with lists in full and by changes, beside a paced client.
+///
+/// # Errors
+/// The program or a stand-in does not do its part.
+pub async fn rounds(subject: &Subject, instances: usize, full: bool) -> Result<Value, MeasureError> {
+    let folder = Folder::new("measure-rounds")?;
+    let nodes = nodes(1).await?;
+    let engines = stand::engines(2, Duration::from_millis(1)).await?;
+    stand::register(&[&nodes[0]], &engines);
+    fill(&nodes, engines.len(), instances);
+    // Changes that are told in every delta end with their retention.
+    pass(if instances > 100 { 11_000 } else { 0 }).await;
+    let program = subject.start(&folder, "", &subject.section(&[&nodes[0]], 1.0, "")).await?;
+    targets(&program, instances.max(engines.len()) as u64).await?;
+    let load = Load { clients: 4, gap: Duration::from_millis(20), loads: 0, prepared: true };
+    let clients = Clients::start(program.address, load);
+    pass(2000).await;
+    let idle = clients.stop().await;
+    if full {
+        // No delta adds up: the whole is asked for in every round.
+        nodes[0].fault(Fault::Hash);
+    }
+    let rounds_before = nodes[0].calls().iter().filter(|c| c.ends_with("/apps/delta")).count();
+    let (cpu, bytes) = (program.cpu(), nodes[0].bytes());
+    let clients = Clients::start(program.address, load);
+    for n in 0..200usize {
+        // Ten changes a second, as a fleet has.
+        if n % 2 == 0 {
+            let id = format!("filler-{}", engines.len() + n % instances.saturating_sub(engines.len()).max(1));
+            let status = if n % 4 == 0 { Some(Status::Down) } else { None };
+            nodes[0].set_status("ENGINES", &id, status);
+        }
+        pass(50).await;
+    }
+    let account = clients.stop().await;
+    let rounds = nodes[0].calls().iter().filter(|c| c.ends_with("/apps/delta")).count() - rounds_before;
+    let used = program.cpu() - cpu;
+    let (now_mb, most_mb) = program.memory();
+    // What the clients themselves take, from a stretch without rounds that matter, is taken off by rate.
+    Ok(json!({
+        "measure": "rounds", "earlier": subject.earlier, "instances": instances, "full": full, "rounds": rounds,
+        "cpu_ms_a_round_with_load": 1000.0 * used / rounds.max(1) as f64,
+        "kb_a_round": (nodes[0].bytes() - bytes) as f64 / 1024.0 / rounds.max(1) as f64,
+        "memory_mb": now_mb, "memory_most_mb": most_mb,
+        "latency_p50_ms": account.percentile(50.0), "latency_p99_ms": account.percentile(99.0),
+        "latency_max_ms": account.percentile(100.0),
+        "latency_p99_before_ms": idle.percentile(99.0), "not_served": account.all() - account.count(End::Served),
+    }))
+}
+
+/// Requests lost while every registry is away for so long, one engine restarting cold in the middle.
+///
+/// # Errors
+/// The program or a stand-in does not do its part.
+pub async fn outage(subject: &Subject, seconds: u64, restart: bool) -> Result<Value, MeasureError> {
+    let folder = Folder::new("measure-outage")?;
+    let nodes = nodes(2).await?;
+    let engines = stand::engines(3, Duration::from_millis(400)).await?;
+    let all: Vec<&Node> = nodes.iter().collect();
+    stand::register(&all, &engines);
+    let program = subject.start(&folder, "", &subject.section(&all, 1.0, "")).await?;
+    targets(&program, 3).await?;
+    let load = Load { clients: 90, gap: Duration::from_millis(1000), loads: 10, prepared: false };
+    let clients = Clients::start(program.address, load);
+    pass(4000).await;
+    nodes.iter().for_each(Node::away);
+    pass(500 * seconds).await;
+    let mut cold = Value::Null;
+    if restart {
+        engines[0].end();
+        pass(3000).await;
+        engines[0].again().await?;
+        pass(8000).await;
+        let most = stand::spared(&engines[0], 2000.0, usize::MAX);
+        cold = json!(most.map_or(0, |m| m.0));
+    }
+    pass(500 * seconds).await;
+    for node in &nodes {
+        node.back().await?;
+    }
+    pass(2000).await;
+    let account = clients.stop().await;
+    let ends: Vec<(String, u64)> =
+        account.ends.borrow().iter().map(|(e, n)| (format!("{e:?}"), *n)).collect();
+    Ok(json!({
+        "measure": "outage", "earlier": subject.earlier, "seconds": seconds, "restart": restart,
+        "ends": ends.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
+        "most_in_2_s_on_the_cold_engine": cold, "borne_cold_in_2_s": 48,
+        "loads_run_twice": stand::loads_once(&engines).is_err(),
+    }))
+}
+
+/// A start while every registry is away: how many of a hundred requests are served.
+///
+/// # Errors
+/// The program or a stand-in does not do its part.
+pub async fn start_alone(subject: &Subject) -> Result<Value, MeasureError> {
+    let folder = Folder::new("measure-start")?;
+    let nodes = nodes(1).await?;
+    let engines = stand::engines(3, Duration::from_millis(10)).await?;
+    stand::register(&[&nodes[0]], &engines);
+    let top = format!("state_dir = {:?}", folder.path());
+    let section = subject.section(&[&nodes[0]], 1.0, "");
+    let program = subject.start(&folder, &top, &section).await?;
+    targets(&program, 3).await?;
+    pass(2000).await;
+    program.kill().await?;
+    nodes[0].away();
+    let began = now();
+    let program = subject.start(&folder, &top, &section).await?;
+    let mut ready = None;
+    for _ in 0..150 {
+        if program.call("GET", "/_ready").await?.0 == 200 {
+            ready = Some(now() - began);
+            break;
+        }
+        pass(20).await;
+    }
+    let load = Load { clients: 10, gap: Duration::from_millis(100), loads: 0, prepared: true };
+    let clients = Clients::start(program.address, load);
+    pass(1000).await;
+    let account = clients.stop().await;
+    Ok(json!({
+        "measure": "start", "earlier": subject.earlier, "ready_after_ms": ready,
+        "requests": account.all(), "served": account.count(End::Served),
+    }))
+}
+
+/// Engines for trying things by hand.
+///
+/// # Errors
+/// A port is taken.
+pub async fn serve_engines(
+    count: usize,
+    first_port: u16,
+    work: Duration,
+) -> Result<Vec<Engine>, MeasureError> {
+    let mut all = vec![];
+    for i in 0..count {
+        let at = std::net::SocketAddr::from(([127, 0, 0, 1], first_port + i as u16));
+        all.push(Engine::start(&format!("engine-{i}"), at, work).await?);
+    }
+    Ok(all)
+}
--- a/src/membership/book.rs
+++ b/src/membership/book.rs
@@ -1,6 +1,6 @@
 //! The book of all engines: takes what is told and seen, and gives what changes by it.
 
-use super::claims::{Belief, Claim, Claims, Fact, Said, SourceId, Stand, Version, Why};
+use super::claims::{Belief, Claim, Claims, Fact, Said, SourceId, Stand, Version, Why, earlier};
 use super::hold::{Held, HoldRules, Vanished};
 use super::networks::{Networks, Rejection};
 use super::proof::{Proof, Seen};
@@ -212,7 +212,7 @@
     pub fn view(&mut self, now: Millis, view: View) -> Option<Change> {
         let id = self.source(&view.source);
         let source = self.sources.get_mut(&id)?;
-        if view.asked < source.asked {
+        if earlier(view.asked, source.asked) {
             return None;
         }
         (source.answered, source.asked) = (Some(view.arrived.min(now)), view.asked);
--- a/src/membership/claims.rs
+++ b/src/membership/claims.rs
@@ -18,6 +18,15 @@
 /// Registries' clocks differ by less than this, in milliseconds: facts that are closer are concurrent.
 pub const SKEW: u64 = 1000;
 
+/// No exchange with a registry takes longer, in milliseconds. An answer that seems to be asked for still earlier than
+/// the one before tells that the machine's clock was set back, not that it was late.
+pub const EXCHANGE: Millis = 60_000.0;
+
+/// Asked for earlier, as far as the clock can be trusted.
+pub fn earlier(asked: Millis, than: Millis) -> bool {
+    asked < than && than - asked <= EXCHANGE
+}
+
 /// An instance's status, as registries word it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
@@ -213,12 +222,12 @@
         if let Some(old) = self.all.iter_mut().find(|c| c.source == new.source) {
             let same_answer = old.asked == new.asked && old.round == new.round;
             let older = match new.version.untold() || old.version.untold() {
-                true => new.asked < old.asked,
+                true => earlier(new.asked, old.asked),
                 // One answer may tell an instance twice: of two that are equally new, the drain stays.
                 false => {
                     new.version < old.version
                         || (same_answer && new.version == old.version && old.said != Said::Serves)
-                        || (new.version == old.version && new.asked < old.asked)
+                        || (new.version == old.version && earlier(new.asked, old.asked))
                 }
             };
             if older {
@@ -247,7 +256,7 @@
     pub fn absent(&mut self, source: SourceId, asked: Millis, now: Millis, version: Option<Version>) -> bool {
         let Some(claim) = self.all.iter_mut().find(|c| c.source == source) else { return false };
         let old = version.is_some_and(|v| !v.untold() && v < claim.version);
-        if claim.said == Said::Absent || asked < claim.asked || old {
+        if claim.said == Said::Absent || earlier(asked, claim.asked) || old {
             return false;
         }
         claim.version = claim.version.max(version.unwrap_or_default());
@@ -294,7 +303,9 @@
             _ => None,
         });
         if let Some((source, status)) = drains {
-            let why = if serving.is_some() { Why::Contradicted(source, status) } else { Why::Told(status) };
+            // Also one that is only behind: operators are to see that the registries differ.
+            let differs = current().any(|c| c.said == Said::Serves);
+            let why = if differs { Why::Contradicted(source, status) } else { Why::Told(status) };
             return belief(Stand::Drains, why);
         }
         if current().any(|c| c.said == Said::Unusable) {
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -148,6 +148,15 @@
     assert_eq!(p.state("e"), Ready);
 }
 
+#[test]
+fn a_clock_that_is_set_back_stops_nothing() {
+    let mut p = Play::new(Rules::default());
+    p.whole(A, &[up("e", 5, 100), up("f", 5, 100)]);
+    p.now -= 3_600_000.0;
+    p.whole(A, &[fact("e", Status::Down, 5, 200)]);
+    assert_eq!((p.state("e"), p.state("f")), (Draining, Gone));
+}
+
 #[test]
 fn a_contradiction_is_resolved_towards_draining_and_shown() {
     let mut p = Play::new(Rules::default());
--- a/src/net/discovery/eureka/format.rs
+++ b/src/net/discovery/eureka/format.rs
@@ -145,8 +145,9 @@
     host_name: Option<String>,
     ip_addr: Option<String>,
     status: String,
-    #[serde(alias = "overriddenStatus")]
     overriddenstatus: Option<String>,
+    /// The same, as later registries word it in JSON.
+    overridden_status: Option<String>,
     port: Option<P>,
     secure_port: Option<P>,
     action_type: Option<String>,
@@ -202,7 +203,7 @@
             id: id.ok_or_else(|| missing("instanceId"))?,
             ip: self.ip_addr,
             status: self.status,
-            overridden: self.overriddenstatus,
+            overridden: self.overridden_status.or(self.overriddenstatus),
             port: self.port.map(&port),
             secure_port: self.secure_port.map(&port),
             action: self.action_type,
--- a/src/net/discovery/eureka/lease.rs
+++ b/src/net/discovery/eureka/lease.rs
@@ -12,10 +12,9 @@
 use bytes::Bytes;
 use hyper::Method;
 use serde_json::json;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 
 /// How often it is looked at how the dispatcher stands: proxies hear of its end within this and an exchange.
 const LOOK: Duration = Duration::from_millis(100);
@@ -42,10 +41,8 @@
     client: Client,
     servers: RefCell<Servers>,
     state: RefCell<Registration>,
-    wake: Notify,
     /// What the registry showed of us last, if that is not what we told.
     differs: RefCell<Option<String>>,
-    busy: Cell<bool>,
 }
 
 impl Lease {
@@ -58,9 +55,7 @@
             client: Client::new(source.servers.clone(), source.timeout.min(Duration::from_secs(5)), 1 << 20),
             servers: RefCell::new(Servers::new(&zones, source.zone.as_deref(), random)),
             state: RefCell::new(Registration::new(unix_ms(), renew)),
-            wake: Notify::new(),
             differs: RefCell::default(),
-            busy: Cell::new(false),
             register,
             source,
         }))
@@ -82,11 +77,8 @@
             self.state.borrow_mut().want(now, status);
             let step = self.state.borrow().due(now);
             if let Some(step) = step {
-                self.busy.set(true);
                 let outcome = self.send(step).await;
-                self.busy.set(false);
                 self.state.borrow_mut().done(unix_ms(), step, outcome, random());
-                self.wake.notify_waiters();
                 let renewed = self.state.borrow().renewed;
                 if matches!(step, Step::Renew(_)) && renewed % LOOK_BACK == 1 {
                     self.look_back(status).await;
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -62,6 +62,8 @@
 /// `GET /_members`, beside what membership itself reports.
 #[derive(Serialize)]
 struct Page {
+    /// Engines have been told to the dispatcher; before, a registry is waited for.
+    serving: bool,
     #[serde(flatten)]
     report: Report,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -152,6 +154,7 @@
         let report = self.membership.borrow().report(unix_ms(), &query);
         let lease = self.lease.borrow().clone();
         let page = Page {
+            serving: self.serving.get(),
             report,
             snapshot_problem: self.unsaved.borrow().clone(),
             registration: lease.and_then(|differs| differs()),
--- a/src/store/files.rs
+++ b/src/store/files.rs
@@ -3,6 +3,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::Path;
+use std::time::Duration;
 
 /// What a store does to files. Every call may block, and may fail.
 pub trait Files {
@@ -15,8 +16,13 @@
     fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>>;
     fn remove(&self, path: &Path) -> io::Result<()>;
     fn exists(&self, path: &Path) -> bool;
+    /// Removes files of a folder whose names begin so and that nobody has written to for a while.
+    fn sweep(&self, folder: &Path, prefix: &str) -> io::Result<()>;
 }
 
+/// A draft is written in less; an older one is of a process that was killed.
+const ABANDONED: Duration = Duration::from_secs(60);
+
 /// The machine's own.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Disk;
@@ -49,4 +55,16 @@
     fn exists(&self, path: &Path) -> bool {
         path.exists()
     }
+
+    fn sweep(&self, folder: &Path, prefix: &str) -> io::Result<()> {
+        for entry in std::fs::read_dir(folder)? {
+            let entry = entry?;
+            let ours = entry.file_name().to_str().is_some_and(|n| n.starts_with(prefix));
+            let age = entry.metadata().and_then(|m| m.modified()).ok().and_then(|at| at.elapsed().ok());
+            if ours && age.is_some_and(|age| age > ABANDONED) {
+                std::fs::remove_file(entry.path())?;
+            }
+        }
+        Ok(())
+    }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -82,6 +82,12 @@
         read: impl FnOnce(&[u8]) -> Result<T, RecordError>,
     ) -> Result<Option<T>, LoadError> {
         let io = |error| LoadError::Io { path: self.path.clone(), error };
+        // Drafts of processes that were killed while they wrote: they only take room.
+        if let (Some(folder), Some(name)) =
+            (self.path.parent(), self.path.file_name().and_then(|n| n.to_str()))
+        {
+            let _ = self.files.sweep(folder, &format!("{name}.draft-"));
+        }
         // One byte more than may be there: a longer file is not read into memory.
         let most = self.most + record::HEAD + 1;
         let bytes = match self.files.read(&self.path, most) {
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -78,6 +78,10 @@
         self.seen.borrow_mut().remove(path).map(|_| ()).ok_or(io::ErrorKind::NotFound.into())
     }
 
+    fn sweep(&self, _: &Path, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+
     fn exists(&self, path: &Path) -> bool {
         self.seen.borrow().contains_key(path)
     }
@@ -183,6 +187,15 @@
     store().save(b"two").unwrap();
     assert_eq!(store().load(whole).unwrap().unwrap(), b"two");
     assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 1, "no draft stays");
+    // One that another process left is removed when it is old, and not before.
+    let draft = folder.join("members.draft-1");
+    std::fs::write(&draft, b"half").unwrap();
+    store().load(whole).unwrap();
+    assert!(draft.exists());
+    let old = std::time::SystemTime::now() - std::time::Duration::from_secs(61);
+    std::fs::File::options().write(true).open(&draft).unwrap().set_modified(old).unwrap();
+    store().load(whole).unwrap();
+    assert!(!draft.exists());
     std::fs::remove_dir_all(folder).unwrap();
 }
 
