--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -32,6 +32,40 @@
     pub process: u32,
     /// Its answer was written.
     pub answered: bool,
+    /// For how long it held its connection, in milliseconds, once it was answered.
+    pub held: f64,
+}
+
+/// Rows that a statement asks for by `rows(N, BYTES)` somewhere in it; `rows(N, BYTES, K)` breaks the connection
+/// behind K of them where the engine was told to ([`Engine::breaks_once`]).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rows {
+    pub n: u64,
+    pub bytes: usize,
+    pub breaks: Option<u64>,
+}
+
+impl Rows {
+    fn read(sql: &str) -> Option<Self> {
+        let inner = sql.split_once("rows(")?.1.split_once(')')?.0;
+        let mut numbers = inner.split(',').map(|n| n.trim().parse::<u64>());
+        let (n, bytes) = (numbers.next()?.ok()?, numbers.next()?.ok()?);
+        Some(Rows { n, bytes: (bytes as usize).min(1 << 20), breaks: numbers.next().and_then(Result::ok) })
+    }
+}
+
+/// The text in the first column of a row: its number, filled up to the length asked for.
+pub fn filled(row: u64, bytes: usize) -> String {
+    let mut text = format!("{row}:");
+    // What a report holds: words that repeat, and numbers that do not.
+    let mut n = row.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    while text.len() < bytes {
+        n = n.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        text.push_str(["depot ", "kitchen ", "crate of greens ", "litchi "][(n >> 62) as usize]);
+        text.push_str(&format!("{} ", n >> 52));
+    }
+    text.truncate(bytes.max(text.find(':').unwrap_or(0) + 1));
+    text
 }
 
 struct Inner {
@@ -46,6 +80,7 @@
     most_running: Cell<usize>,
     tasks: RefCell<Vec<AbortHandle>>,
     connections: Cell<u32>,
+    breaks: Cell<bool>,
 }
 
 /// One engine. Cloned handles are the same engine.
@@ -78,6 +113,7 @@
             most_running: Cell::new(0),
             tasks: RefCell::default(),
             connections: Cell::new(0),
+            breaks: Cell::new(false),
         };
         let engine = Engine(Rc::new(inner));
         engine.again().await?;
@@ -235,7 +271,13 @@
             if ran.len() >= REMEMBERED {
                 return Err(PacketError::Protocol("the account is full"));
             }
-            ran.push(Ran { at: now(), sql: sql.clone(), process: inner.process.get(), answered: false });
+            ran.push(Ran {
+                at: now(),
+                sql: sql.clone(),
+                process: inner.process.get(),
+                answered: false,
+                held: 0.0,
+            });
             ran.len() - 1
         };
         inner.running.set(inner.running.get() + 1);
@@ -243,7 +285,9 @@
         let running = Running(inner);
         tokio::time::sleep(inner.work.get()).await;
         drop(running);
-        if reads(&sql) {
+        if let Some(rows) = Rows::read(&sql) {
+            self.many(wire, rows, binary).await?;
+        } else if reads(&sql) {
             let head: &[u8] = if binary { &[0, 0] } else { &[] };
             let row = [head, &text(&inner.name), &text(&inner.process.get().to_string())].concat();
             for p in [&[2][..], &column("engine"), &column("process"), EOF, &row, EOF] {
@@ -253,11 +297,41 @@
         } else {
             wire.send(&ok()[..]).await?;
         }
-        inner.ran.borrow_mut()[place].answered = true;
+        let mut ran = inner.ran.borrow_mut();
+        (ran[place].answered, ran[place].held) = (true, now() - ran[place].at);
         Ok(())
     }
 }
 
+impl Engine {
+    async fn many(&self, wire: &mut Wire, rows: Rows, binary: bool) -> Result<(), PacketError> {
+        for p in [&[2][..], &column("engine"), &column("process"), EOF] {
+            wire.feed(p).await?;
+        }
+        let process = self.0.process.get().to_string();
+        let head: &[u8] = if binary { &[0, 0] } else { &[] };
+        // Long rows differ in their numbers only: the stand-in is to be quicker than what it stands before.
+        let filler = filled(0, rows.bytes);
+        for n in 0..rows.n {
+            if rows.breaks == Some(n) && self.0.breaks.replace(false) {
+                SinkExt::<&[u8]>::flush(wire).await?;
+                return Err(PacketError::Protocol("it breaks here"));
+            }
+            let long =
+                if rows.bytes < 2000 { filled(n, rows.bytes) } else { format!("{n}:{}", &filler[2..]) };
+            let row = [head, &text(&long), &text(&process)].concat();
+            wire.feed(&row[..]).await?;
+        }
+        wire.feed(EOF).await?;
+        SinkExt::<&[u8]>::flush(wire).await
+    }
+
+    /// The next result that is to break off half way does; see [`Rows`].
+    pub fn breaks_once(&self) {
+        self.0.breaks.set(true);
+    }
+}
+
 impl Drop for Inner {
     fn drop(&mut self) {
         self.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod client;
 pub mod engine;
 pub mod measure;
+pub mod measure_spool;
 pub mod program;
+pub mod raw;
 pub mod registry;
 pub mod stand;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use lab::measure::{self, Subject};
+use lab::measure_spool::{self, Spooling};
 use lab::registry::{Instance, Node, Rules};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -54,7 +55,7 @@
     /// The dispatcher's program.
     #[arg(long, default_value = "target/release/hitchwinch")]
     program: PathBuf,
-    /// A program that knows only the earlier form of `[eureka]`.
+    /// A program that knows only the earlier form of `[eureka]`, and no `[spool]`.
     #[arg(long)]
     earlier: bool,
 }
@@ -92,6 +93,44 @@
         #[arg(long)]
         restart: bool,
     },
+    /// For how long a report of 10 MB holds its engine, by its client's pace.
+    Occupancy {
+        #[command(flatten)]
+        which: Which,
+        /// Bytes a second; 0 is full speed.
+        #[arg(long, default_value_t = 0)]
+        pace: usize,
+    },
+    /// Memory with many slow readers.
+    Readers {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 200)]
+        readers: usize,
+        #[arg(long, default_value_t = 50)]
+        megabytes: u64,
+    },
+    /// A large result, beside a plain file.
+    Throughput {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 2048)]
+        megabytes: u64,
+    },
+    /// Latency of small results.
+    Small {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+    },
+    /// A start that finds many results.
+    Recovery {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 10_000)]
+        spools: u64,
+    },
     /// A start with every registry away.
     Start {
         #[command(flatten)]
@@ -100,6 +139,10 @@
 }
 
 impl Which {
+    fn spooling(&self) -> Spooling<'_> {
+        Spooling { program: &self.program, earlier: self.earlier }
+    }
+
     fn subject(self) -> Subject {
         Subject { program: self.program, earlier: self.earlier }
     }
@@ -161,6 +204,19 @@
                 Measure::Outage { which, seconds, restart } => {
                     measure::outage(&which.subject(), seconds, restart).await?
                 }
+                Measure::Occupancy { which, pace } => {
+                    measure_spool::occupancy(&which.spooling(), pace).await?
+                }
+                Measure::Readers { which, readers, megabytes } => {
+                    measure_spool::readers(&which.spooling(), readers, megabytes).await?
+                }
+                Measure::Throughput { which, megabytes } => {
+                    measure_spool::throughput(&which.spooling(), megabytes).await?
+                }
+                Measure::Small { which, seconds } => measure_spool::small(&which.spooling(), seconds).await?,
+                Measure::Recovery { which, spools } => {
+                    measure_spool::recovery(&which.spooling(), spools).await?
+                }
                 Measure::Start { which } => measure::start_alone(&which.subject()).await?,
             };
             println!("{line}");
--- /dev/null
+++ b/crates/lab/src/raw.rs
@@ -0,0 +1,244 @@
+//! A client at the level of packets: for what drivers do not show, and for reading slowly.
+
+use bytes::{BufMut, Bytes};
+use futures_util::SinkExt;
+use hitchwinch::net::mysql::packet::*;
+use hitchwinch::net::mysql::{SqlError, auth};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio_stream::StreamExt;
+use tokio_util::codec::Framed;
+
+/// What a session asks for at log-in, beside what every client does.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wants {
+    pub ok_for_eof: bool,
+    pub tracks: bool,
+    /// The machine keeps so few bytes for it that are not read, if that is said.
+    pub receive: Option<u32>,
+}
+
+/// A logged-in session.
+pub struct Session {
+    wire: Framed<TcpStream, PacketCodec>,
+    ok_for_eof: bool,
+}
+
+/// A result's packets: columns, rows, and what came last.
+#[derive(Debug)]
+pub struct Answer {
+    pub columns: usize,
+    pub rows: Vec<Bytes>,
+    pub last: Bytes,
+}
+
+fn broken<T>() -> Result<T, PacketError> {
+    Err(PacketError::Protocol("the connection ended"))
+}
+
+impl Session {
+    /// # Errors
+    /// It cannot connect, or is turned away.
+    pub async fn log_in(
+        address: SocketAddr,
+        user: &str,
+        password: &str,
+        wants: Wants,
+    ) -> Result<Self, PacketError> {
+        let socket = TcpSocket::new_v4()?;
+        if let Some(bytes) = wants.receive {
+            socket.set_recv_buffer_size(bytes)?;
+        }
+        let mut wire =
+            Framed::new(socket.connect(address).await?, PacketCodec { most: (1 << 24) - 2, sequence: 0 });
+        let Some(greeting) = wire.next().await else { return broken() };
+        let greeting = Greeting::read(greeting?)?;
+        let proof = auth::proof(&greeting.plugin, password, &greeting.nonce).unwrap_or_default();
+        let ends = Ends::default();
+        let login = Login { user: user.into(), auth: proof, schema: None, plugin: greeting.plugin, ends };
+        let mut login = login.write(1 << 24);
+        let mut flags = u32::from_le_bytes([login[0], login[1], login[2], login[3]]);
+        flags |= if wants.ok_for_eof { DEPRECATE_EOF } else { 0 };
+        flags |= if wants.tracks { SESSION_TRACK } else { 0 };
+        login[..4].copy_from_slice(&flags.to_le_bytes());
+        wire.send(&login[..]).await?;
+        let mut s = Session { wire, ok_for_eof: wants.ok_for_eof };
+        let p = s.next().await?;
+        match p.first() {
+            Some(0) => Ok(s),
+            _ => Err(PacketError::Sql(read_err(&p))),
+        }
+    }
+
+    async fn next(&mut self) -> Result<Bytes, PacketError> {
+        match self.wire.next().await {
+            Some(p) => p,
+            None => broken(),
+        }
+    }
+
+    /// # Errors
+    /// The connection's.
+    pub async fn send(&mut self, kind: u8, parts: &[&[u8]]) -> Result<(), PacketError> {
+        let mut p = vec![kind];
+        parts.iter().for_each(|part| p.put_slice(part));
+        self.wire.codec_mut().sequence = 0;
+        self.wire.send(&p[..]).await
+    }
+
+    /// A statement and its whole result.
+    ///
+    /// # Errors
+    /// The connection's, or the server's, also one that breaks a result off.
+    pub async fn query(&mut self, sql: &str) -> Result<Answer, PacketError> {
+        self.send(QUERY, &[sql.as_bytes()]).await?;
+        self.answer().await
+    }
+
+    /// # Errors
+    /// The connection's, or the server's.
+    pub async fn answer(&mut self) -> Result<Answer, PacketError> {
+        let first = self.next().await?;
+        match first.first() {
+            Some(0xff) => return Err(PacketError::Sql(read_err(&first))),
+            Some(0) => return Ok(Answer { columns: 0, rows: vec![], last: first }),
+            _ => {}
+        }
+        let columns = usize::from(first[0]);
+        for _ in 0..columns + usize::from(!self.ok_for_eof) {
+            self.next().await?;
+        }
+        self.rows(columns).await
+    }
+
+    /// Rows up to their end.
+    ///
+    /// # Errors
+    /// The connection's, or the server's.
+    pub async fn rows(&mut self, columns: usize) -> Result<Answer, PacketError> {
+        let mut rows = vec![];
+        loop {
+            let p = self.next().await?;
+            match p.first() {
+                Some(0xff) => return Err(PacketError::Sql(read_err(&p))),
+                Some(0xfe) if p.len() < 0xff_ffff && (self.ok_for_eof || p.len() < 9) => {
+                    return Ok(Answer { columns, rows, last: p });
+                }
+                _ => rows.push(p),
+            }
+        }
+    }
+
+    /// A statement whose rows are looked at as they come and not kept: how many there were.
+    ///
+    /// # Errors
+    /// The connection's, or the server's, also one that breaks a result off.
+    pub async fn each(&mut self, sql: &str, mut row: impl FnMut(u64, &Bytes)) -> Result<u64, PacketError> {
+        self.send(QUERY, &[sql.as_bytes()]).await?;
+        let first = self.next().await?;
+        if first.first() == Some(&0xff) {
+            return Err(PacketError::Sql(read_err(&first)));
+        }
+        for _ in 0..usize::from(first[0]) + usize::from(!self.ok_for_eof) {
+            self.next().await?;
+        }
+        let mut n = 0;
+        loop {
+            let p = self.next().await?;
+            match p.first() {
+                Some(0xff) => return Err(PacketError::Sql(read_err(&p))),
+                Some(0xfe) if p.len() < 9 => return Ok(n),
+                _ => row(n, &p),
+            }
+            n += 1;
+        }
+    }
+
+    /// Prepares a statement without parameters: its number and its columns.
+    ///
+    /// # Errors
+    /// The connection's, or the server's.
+    pub async fn prepare(&mut self, sql: &str) -> Result<(u32, usize), PacketError> {
+        self.send(STMT_PREPARE, &[sql.as_bytes()]).await?;
+        let first = self.next().await?;
+        if first.first() == Some(&0xff) {
+            return Err(PacketError::Sql(read_err(&first)));
+        }
+        let mut r = Reader(first.slice(1..));
+        let (id, columns) = (r.u32()?, usize::from(r.u16()?));
+        for _ in 0..columns + usize::from(!self.ok_for_eof && columns > 0) {
+            self.next().await?;
+        }
+        Ok((id, columns))
+    }
+
+    /// Executes it; with `cursor` the rows wait to be fetched.
+    ///
+    /// # Errors
+    /// The connection's, or the server's.
+    pub async fn execute(&mut self, id: u32, cursor: bool) -> Result<Answer, PacketError> {
+        self.send(STMT_EXECUTE, &[&id.to_le_bytes(), &[u8::from(cursor), 1, 0, 0, 0]]).await?;
+        if !cursor {
+            return self.answer().await;
+        }
+        let first = self.next().await?;
+        if first.first() == Some(&0xff) {
+            return Err(PacketError::Sql(read_err(&first)));
+        }
+        let columns = usize::from(first[0]);
+        for _ in 0..columns {
+            self.next().await?;
+        }
+        let last = self.next().await?;
+        Ok(Answer { columns, rows: vec![], last })
+    }
+
+    /// The next rows of its cursor.
+    ///
+    /// # Errors
+    /// The connection's, or the server's.
+    pub async fn fetch(&mut self, id: u32, rows: u32) -> Result<Answer, PacketError> {
+        self.send(STMT_FETCH, &[&id.to_le_bytes(), &rows.to_le_bytes()]).await?;
+        self.rows(0).await
+    }
+
+    /// Reads what comes at so many bytes a second, for so long; the bytes that were read.
+    ///
+    /// # Errors
+    /// The connection's; its end is none.
+    pub async fn read_slowly(&mut self, bytes_a_second: usize, span: Duration) -> Result<usize, PacketError> {
+        let (mut all, step) = (0, Duration::from_millis(100));
+        let began = tokio::time::Instant::now();
+        let mut buffer = vec![0; (bytes_a_second / 10).max(1)];
+        while began.elapsed() < span {
+            match self.wire.get_mut().read(&mut buffer).await? {
+                0 => break,
+                n => all += n,
+            }
+            tokio::time::sleep(step).await;
+        }
+        Ok(all)
+    }
+}
+
+/// The text of a row's first column.
+pub fn text(row: &Bytes, binary: bool) -> Option<String> {
+    let mut r = Reader(row.slice(if binary { 2 } else { 0 }..));
+    r.lenenc_bytes().ok().map(|b| String::from_utf8_lossy(&b).into_owned())
+}
+
+/// All columns of a row of texts.
+pub fn texts(row: &Bytes) -> Vec<String> {
+    let mut r = Reader(row.clone());
+    std::iter::from_fn(|| r.lenenc_bytes().ok().map(|b| String::from_utf8_lossy(&b).into_owned())).collect()
+}
+
+/// The server's error in a result.
+pub fn error<T>(result: Result<T, PacketError>) -> Option<SqlError> {
+    match result {
+        Err(PacketError::Sql(e)) => Some(e),
+        _ => None,
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,11 +5,13 @@
 mod mysql;
 mod platform;
 mod profile;
+pub mod spool;
 
 pub use eureka::EurekaSource;
 pub use mysql::{Access, ClassRules, FixedEngine, Mysql, MysqlFront, Source, User};
 pub use platform::Platform;
 pub use profile::Profile;
+pub use spool::SpoolSource;
 
 use crate::interface::*;
 use serde::Deserialize;
--- a/src/config/mysql.rs
+++ b/src/config/mysql.rs
@@ -1,6 +1,7 @@
 //! The operators' file of the MySQL front.
 
 use super::eureka::RawEureka;
+use super::spool::RawSpool;
 use super::*;
 use std::collections::HashMap;
 use std::path::PathBuf;
@@ -70,7 +71,6 @@
     /// Connections to one engine at a time.
     pub connections: usize,
     pub most_packet: usize,
-    pub most_result: usize,
 }
 
 /// An engine that the file lists.
@@ -104,6 +104,7 @@
     pub names: Names,
     pub sockets: Sockets,
     pub source: Source,
+    pub spool: SpoolSource,
 }
 
 #[derive(Deserialize)]
@@ -138,6 +139,7 @@
     #[serde(default)]
     engine: Vec<RawEngine>,
     eureka: Option<RawEureka>,
+    spool: Option<RawSpool>,
 }
 
 fn one() -> u32 {
@@ -224,6 +226,7 @@
             () if self.settings != new.settings || self.names != new.names => {
                 Some("class, tenant, kind or zone")
             }
+            () if self.spool.dir != new.spool.dir => Some("spool.dir"),
             () if self.access != new.access || self.sockets != new.sockets => Some("engines"),
             () => None,
         }
@@ -369,6 +372,13 @@
         };
         settings.check().map_err(|e| bad(&e.field, e.problem))?;
         let deadlines: Vec<Millis> = raw.class.iter().map(|c| c.deadline_ms).collect();
+        let spool = match raw.spool {
+            Some(_) if raw.max_result.is_some() => {
+                return Err(bad("max_result", "goes into spool.result where there is a [spool]"));
+            }
+            Some(spool) => spool.check()?,
+            None => SpoolSource::plain(in_range("max_result", raw.max_result, 1 << 20, 1024, 1 << 24)?),
+        };
         let max_packet = in_range("max_packet", raw.max_packet, 1 << 20, 1024, (1 << 24) - 2)?;
         Ok(Mysql {
             listen,
@@ -388,7 +398,6 @@
                 password: raw.engines.password,
                 connections: in_range("engines.connections", raw.engines.connections, 32, 1, 256)?,
                 most_packet: max_packet,
-                most_result: in_range("max_result", raw.max_result, 1 << 20, 1024, 1 << 24)?,
             },
             front: MysqlFront {
                 max_clients: in_range("max_clients", raw.max_clients, 256, 1, 512)?,
@@ -403,6 +412,7 @@
             names: Names { classes, kinds, zones, tenants, tells_cost: false, report_fields: vec![] },
             settings,
             source,
+            spool,
         })
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 
 use hitchwinch::config::{ConfigError, EurekaSource, Mysql, Platform, Source};
 use hitchwinch::core::{Bounds, Core};
-use hitchwinch::net::admin::Admin;
+use hitchwinch::net::admin::{Admin, Watched};
 use hitchwinch::net::discovery::eureka::{self, lease::Lease, lease::Stand};
 use hitchwinch::net::discovery::{Discovery, fixed, journal::Journal};
 use hitchwinch::net::frames::{self, Front};
@@ -12,6 +12,7 @@
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
 use hitchwinch::net::shared::Shared;
+use hitchwinch::net::spools::Spools;
 use hitchwinch::net::unix_ms;
 use hitchwinch::net::{listener, mysql};
 use hitchwinch::say;
@@ -73,7 +74,7 @@
     let front = Front::new(hub.clone(), pool.clone(), &config.limits);
     let sharing = front.clone();
     let shared = share(&hub, config.state.as_deref(), move |living| sharing.share(living))?;
-    operators(&hub, &pool, &shared, config.admin, Rc::default()).await?;
+    operators(&hub, &pool, &shared, config.admin, Watched::default()).await?;
 
     let sink = hub.clone();
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
@@ -104,15 +105,24 @@
     let pool = Pool::default();
     let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
     let core = Core::new(config.settings.clone(), unix_ms() as u64, bounds)?;
-    let leg = mysql::leg::MysqlLeg::new(config.access.clone(), config.sockets.clone(), pool.clone());
+    let names = config.names.clone();
+    let (spools, done) = Spools::open(&config.spool, names.classes, names.tenants)
+        .map_err(|e| format!("spool.dir ({:?}): {e}", config.spool.dir))?;
+    spawn_local(spools.clone().attend(done));
+    let access = config.access.clone();
+    let leg = mysql::leg::MysqlLeg::new(access, config.sockets.clone(), pool.clone(), spools.clone());
     let hub = Hub::new(core, config.names.clone(), leg);
     let listener = listener::listen(config.listen, config.inherited).await?;
     let listen = listener.local_addr()?;
-    let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone());
-    let sharing = front.clone();
-    let shared = share(&hub, config.state.as_deref(), move |living| sharing.share(living))?;
+    let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone(), spools.clone());
+    let (sharing, spooling) = (front.clone(), spools.clone());
+    let shared = share(&hub, config.state.as_deref(), move |living| {
+        sharing.share(living);
+        spooling.share(living);
+    })?;
     let members = Rc::new(RefCell::new(None));
-    operators(&hub, &pool, &shared, config.admin, members.clone()).await?;
+    let watched = Watched { members: members.clone(), spools: Some(spools.clone()) };
+    operators(&hub, &pool, &shared, config.admin, watched).await?;
     let stand = standing(&hub, &shared);
     // The folder of this dispatcher's own, which `share` has made.
     let state = config.state.as_ref().map(|s| s.join("hitchwinch"));
@@ -132,6 +142,7 @@
                 return Err(format!("{key}: a change of it needs a restart").into());
             }
             reconfigured.configure(new.front.clone());
+            spools.configure(&new.spool);
             if new.source != config.source {
                 changed.borrow_mut().follow(&new.source, &stand);
             }
@@ -155,12 +166,12 @@
     pool: &Pool,
     shared: &Rc<Shared>,
     at: Option<SocketAddr>,
-    members: Rc<RefCell<Option<Rc<Members>>>>,
+    watched: Watched,
 ) -> Result<(), Error> {
     let Some(at) = at else { return Ok(()) };
     let listener = TcpListener::bind(at).await.map_err(|e| format!("admin_addr {at}: {e}"))?;
     say!("operators call at {}", listener.local_addr()?);
-    spawn_local(Admin::new(hub.clone(), pool.clone(), shared.clone(), members).accept(listener));
+    spawn_local(Admin::new(hub.clone(), pool.clone(), shared.clone(), watched).accept(listener));
     Ok(())
 }
 
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -6,6 +6,7 @@
 use crate::net::places::{Places, Use};
 use crate::net::pool::{Pool, Wire};
 use crate::net::shared::{self, Shared};
+use crate::net::spools::Spools;
 use crate::say;
 use bytes::{BufMut, BytesMut};
 use futures_util::SinkExt;
@@ -101,19 +102,22 @@
     hub: Rc<Hub<L>>,
     pool: Pool,
     shared: Rc<Shared>,
-    members: Rc<RefCell<Option<Rc<Members>>>>,
+    watched: Watched,
     places: Rc<Places>,
 }
 
+/// What operators can look at beside the hub, where there is such.
+#[derive(Clone, Default)]
+pub struct Watched {
+    /// What is believed of engines that a registry lists, while one does.
+    pub members: Rc<RefCell<Option<Rc<Members>>>>,
+    /// Results that wait for their readers.
+    pub spools: Option<Rc<Spools>>,
+}
+
 impl<L: Leg> Admin<L> {
-    /// `members` is what is believed of engines that a registry lists, while one does.
-    pub fn new(
-        hub: Rc<Hub<L>>,
-        pool: Pool,
-        shared: Rc<Shared>,
-        members: Rc<RefCell<Option<Rc<Members>>>>,
-    ) -> Rc<Self> {
-        Rc::new(Admin { hub, pool, shared, members, places: Places::new(CALLERS, Use::Silent) })
+    pub fn new(hub: Rc<Hub<L>>, pool: Pool, shared: Rc<Shared>, watched: Watched) -> Rc<Self> {
+        Rc::new(Admin { hub, pool, shared, watched, places: Places::new(CALLERS, Use::Silent) })
     }
 
     /// Accepts callers for ever.
@@ -164,7 +168,14 @@
                 true => answer(200, "ready\n"),
                 false => answer(503, "not ready: no list of engines yet, or shutting down\n"),
             }),
-            "/_vars" => ("GET", &|| answer(200, self.hub.figures())),
+            "/_vars" => ("GET", &|| {
+                let spools = self.watched.spools.as_ref().map_or(String::new(), |s| s.figures());
+                answer(200, self.hub.figures() + &spools)
+            }),
+            "/_spools" => ("GET", &|| match &self.watched.spools {
+                Some(spools) => Answer { code: 200, json: true, text: spools.page_of() },
+                None => answer(404, "no results are kept here\n"),
+            }),
             "/_members" => ("GET", &|| self.page(query)),
             _ if engine("detach").is_some() => ("POST", &|| self.by_hand(engine("detach"), true)),
             _ if engine("attach").is_some() => ("POST", &|| self.by_hand(engine("attach"), false)),
@@ -178,7 +189,7 @@
 
     /// What is believed of the engines, and why.
     fn page(&self, query: &str) -> Answer {
-        match self.members.borrow().as_ref().map(|m| m.page(query)) {
+        match self.watched.members.borrow().as_ref().map(|m| m.page(query)) {
             Some(Ok(text)) => Answer { code: 200, json: true, text },
             Some(Err(e)) => answer(400, format!("{e}\n")),
             None => answer(404, "no registry lists the engines\n"),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod pool;
 pub mod resp;
 pub mod shared;
+pub mod spools;
 pub mod statement;
 
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front.rs
@@ -1,39 +1,53 @@
 //! The MySQL front: sessions of clients. What a session holds (its schema, its prepared statements, long
 //! data) is kept here, so that each statement can run on any engine.
 
+use super::cursor::{Cursor, cut};
+use super::ours::{self, Ours};
 use super::packet::*;
 use super::values::{self, Type};
-use super::{Context, Job, Packets, SqlError, Work, auth, code, error_of};
+use super::{Context, Job, Output, SqlError, Work, auth, code, error_of};
 use crate::config::MysqlFront;
-use crate::core::{NewRequest, RequestId};
+use crate::core::{End as Figure, NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
 use crate::net::places::{Place, Places, Taken, Use};
 use crate::net::pool::{Pool, Wire};
+use crate::net::spools::writer::STATEMENT;
+use crate::net::spools::{Line, Reader as SpoolReader, SpoolError, Spools, Who, packets, put_packet};
 use crate::net::statement::{self, Kind};
 use crate::net::{MOST_MB, MOST_MS, unix_ms};
 use crate::say;
-use bytes::{Bytes, BytesMut};
+use crate::spool::{Admission, Ask, SpoolId};
+use bytes::{Buf, Bytes, BytesMut};
 use futures_util::SinkExt;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
+use tokio_util::codec::Encoder;
 
 /// A client has this long to log in, and to take an answer.
 const LOGIN: Duration = Duration::from_secs(10);
 const WRITE: Duration = Duration::from_secs(10);
 /// Clients beyond the bound that are told so at a time.
 const TURNED_AWAY: usize = 64;
+/// Bytes that are written at a time of a result that waits.
+const CHUNK: usize = 12 * 1024;
+/// Bytes of one fetch at most.
+const FETCH: usize = 1 << 20;
+/// COM_STMT_EXECUTE asks for a cursor.
+const CURSOR_READ_ONLY: u8 = 1;
 
-pub struct Front<L: Leg<Work = Work, Output = Packets>> {
+pub struct Front<L: Leg<Work = Work, Output = Output>> {
     hub: Rc<Hub<L>>,
     pool: Pool,
     /// Swapped whole by a new configuration; a session keeps to the one in force at each step.
     config: RefCell<Rc<MysqlFront>>,
+    spools: Rc<Spools>,
     places: Rc<Places>,
     processes: Cell<usize>,
     turned_away: Cell<usize>,
@@ -51,12 +65,24 @@
     long: BTreeMap<u16, BytesMut>,
     /// Long data went past its bound; told at the execute, since the command itself has no answer.
     too_long: bool,
+    /// It is one of ours, answered here.
+    ours: Option<Ours>,
+    /// Rows that are still to be fetched.
+    cursor: Option<Cursor>,
+}
+
+/// A client that has logged in.
+struct Known {
+    user: String,
+    tenant: Option<usize>,
+    schema: Option<String>,
+    ends: Ends,
 }
 
 /// A request that its client may leave at any time.
-struct Asked<'a, L: Leg<Work = Work, Output = Packets>>(&'a Rc<Hub<L>>, RequestId);
+struct Asked<'a, L: Leg<Work = Work, Output = Output>>(&'a Rc<Hub<L>>, RequestId);
 
-impl<L: Leg<Work = Work, Output = Packets>> Drop for Asked<'_, L> {
+impl<L: Leg<Work = Work, Output = Output>> Drop for Asked<'_, L> {
     fn drop(&mut self) {
         self.0.leave(self.1);
     }
@@ -74,8 +100,8 @@
     }
 }
 
-impl<L: Leg<Work = Work, Output = Packets>> Front<L> {
-    pub fn new(hub: Rc<Hub<L>>, pool: Pool, config: MysqlFront) -> Rc<Self> {
+impl<L: Leg<Work = Work, Output = Output>> Front<L> {
+    pub fn new(hub: Rc<Hub<L>>, pool: Pool, config: MysqlFront, spools: Rc<Spools>) -> Rc<Self> {
         let (stopping, _) = tokio::sync::watch::channel(false);
         // Sessions keep their place while they are idle, for they hold what they prepared.
         let places = Places::new(config.max_clients, Use::Silent);
@@ -84,6 +110,7 @@
             hub,
             pool,
             config,
+            spools,
             places,
             processes: Cell::new(1),
             turned_away: Cell::new(0),
@@ -152,33 +179,34 @@
             login = tokio::time::timeout(LOGIN, self.log_in(&mut wire, host)) => login,
             () = place.cut.notified() => return Ok(()),
         };
-        let Some((tenant, schema)) = login.map_err(|e| PacketError::from(io::Error::from(e)))?? else {
+        let Some(known) = login.map_err(|e| PacketError::from(io::Error::from(e)))?? else {
             return Ok(());
         };
         place.uses(Use::Idle, Instant::now());
-        let context = Context { schema, names: None };
-        let session = Session { front: self, wire, tenant, context, statements: BTreeMap::new(), next: 1 };
+        let context = Context { schema: known.schema, names: None };
+        let session = Session {
+            front: self,
+            wire,
+            tenant: known.tenant,
+            user: known.user,
+            ends: known.ends,
+            context,
+            statements: BTreeMap::new(),
+            next: 1,
+        };
         session.serve().await
     }
 
     /// Greets, and checks the password; none if it was wrong.
-    async fn log_in(
-        &self,
-        wire: &mut Wire<PacketCodec>,
-        host: &str,
-    ) -> Result<Option<(Option<usize>, Option<String>)>, End> {
+    async fn log_in(&self, wire: &mut Wire<PacketCodec>, host: &str) -> Result<Option<Known>, End> {
         let connection = self.next.get();
         self.next.set(connection.wrapping_add(1));
         let mut nonce = [0u8; 20];
         getrandom::fill(&mut nonce).map_err(|_| PacketError::Protocol("no random numbers are to be had"))?;
         // No zero byte may stand in it: on the wire one ends it.
         nonce.iter_mut().for_each(|b| *b = *b % 127 + 1);
-        let greeting = Greeting {
-            connection,
-            nonce: nonce.to_vec(),
-            plugin: auth::NATIVE.into(),
-            capabilities: CAPABILITIES,
-        };
+        let greeting =
+            Greeting { connection, nonce: nonce.to_vec(), plugin: auth::NATIVE.into(), capabilities: FRONT };
         wire.send(&greeting.write(&self.config().version)[..]).await?;
         let login = Login::read(super::leg::next(wire).await?)?;
         let (mut plugin, mut proof) = (login.plugin.clone(), login.auth.clone());
@@ -208,7 +236,7 @@
             wire.send(&[1u8, 3][..]).await?;
         }
         wire.send(&ok()[..]).await?;
-        Ok(Some((user.tenant, login.schema)))
+        Ok(Some(Known { user: login.user, tenant: user.tenant, schema: login.schema, ends: login.ends }))
     }
 }
 
@@ -220,10 +248,12 @@
     Ok(())
 }
 
-struct Session<'a, L: Leg<Work = Work, Output = Packets>> {
+struct Session<'a, L: Leg<Work = Work, Output = Output>> {
     front: &'a Rc<Front<L>>,
     wire: Wire<PacketCodec>,
     tenant: Option<usize>,
+    user: String,
+    ends: Ends,
     context: Context,
     statements: BTreeMap<u32, Prepared>,
     next: u32,
@@ -232,7 +262,7 @@
 /// What a command comes to: packets to send, or an error.
 type Answer = Result<Option<Vec<Vec<u8>>>, SqlError>;
 
-impl<L: Leg<Work = Work, Output = Packets>> Session<'_, L> {
+impl<L: Leg<Work = Work, Output = Output>> Session<'_, L> {
     async fn serve(mut self) -> Result<(), End> {
         let mut stopping = self.front.stopping.subscribe();
         loop {
@@ -299,9 +329,10 @@
             STMT_RESET => self.statement(&body).map(|s| {
                 s.long.clear();
                 s.too_long = false;
+                s.cursor = None;
                 None
             }),
-            STMT_FETCH => Err(SqlError::new(code::NOT_CARRIED, "cursors are not carried")),
+            STMT_FETCH => return self.fetch(body).await,
             other => Err(SqlError::new(code::COMMAND, format!("command {other:#04x} is not known"))),
         };
         match answer {
@@ -333,20 +364,37 @@
     }
 
     /// Sends a request through the core and waits for its one answer, or for the client to leave.
-    async fn ask(&mut self, kind: &Kind, work: Work) -> Result<Reply<Packets>, End> {
+    async fn ask(
+        &mut self,
+        kind: &Kind,
+        context: Context,
+        sql: Bytes,
+        job: Job,
+    ) -> Result<Reply<Output>, End> {
         let config = self.front.config();
-        let hints = statement::hints(&work.sql);
+        let hints = statement::hints(&sql);
         let hint = |name: &str| hints.iter().find(|h| h.0 == name).map(|h| h.1.as_str());
         // A hint out of range is none.
         let number = |name: &str, most: f64| {
             hint(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| *v > 0.0 && *v <= most)
         };
-        let group = statement::group(&work.sql);
-        let class = match work.job {
+        let group = statement::group(&sql);
+        let class = match job {
             // Preparing runs nothing, so it may be repeated, whatever the statement does.
             Job::Prepare => config.rules.read,
-            _ => config.rules.class(*kind == Kind::Read, hint("class"), &work.sql),
+            _ => config.rules.class(*kind == Kind::Read, hint("class"), &sql),
         };
+        let ask = Ask { tenant: self.tenant, class, load: *kind != Kind::Read };
+        // Where its result could not be kept, nothing is sent: nothing has run.
+        if !matches!(job, Job::Prepare)
+            && let Admission::No { why, later } = self.front.spools.admit(ask)
+        {
+            self.front.hub.turned_away(class, Figure::Overload);
+            return Ok(Reply::Refused { later, why });
+        }
+        let statement = String::from_utf8_lossy(&sql).chars().take(STATEMENT).collect();
+        let who = Who { user: self.user.clone(), statement, binary: matches!(job, Job::Execute(_)) };
+        let work = Work { context, sql, job, ask, who };
         let limit = config.deadlines.get(class).copied().unwrap_or(10_000.0);
         let new = NewRequest {
             class,
@@ -377,15 +425,105 @@
         }
     }
 
-    async fn pass_on(&mut self, reply: Reply<Packets>) -> Result<(), End> {
+    async fn pass_on(&mut self, reply: Reply<Output>) -> Result<(), End> {
         match (error_of(&reply), reply) {
-            (None, Reply::Served(packets)) => self.write(packets.iter()).await,
+            (None, Reply::Served(Output::Short(packets))) => self.hand_over(packets.into_bytes()).await,
+            (None, Reply::Served(Output::Long(spool))) => match self.front.spools.reader(spool, 0) {
+                Some(reader) => self.stream(reader).await,
+                None => self.say(&SqlError::new(code::RESULT, SpoolError::Gone.to_string())).await,
+            },
             (Some(e), _) => self.say(&e).await,
             (None, _) => Ok(()),
         }
     }
 
+    /// A whole short result, with its ends as the client wants them.
+    async fn hand_over(&mut self, all: Bytes) -> Result<(), End> {
+        let ends = self.ends;
+        if ends == Ends::default() {
+            return self.write(packets(&all)).await;
+        }
+        match cut(&all) {
+            Some((head, rows, tail)) => {
+                let status = eof_status(&tail).unwrap_or(AUTOCOMMIT);
+                let last = ends.last(status, None);
+                let head = self.columns(&head);
+                let all = head.iter().map(|p| &p[..]).chain(packets(&rows)).chain([&last[..]]);
+                self.write(all).await
+            }
+            None => {
+                let each: Vec<Vec<u8>> = packets(&all)
+                    .map(|p| if p.first() == Some(&0) { ends.ok(p) } else { p.to_vec() })
+                    .collect();
+                self.write(each.iter().map(|p| &p[..])).await
+            }
+        }
+    }
+
+    /// What stands before rows, as the client wants it.
+    fn columns(&self, head: &[u8]) -> Vec<Vec<u8>> {
+        let wanted = |p: &&[u8]| !(self.ends.ok_for_eof && eof_status(p).is_some());
+        packets(head).filter(wanted).map(<[u8]>::to_vec).collect()
+    }
+
+    /// A result from its spool, at the client's pace.
+    async fn stream(&mut self, mut reader: SpoolReader) -> Result<(), End> {
+        let spools = self.front.spools.clone();
+        let id = reader.id();
+        let Some((head, tail)) = spools.look_at(id, |h, _| (h.head.clone(), h.tail.clone())) else {
+            return self.say(&SqlError::new(code::RESULT, SpoolError::Gone.to_string())).await;
+        };
+        let head = self.columns(&head);
+        self.write(head.iter().map(|p| &p[..])).await?;
+        loop {
+            match reader.page().await {
+                Ok(Some(page)) => self.write_slowly(&page, spools.stall()).await?,
+                Ok(None) => break,
+                // Rows are out already: the error ends them, and nothing looks whole.
+                Err(e) => {
+                    return self
+                        .say(&SqlError::new(code::RESULT, format!("the result breaks off: {e}")))
+                        .await;
+                }
+            }
+        }
+        let status = tail.as_deref().and_then(eof_status).unwrap_or(AUTOCOMMIT);
+        let last = self.ends.last(status, spools.handle(id).as_deref());
+        self.write([&last[..]].into_iter()).await
+    }
+
+    /// Rows at the client's pace: a client that takes nothing for a while is closed, one that takes little is not.
+    async fn write_slowly(&mut self, page: &[u8], stall: Duration) -> Result<(), End> {
+        let mut chunk = self.front.pool.take();
+        SinkExt::<&[u8]>::flush(&mut *self.wire).await?;
+        for row in packets(page) {
+            self.wire.codec_mut().encode(row, &mut chunk)?;
+            if chunk.len() >= CHUNK {
+                self.take_out(&mut chunk, stall).await?;
+            }
+        }
+        self.take_out(&mut chunk, stall).await
+    }
+
+    async fn take_out(&mut self, chunk: &mut BytesMut, stall: Duration) -> Result<(), End> {
+        let tcp = self.wire.get_mut();
+        while !chunk.is_empty() {
+            let n = tokio::time::timeout(stall, tcp.write(chunk)).await;
+            let n = n.map_err(|e| PacketError::from(io::Error::from(e)))?.map_err(PacketError::from)?;
+            if n == 0 {
+                return Err(PacketError::from(io::Error::from(io::ErrorKind::WriteZero)).into());
+            }
+            chunk.advance(n);
+        }
+        Ok(())
+    }
+
     async fn query(&mut self, sql: Bytes) -> Result<(), End> {
+        match ours::parse(&sql) {
+            Some(Ok(statement)) => return self.answer_ours(statement, false).await,
+            Some(Err(e)) => return self.say(&SqlError::new(code::SYNTAX, e.to_string())).await,
+            None => {}
+        }
         match statement::kind(&sql) {
             Kind::NotCarried(why) => self.say(&SqlError::new(code::NOT_CARRIED, why)).await,
             Kind::Nothing => self.write([&ok()[..]].into_iter()).await,
@@ -398,16 +536,63 @@
                 self.write([&ok()[..]].into_iter()).await
             }
             kind => {
-                let work = Work { context: self.context.clone(), sql, job: Job::Query };
-                let reply = self.ask(&kind, work).await?;
+                let reply = self.ask(&kind, self.context.clone(), sql, Job::Query).await?;
                 self.pass_on(reply).await
             }
         }
     }
 
+    /// Answers a statement of ours: what waits for this user, or its pages. Nothing runs on any engine.
+    async fn answer_ours(&mut self, statement: Ours, binary: bool) -> Result<(), End> {
+        let spools = self.front.spools.clone();
+        match statement {
+            Ours::Results => {
+                let lines = spools.list(&self.user).await;
+                let mut all = BytesMut::new();
+                for p in listing(&lines, binary) {
+                    put_packet(&mut all, &p);
+                }
+                self.hand_over(all.freeze()).await
+            }
+            Ours::Fetch { handle, from } => {
+                let id = match spools.resume(&self.user, &handle).await {
+                    Ok(id) => id,
+                    Err(e) => return self.say(&SqlError::new(code::HANDLE, e.to_string())).await,
+                };
+                match self.resumable(id, from, binary) {
+                    Ok(reader) => self.stream(reader).await,
+                    Err(e) => self.say(&e).await,
+                }
+            }
+        }
+    }
+
+    fn resumable(&self, id: SpoolId, from: u32, binary: bool) -> Result<SpoolReader, SqlError> {
+        let spools = &self.front.spools;
+        let gone = || SqlError::new(code::HANDLE, SpoolError::Gone.to_string());
+        let (pages, is_binary) = spools.look_at(id, |h, pages| (pages, h.who.binary)).ok_or_else(gone)?;
+        if is_binary != binary {
+            let text = match is_binary {
+                true => "this result is of a prepared statement: prepare the FETCH as well",
+                false => "this result is of a plain statement: send the FETCH as one",
+            };
+            return Err(SqlError::new(code::NOT_CARRIED, text));
+        }
+        if from as usize >= pages.max(1) {
+            return Err(SqlError::new(code::HANDLE, format!("it has {pages} pages, counted from 0")));
+        }
+        spools.reader(id, from).ok_or_else(gone)
+    }
+
     async fn prepare(&mut self, sql: Bytes) -> Result<(), End> {
+        let own = match ours::parse(&sql) {
+            Some(Err(e)) => return self.say(&SqlError::new(code::SYNTAX, e.to_string())).await,
+            Some(Ok(own)) => Some(own),
+            None => None,
+        };
         let kind = statement::kind(&sql);
         let why = match kind {
+            _ if own.is_some() => None,
             Kind::NotCarried(why) => Some(why),
             Kind::Nothing | Kind::Use(_) | Kind::Names(_) => Some("this is not to be prepared"),
             _ => None,
@@ -419,12 +604,16 @@
             let text = "too many prepared statements in this session; close some";
             return self.say(&SqlError::new(code::STATEMENTS, text)).await;
         }
-        let work = Work { context: self.context.clone(), sql: sql.clone(), job: Job::Prepare };
-        let packets = match self.ask(&kind, work).await? {
-            Reply::Served(packets) => packets,
-            other => return self.pass_on(other).await,
+        let mut all: Vec<Vec<u8>> = match &own {
+            Some(own) => match self.prepared_ours(own).await {
+                Ok(all) => all,
+                Err(e) => return self.say(&e).await,
+            },
+            None => match self.ask(&kind, self.context.clone(), sql.clone(), Job::Prepare).await? {
+                Reply::Served(Output::Short(packets)) => packets.iter().map(<[u8]>::to_vec).collect(),
+                other => return self.pass_on(other).await,
+            },
         };
-        let mut all: Vec<Vec<u8>> = packets.iter().map(<[u8]>::to_vec).collect();
         // The id is the session's own: every engine connection has another.
         let id = self.next;
         if let Some(first) = all.first_mut().filter(|p| p.first() == Some(&0) && p.len() >= 12) {
@@ -433,42 +622,133 @@
             self.next = self.next.wrapping_add(1).max(1);
             let long = BTreeMap::new();
             let context = self.context.clone();
-            let prepared = Prepared { context, sql, kind, parameters, bound: None, long, too_long: false };
+            let prepared = Prepared {
+                context,
+                sql,
+                kind,
+                parameters,
+                bound: None,
+                long,
+                too_long: false,
+                ours: own,
+                cursor: None,
+            };
             self.statements.insert(id, prepared);
         }
-        self.write(all.iter().map(|p| &p[..])).await
+        let ends = self.ends;
+        let wanted = |p: &&Vec<u8>| !(ends.ok_for_eof && eof_status(p).is_some());
+        self.write(all.iter().filter(wanted).map(|p| &p[..])).await
+    }
+
+    /// What preparing a statement of ours brings: no parameters, and the columns of its result.
+    async fn prepared_ours(&self, own: &Ours) -> Result<Vec<Vec<u8>>, SqlError> {
+        let head: Vec<Vec<u8>> = match own {
+            Ours::Results => listing(&[], true).into_iter().take(COLUMNS.len() + 2).collect(),
+            Ours::Fetch { handle, .. } => {
+                let spools = &self.front.spools;
+                let id = spools.resume(&self.user, handle).await;
+                let id = id.map_err(|e| SqlError::new(code::HANDLE, e.to_string()))?;
+                let head = spools.look_at(id, |h, _| h.head.clone());
+                let head = head.ok_or_else(|| SqlError::new(code::HANDLE, SpoolError::Gone.to_string()))?;
+                packets(&head).map(<[u8]>::to_vec).collect()
+            }
+        };
+        // The count of columns goes into the first packet; columns and their end follow.
+        let columns = head.len().saturating_sub(2) as u16;
+        let mut first = vec![0, 0, 0, 0, 0];
+        first.extend(columns.to_le_bytes());
+        first.extend([0, 0, 0, 0, 0]);
+        Ok(std::iter::once(first).chain(head.into_iter().skip(1)).collect())
     }
 
     async fn execute(&mut self, body: Bytes) -> Result<(), End> {
         let ready = self.statement(&body).and_then(|s| {
             let long = std::mem::take(&mut s.long);
+            s.cursor = None;
             if std::mem::take(&mut s.too_long) {
                 return Err(SqlError::new(code::PACKET, "the long data is above the bound"));
             }
             let short = |_| SqlError::new(code::MALFORMED, "the command ends too early");
             let mut r = Reader(body.slice(4..));
             let flags = r.u8().map_err(short)?;
-            if flags != 0 {
-                return Err(SqlError::new(code::NOT_CARRIED, "cursors are not carried"));
+            if flags & !CURSOR_READ_ONLY != 0 {
+                return Err(SqlError::new(code::NOT_CARRIED, "only read-only cursors are carried"));
             }
             if r.u32().map_err(short)? != 1 {
                 return Err(SqlError::new(code::ARGUMENTS, "the number of iterations is not 1"));
             }
             let execute = values::complete(s.parameters, r.0, &mut s.bound, &long)?;
-            Ok((
-                s.kind.clone(),
-                Work { context: s.context.clone(), sql: s.sql.clone(), job: Job::Execute(execute) },
-            ))
+            let cursor = flags == CURSOR_READ_ONLY;
+            Ok((s.kind.clone(), s.context.clone(), s.sql.clone(), execute, s.ours.clone(), cursor))
         });
         match ready {
-            Ok((kind, work)) => {
-                let reply = self.ask(&kind, work).await?;
-                self.pass_on(reply).await
+            Ok((_, _, _, _, Some(own), _)) => self.answer_ours(own, true).await,
+            Ok((kind, context, sql, execute, None, cursor)) => {
+                let reply = self.ask(&kind, context, sql, Job::Execute(execute)).await?;
+                match reply {
+                    Reply::Served(output) if cursor => self.open_cursor(&body, output).await,
+                    reply => self.pass_on(reply).await,
+                }
             }
             Err(e) => self.say(&e).await,
         }
     }
 
+    /// The columns go out, the rows wait to be fetched. A result without rows needs no cursor.
+    async fn open_cursor(&mut self, body: &Bytes, output: Output) -> Result<(), End> {
+        let spools = self.front.spools.clone();
+        let (head, cursor) = match output {
+            Output::Short(packets) => {
+                let all = packets.into_bytes();
+                let Some((head, rows, _)) = cut(&all) else { return self.hand_over(all).await };
+                (head, Cursor::over(rows))
+            }
+            Output::Long(id) => {
+                let head = spools.look_at(id, |h, _| h.head.clone());
+                let (Some(head), Some(reader)) = (head, spools.reader(id, 0)) else {
+                    return self.say(&SqlError::new(code::RESULT, SpoolError::Gone.to_string())).await;
+                };
+                (head, Cursor::paged(reader))
+            }
+        };
+        if let Ok(s) = self.statement(body) {
+            s.cursor = Some(cursor);
+        }
+        let mut all: Vec<Vec<u8>> = packets(&head).map(<[u8]>::to_vec).collect();
+        all.pop();
+        all.push(self.ends.last(AUTOCOMMIT | CURSOR_EXISTS, None));
+        self.write(all.iter().map(|p| &p[..])).await
+    }
+
+    /// The next rows of a cursor.
+    async fn fetch(&mut self, body: Bytes) -> Result<(), End> {
+        let rows = body.get(4..8).map_or(0, |b| u32::from_le_bytes([b[0], b[1], b[2], b[3]]));
+        let cursor = match self.statement(&body) {
+            Ok(s) => s.cursor.take(),
+            Err(e) => return self.say(&e).await,
+        };
+        let Some(mut cursor) = cursor else {
+            return self.say(&SqlError::new(code::NO_CURSOR, "no cursor is open on this statement")).await;
+        };
+        // Whatever number is asked for, what is held at a time is bounded; the rest comes with the next fetch.
+        let (pages, more) = match cursor.fetch(rows.max(1), FETCH).await {
+            Ok(fetched) => fetched,
+            Err(e) => {
+                return self.say(&SqlError::new(code::RESULT, format!("the result breaks off: {e}"))).await;
+            }
+        };
+        let stall = self.front.spools.stall();
+        for page in pages {
+            self.write_slowly(&page, stall).await?;
+        }
+        let status = if more { CURSOR_EXISTS } else { CURSOR_EXISTS | LAST_ROW_SENT };
+        if more && let Ok(s) = self.statement(&body) {
+            s.cursor = Some(cursor);
+        }
+        let last = self.ends.last(AUTOCOMMIT | status, None);
+        self.write([&last[..]].into_iter()).await
+    }
+
     fn long_data(&mut self, body: Bytes) {
         let most = self.front.config().max_packet;
         let Ok(s) = self.statement(&body) else { return };
@@ -483,3 +763,42 @@
         s.long.entry(parameter).or_default().extend_from_slice(&r.0);
     }
 }
+
+/// The columns of a listing of results.
+const COLUMNS: [&str; 7] = ["handle", "statement", "pages", "rows", "bytes", "age_s", "expires_in_s"];
+
+/// A listing of results, as a result of text columns.
+fn listing(lines: &[Line], binary: bool) -> Vec<Vec<u8>> {
+    let text = |s: &str| {
+        let mut p = vec![];
+        put_lenenc(&mut p, s.len() as u64);
+        p.extend(s.bytes());
+        p
+    };
+    let column = |name: &str| {
+        let words: Vec<u8> = ["def", "", "", "", name, name].into_iter().flat_map(text).collect();
+        // 512 bytes of utf8mb4 at most, a string.
+        [&words[..], &[0x0c, UTF8, 0, 0, 2, 0, 0, 0xfd, 0, 0, 0, 0, 0]].concat()
+    };
+    let mut all = vec![vec![COLUMNS.len() as u8]];
+    all.extend(COLUMNS.iter().map(|c| column(c)));
+    all.push(eof(AUTOCOMMIT).to_vec());
+    for l in lines {
+        let expires = l.expires_in_s.map_or("while it is read".to_string(), |s| format!("{:.1}", s.max(0.0)));
+        let fields = [
+            l.handle.clone(),
+            l.statement.clone(),
+            l.pages.to_string(),
+            l.rows.to_string(),
+            l.bytes.to_string(),
+            format!("{:.1}", l.age_s),
+            expires,
+        ];
+        // A row of the binary protocol: its mark, no NULL among seven columns.
+        let mut row = if binary { vec![0, 0, 0] } else { vec![] };
+        fields.iter().for_each(|f| row.extend(text(f)));
+        all.push(row);
+    }
+    all.push(eof(AUTOCOMMIT).to_vec());
+    all
+}
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -2,7 +2,7 @@
 //! each connection when it first needs them.
 
 use super::packet::*;
-use super::{Context, Execute, Job, Packets, SqlError, Work, auth, code};
+use super::{Context, Execute, Job, Output, Packets, SqlError, Work, auth, code};
 use crate::config::{Access, Sockets};
 use crate::core::AttemptId;
 use crate::interface::*;
@@ -11,6 +11,8 @@
 use crate::net::hub::{Hub, Leg, Start};
 use crate::net::members::Witness;
 use crate::net::pool::{Pool, Wire};
+use crate::net::spools::writer::Whole;
+use crate::net::spools::{Spools, Writer};
 use crate::net::{span, unix_ms};
 use crate::say;
 use bytes::{BufMut, Bytes};
@@ -30,6 +32,8 @@
 const STATEMENTS: usize = 64;
 /// Kills under way at a time; beyond, closing the connection has to do.
 const KILLS: usize = 16;
+/// Parameters and columns of a prepared statement, in bytes: 4,096 columns need no more.
+const MOST_PREPARED: usize = 1 << 20;
 /// An engine closes a connection that was idle for too long.
 const TIRED: u16 = 4031;
 
@@ -129,6 +133,7 @@
     access: Access,
     sockets: Sockets,
     pool: Pool,
+    spools: Rc<Spools>,
     /// Who is told what connections show.
     witness: RefCell<Option<Rc<dyn Witness>>>,
 }
@@ -157,7 +162,7 @@
 }
 
 impl MysqlLeg {
-    pub fn new(access: Access, sockets: Sockets, pool: Pool) -> Self {
+    pub fn new(access: Access, sockets: Sockets, pool: Pool, spools: Rc<Spools>) -> Self {
         MysqlLeg(Rc::new_cyclic(|weak| Shared {
             weak: weak.clone(),
             engines: RefCell::default(),
@@ -167,6 +172,7 @@
             access,
             sockets,
             pool,
+            spools,
             witness: RefCell::default(),
         }))
     }
@@ -184,7 +190,7 @@
 
 impl Leg for MysqlLeg {
     type Work = Work;
-    type Output = Packets;
+    type Output = Output;
 
     fn start(&self, hub: &Rc<Hub<Self>>, start: Start, work: Rc<Work>) {
         let attempt = start.attempt;
@@ -201,7 +207,7 @@
             shared.running.borrow_mut().remove(&attempt);
             let Some(hub) = weak.upgrade() else { return };
             match end {
-                Ok(packets) => hub.served(attempt, vec![], packets),
+                Ok(output) => hub.served(attempt, vec![], output),
                 Err(outcome) => hub.ended(attempt, outcome, vec![]),
             }
         });
@@ -295,7 +301,7 @@
         cut: &Notify,
         in_service: impl Fn() -> bool,
         sent: impl Fn(),
-    ) -> Result<Packets, Outcome> {
+    ) -> Result<Output, Outcome> {
         let idle = self.take(&start.engine, work)?;
         let place = Place { shared: self, engine: &start.engine, kept: false };
         let mut c = match idle {
@@ -335,29 +341,34 @@
         }
         let wrote = written.take().is_some();
         match result {
-            Ok(packets) => {
-                let outcome = verdict(&packets);
+            Ok(output) => {
+                let outcome = verdict(&output);
                 c.used = Instant::now();
                 self.give(place, c);
-                outcome.map_or(Ok(packets), Err)
+                outcome.map_or(Ok(output), Err)
             }
             // The statement ran and a second run would bring as much: that is the answer.
+            Err(PacketError::Unfit(e)) if wrote => {
+                let mut packets = Packets::default();
+                say!("engine {}: {e}", start.engine);
+                let text = format!("the statement ran, but {e}");
+                packets.push(&err(&SqlError::new(code::RESULT, text)));
+                Ok(Output::Short(packets))
+            }
             Err(PacketError::Length(n)) if wrote => {
                 let mut packets = Packets::default();
-                let text = format!(
-                    "the statement ran, but its result is above the bound of {} bytes",
-                    self.access.most_result
-                );
-                say!("engine {}: a result of {n} bytes or more", start.engine);
+                let text =
+                    format!("the statement ran, but its result has a packet of {n} bytes, above max_packet");
+                say!("engine {}: a packet of {n} bytes", start.engine);
                 packets.push(&err(&SqlError::new(code::RESULT, text)));
-                Ok(packets)
+                Ok(Output::Short(packets))
             }
             Err(PacketError::Sql(e)) if !wrote && !full(e.code) && !passing(e.code) => {
                 // The schema or the statement is wrong: no other engine would say otherwise.
                 let mut packets = Packets::default();
                 packets.push(&err(&e));
                 self.give(place, c);
-                Ok(packets)
+                Ok(Output::Short(packets))
             }
             Err(e) => {
                 say!("engine {}: {e}", start.engine);
@@ -467,7 +478,7 @@
                 auth::proof(auth::NATIVE, &a.password, &greeting.nonce).unwrap_or_default(),
             ),
         };
-        let login = Login { user: a.user.clone(), auth: proof, schema: None, plugin };
+        let login = Login { user: a.user.clone(), auth: proof, schema: None, plugin, ends: Ends::default() };
         wire.send(&login.write(a.most_packet as u32)[..]).await?;
         loop {
             let p = next(wire).await?;
@@ -506,7 +517,7 @@
         in_service: &impl Fn() -> bool,
         sent: &impl Fn(),
         until: Millis,
-    ) -> Result<Packets, PacketError> {
+    ) -> Result<Output, PacketError> {
         if !c.can_enter(&work.context) {
             return Err(PacketError::Protocol("the connection stands in another session's place"));
         }
@@ -525,12 +536,12 @@
                 written.set(Some(mark));
                 command(&mut c.wire, QUERY, &[&work.sql]).await?;
                 sent();
-                self.result(&mut c.wire).await
+                self.result(&mut c.wire, work).await
             }
             Job::Prepare => {
                 gate()?;
                 written.set(Some(mark));
-                self.prepare(c, work, sent).await
+                self.prepare(c, work, sent).await.map(Output::Short)
             }
             Job::Execute(e) => {
                 // An engine that no longer knows the statement has not run it: once more, newly prepared.
@@ -554,12 +565,12 @@
                             sent()
                         }
                     };
-                    let packets = self.execute(c, id, e, &first).await?;
-                    let unknown = packets.iter().next().is_some_and(|p| {
+                    let output = self.execute(c, id, e, work, &first).await?;
+                    let unknown = matches!(&output, Output::Short(packets) if packets.iter().next().is_some_and(|p| {
                         p.first() == Some(&0xff) && p.get(1..3) == Some(&code::NO_STATEMENT.0.to_le_bytes())
-                    });
+                    }));
                     if again || !unknown {
-                        return Ok(packets);
+                        return Ok(output);
                     }
                     written.set(None);
                     c.statements.remove(&key);
@@ -633,8 +644,9 @@
         c: &mut Connection,
         id: u32,
         e: &Execute,
+        work: &Work,
         sent: &impl Fn(),
-    ) -> Result<Packets, PacketError> {
+    ) -> Result<Output, PacketError> {
         for (parameter, data) in &e.long {
             let head = [&id.to_le_bytes()[..], &parameter.to_le_bytes()].concat();
             command(&mut c.wire, STMT_SEND_LONG_DATA, &[&head, data]).await?;
@@ -643,48 +655,59 @@
         let head = [&id.to_le_bytes()[..], &[0, 1, 0, 0, 0]].concat();
         command(&mut c.wire, STMT_EXECUTE, &[&head, &e.body]).await?;
         sent();
-        self.result(&mut c.wire).await
+        self.result(&mut c.wire, work).await
     }
 
+    /// What is told of a statement before it runs stays small.
     fn bound(&self, packets: &Packets) -> Result<(), PacketError> {
-        match packets.size() > self.access.most_result {
+        match packets.size() > MOST_PREPARED {
             true => Err(PacketError::Length(packets.size())),
             false => Ok(()),
         }
     }
 
-    /// Reads a whole result: an OK, an ERR, or columns and rows up to their end.
-    async fn result(&self, wire: &mut Wire<PacketCodec>) -> Result<Packets, PacketError> {
+    /// Reads a whole result: an OK, an ERR, or columns and rows up to their end. Rows go into the spool as they come,
+    /// and the connection is free at the last packet. A result that its engine breaks off with an error is that error.
+    async fn result(&self, wire: &mut Wire<PacketCodec>, work: &Work) -> Result<Output, PacketError> {
         const SEVERAL: PacketError = PacketError::Protocol("several results at once are not carried");
-        let mut packets = Packets::default();
+        let mut writer: Writer = self.spools.writer(work.ask, work.who.clone());
         let first = next(wire).await?;
-        packets.push(&first);
+        let alone = |payload: &[u8]| {
+            let mut packets = Packets::default();
+            packets.push(payload);
+            Ok(Output::Short(packets))
+        };
         match first.first() {
             None => return Err(PacketError::Short),
-            Some(0xff) => return Ok(packets),
+            Some(0xff) => return alone(&first),
             Some(0xfb) => return Err(PacketError::Protocol("it asks for a local file")),
             Some(0) if ok_status(&first)? & MORE_RESULTS != 0 => return Err(SEVERAL),
-            Some(0) => return Ok(packets),
-            Some(_) => {}
+            Some(0) => return alone(&first),
+            Some(_) => writer.head(&first)?,
         }
         // Columns end with one EOF, rows with another, or with an error.
         for rows in [false, true] {
             loop {
                 let p = next(wire).await?;
-                packets.push(&p);
-                self.bound(&packets)?;
-                if let Some(status) = eof_status(&p) {
-                    if status & MORE_RESULTS != 0 {
-                        return Err(SEVERAL);
+                match (eof_status(&p), rows) {
+                    (Some(status), _) if status & MORE_RESULTS != 0 => return Err(SEVERAL),
+                    (Some(_), false) => {
+                        writer.head(&p)?;
+                        break;
                     }
-                    break;
-                }
-                if rows && p.first() == Some(&0xff) {
-                    return Ok(packets);
+                    (Some(_), true) => {
+                        return Ok(match writer.finish(Some(&p)).await? {
+                            Whole::Short(bytes) => Output::Short(bytes.into()),
+                            Whole::Long(spool) => Output::Long(spool),
+                        });
+                    }
+                    (None, true) if p.first() == Some(&0xff) => return alone(&p),
+                    (None, true) => writer.row(&p).await?,
+                    (None, false) => writer.head(&p)?,
                 }
             }
         }
-        Ok(packets)
+        Err(PacketError::Protocol("the result has no end"))
     }
 }
 
@@ -699,13 +722,12 @@
 }
 
 /// What an engine's error makes of the attempt; none, if it is the statement's own answer.
-fn verdict(packets: &Packets) -> Option<Outcome> {
-    let error = |p: &&[u8]| p.first() == Some(&0xff);
-    let ends = [packets.iter().next(), packets.iter().last()];
-    let p = ends.into_iter().flatten().find(error)?;
+fn verdict(output: &Output) -> Option<Outcome> {
+    let Output::Short(packets) = output else { return None };
+    let p = packets.iter().next().filter(|p| p.first() == Some(&0xff))?;
     let number = read_err(&Bytes::copy_from_slice(p)).code;
     match number {
-        n if full(n) && packets.iter().count() == 1 => Some(Outcome::Full),
+        n if full(n) => Some(Outcome::Full),
         n if passing(n) => Some(Outcome::Error),
         _ => None,
     }
--- a/src/net/mysql/mod.rs
+++ b/src/net/mysql/mod.rs
@@ -2,12 +2,16 @@
 //! state of a session lives on an engine: that is what lets a session move when its engine drains.
 
 pub mod auth;
+pub mod cursor;
 pub mod front;
 pub mod leg;
+pub mod ours;
 pub mod packet;
 pub mod values;
 
 use crate::net::hub::Reply;
+use crate::net::spools::{self, Who};
+use crate::spool::{Ask, SpoolId};
 use bytes::{BufMut, Bytes, BytesMut};
 
 /// What a client asked for, as an engine connection can carry it out alone.
@@ -16,6 +20,9 @@
     pub context: Context,
     pub sql: Bytes,
     pub job: Job,
+    /// Whose result it brings, for the account of results that wait.
+    pub ask: Ask,
+    pub who: Who,
 }
 
 /// What of a session an engine connection has to stand in before it can carry a statement out.
@@ -44,12 +51,27 @@
     pub long: Vec<(u16, Bytes)>,
 }
 
+/// What an engine brought.
+#[derive(Debug)]
+pub enum Output {
+    /// All of it.
+    Short(Packets),
+    /// It waits in the spool with this number.
+    Long(SpoolId),
+}
+
 /// The packets of an engine's answer, without their headers: each behind its length.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Packets {
     bytes: BytesMut,
 }
 
+impl From<BytesMut> for Packets {
+    fn from(bytes: BytesMut) -> Self {
+        Packets { bytes }
+    }
+}
+
 impl Packets {
     pub fn push(&mut self, payload: &[u8]) {
         self.bytes.put_u32(payload.len() as u32);
@@ -61,13 +83,11 @@
     }
 
     pub fn iter(&self) -> impl Iterator<Item = &[u8]> {
-        let mut rest = &self.bytes[..];
-        std::iter::from_fn(move || {
-            let (head, tail) = rest.split_first_chunk::<4>()?;
-            let (payload, tail) = tail.split_at_checked(u32::from_be_bytes(*head) as usize)?;
-            rest = tail;
-            Some(payload)
-        })
+        spools::packets(&self.bytes)
+    }
+
+    pub fn into_bytes(self) -> Bytes {
+        self.bytes.freeze()
     }
 }
 
@@ -102,7 +122,10 @@
 /// | 1153 | 08S01 | a packet above the bound |
 /// | 1047 | 08S01 | an unknown command |
 /// | 1835 | HY000 | a malformed packet |
-/// | 1104 | 42000 | a result above the bound |
+/// | 1104 | 42000 | a result above a bound, or that breaks off |
+/// | 1064 | 42000 | a statement of ours that cannot be read |
+/// | 1141 | 42000 | no result of this user has this handle, or it has expired |
+/// | 1421 | HY000 | no cursor is open on this statement |
 pub mod code {
     pub type Code = (u16, &'static str);
     pub const REFUSED: Code = (3168, "HY000");
@@ -119,10 +142,13 @@
     pub const COMMAND: Code = (1047, "08S01");
     pub const MALFORMED: Code = (1835, "HY000");
     pub const RESULT: Code = (1104, "42000");
+    pub const SYNTAX: Code = (1064, "42000");
+    pub const HANDLE: Code = (1141, "42000");
+    pub const NO_CURSOR: Code = (1421, "HY000");
 }
 
 /// How a final answer that brings no result reads to a client.
-pub fn error_of(reply: &Reply<Packets>) -> Option<SqlError> {
+pub fn error_of(reply: &Reply<Output>) -> Option<SqlError> {
     let again = "sending it again does no harm";
     Some(match reply {
         Reply::Served(_) => return None,
--- a/src/net/mysql/packet.rs
+++ b/src/net/mysql/packet.rs
@@ -1,6 +1,7 @@
 //! Packets of the MySQL protocol: the codec, and the few that both sides build or read.
 
 use super::SqlError;
+use crate::spool::Unfit;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
@@ -15,10 +16,17 @@
 pub const PLUGIN_AUTH: u32 = 1 << 19;
 pub const CONNECT_ATTRS: u32 = 1 << 20;
 pub const PLUGIN_AUTH_LENENC: u32 = 1 << 21;
+pub const SESSION_TRACK: u32 = 1 << 23;
+pub const DEPRECATE_EOF: u32 = 1 << 24;
 
 /// Autocommit is on: the only mode that is carried.
 pub const AUTOCOMMIT: u16 = 2;
 pub const MORE_RESULTS: u16 = 8;
+/// The rows of this result are fetched; and the last of them have been.
+pub const CURSOR_EXISTS: u16 = 0x40;
+pub const LAST_ROW_SENT: u16 = 0x80;
+/// The OK tells what has changed in the session.
+pub const STATE_CHANGED: u16 = 0x4000;
 /// utf8mb4_general_ci.
 pub const UTF8: u8 = 45;
 
@@ -49,6 +57,8 @@
     #[error("the connection leads to nobody any more")]
     Cut,
     #[error(transparent)]
+    Unfit(#[from] Unfit),
+    #[error(transparent)]
     Io(#[from] io::Error),
 }
 
@@ -193,6 +203,74 @@
     }
 }
 
+/// The end of columns or rows, with this status.
+pub fn eof(status: u16) -> [u8; 5] {
+    let [low, high] = status.to_le_bytes();
+    [0xfe, 0, 0, low, high]
+}
+
+/// What a session's client wants of the ends of results.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends {
+    /// CLIENT_DEPRECATE_EOF: no EOF behind columns, and an OK behind rows.
+    pub ok_for_eof: bool,
+    /// CLIENT_SESSION_TRACK: an OK tells what has changed in the session.
+    pub tracks: bool,
+}
+
+/// The variable that tells a result's handle where sessions are tracked.
+pub const HANDLE: &str = "hitchwinch_result";
+
+impl Ends {
+    /// The packet behind the last row: an OK that tells the result's handle to a client that can take it in, else an
+    /// EOF, which can tell nothing.
+    pub fn last(self, status: u16, handle: Option<&str>) -> Vec<u8> {
+        if !self.ok_for_eof {
+            return eof(status).to_vec();
+        }
+        let handle = handle.filter(|_| self.tracks);
+        let status = if handle.is_some() { status | STATE_CHANGED } else { status };
+        let mut p = vec![0xfe, 0, 0];
+        p.put_u16_le(status);
+        p.put_u16_le(0);
+        if let Some(handle) = handle {
+            // No text, then one changed system variable: its name and its value.
+            put_lenenc(&mut p, 0);
+            let mut pair = vec![];
+            for text in [HANDLE, handle] {
+                put_lenenc(&mut pair, text.len() as u64);
+                pair.put_slice(text.as_bytes());
+            }
+            let mut change = vec![0];
+            put_lenenc(&mut change, pair.len() as u64);
+            change.put_slice(&pair);
+            put_lenenc(&mut p, change.len() as u64);
+            p.put_slice(&change);
+        }
+        p
+    }
+
+    /// An engine's OK as this client reads it: engines are asked for no session tracking, so that what stands behind
+    /// the warnings is a bare text there.
+    pub fn ok(self, payload: &[u8]) -> Vec<u8> {
+        let mut r = Reader(Bytes::copy_from_slice(payload));
+        let read = |r: &mut Reader| -> Result<(), PacketError> {
+            r.u8()?;
+            r.lenenc()?;
+            r.lenenc()?;
+            r.take(4)?;
+            Ok(())
+        };
+        if !self.tracks || read(&mut r).is_err() || r.0.is_empty() {
+            return payload.to_vec();
+        }
+        let mut p = payload[..payload.len() - r.0.len()].to_vec();
+        put_lenenc(&mut p, r.0.len() as u64);
+        p.put_slice(&r.0);
+        p
+    }
+}
+
 /// The status flags of an OK packet.
 pub fn ok_status(payload: &Bytes) -> Result<u16, PacketError> {
     let mut r = Reader(payload.slice(1..));
@@ -261,6 +339,7 @@
     pub auth: Vec<u8>,
     pub schema: Option<String>,
     pub plugin: String,
+    pub ends: Ends,
 }
 
 /// What this program can do, as server and as client.
@@ -275,6 +354,9 @@
     | PLUGIN_AUTH_LENENC
     | CONNECT_ATTRS;
 
+/// What the front offers beside: an engine is asked for neither.
+pub const FRONT: u32 = CAPABILITIES | SESSION_TRACK | DEPRECATE_EOF;
+
 impl Login {
     pub fn write(&self, most: u32) -> Vec<u8> {
         let mut p = vec![];
@@ -314,6 +396,8 @@
         };
         let schema = (capabilities & CONNECT_WITH_DB != 0).then(|| r.text()).filter(|s| !s.is_empty());
         let plugin = if capabilities & PLUGIN_AUTH != 0 { r.text() } else { String::new() };
-        Ok(Login { user, auth, schema, plugin })
+        let ends =
+            Ends { ok_for_eof: capabilities & DEPRECATE_EOF != 0, tracks: capabilities & SESSION_TRACK != 0 };
+        Ok(Login { user, auth, schema, plugin, ends })
     }
 }
--- /dev/null
+++ b/src/net/spools/reader.rs
@@ -0,0 +1,85 @@
+//! A result page by page, at its reader's pace.
+
+use super::disk::{Order, ReadError};
+use super::{Page, Spools};
+use crate::net::unix_ms;
+use crate::spool::SpoolId;
+use bytes::Bytes;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+
+/// Why a page cannot be had.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SpoolError {
+    #[error(transparent)]
+    Read(#[from] ReadError),
+    #[error("the result is there no more")]
+    Gone,
+}
+
+/// Reads a spool; it stays for as long as somebody does.
+pub struct Reader {
+    spools: Rc<Spools>,
+    id: SpoolId,
+    next: u32,
+    to_the_end: bool,
+}
+
+impl Reader {
+    pub(super) fn new(spools: Rc<Spools>, id: SpoolId, from: u32) -> Self {
+        Reader { spools, id, next: from, to_the_end: false }
+    }
+
+    pub fn id(&self) -> SpoolId {
+        self.id
+    }
+
+    /// The next page's rows, each behind its length; none after the last.
+    ///
+    /// # Errors
+    /// The page is torn or cannot be read.
+    pub async fn page(&mut self) -> Result<Option<Bytes>, SpoolError> {
+        let next = self.next as usize;
+        let page = self.spools.look_at(self.id, |held, _| match held.pages.get(next) {
+            None => None,
+            Some(Page::Memory { bytes, .. } | Page::Writing { bytes, .. }) => Some(Some(bytes.clone())),
+            Some(Page::Disk) => Some(None),
+        });
+        let bytes = match page {
+            None => return Err(SpoolError::Gone),
+            Some(None) => {
+                self.to_the_end = true;
+                return Ok(None);
+            }
+            Some(Some(Some(bytes))) => bytes,
+            Some(Some(None)) => self.ask_disk().await?,
+        };
+        self.next += 1;
+        self.spools.ledger.borrow_mut().reading(unix_ms(), self.id);
+        Ok(Some(bytes))
+    }
+
+    async fn ask_disk(&self) -> Result<Bytes, SpoolError> {
+        let disk = self.spools.disk.as_ref().ok_or(SpoolError::Gone)?;
+        let (reply, answer) = oneshot::channel();
+        if !disk.order_in_turn(Order::Read { spool: self.id, page: self.next, reply }).await {
+            return Err(SpoolError::Gone);
+        }
+        match answer.await {
+            Ok(Ok(bytes)) => Ok(bytes.into()),
+            Ok(Err(e)) => {
+                if e == ReadError::Torn {
+                    self.spools.torn.set(self.spools.torn.get() + 1);
+                }
+                Err(e.into())
+            }
+            Err(_) => Err(SpoolError::Gone),
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.spools.ledger.borrow_mut().detach(unix_ms(), self.id, self.to_the_end);
+    }
+}
--- /dev/null
+++ b/src/net/spools/writer.rs
@@ -0,0 +1,142 @@
+//! The result of one attempt as it comes from its engine.
+
+use super::{PAGE, SHORT, Spools, packets, put_packet};
+use crate::spool::{Ask, SpoolId, Unfit};
+use bytes::{Bytes, BytesMut};
+use std::rc::Rc;
+
+/// Whose result it is, and of what.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Who {
+    pub user: String,
+    /// The statement's beginning: what its owner knows it by.
+    pub statement: String,
+    /// Its rows are of the binary protocol.
+    pub binary: bool,
+}
+
+/// The longest beginning of a statement that is kept, in characters.
+pub const STATEMENT: usize = 120;
+
+/// A result that is whole.
+#[derive(Debug)]
+pub enum Whole {
+    /// All its packets, each behind its length.
+    Short(BytesMut),
+    /// More than is handed over at once.
+    Long(SpoolId),
+}
+
+/// Takes packets until the last. What is dropped before is forgotten.
+pub struct Writer {
+    spools: Rc<Spools>,
+    ask: Ask,
+    who: Option<Who>,
+    /// All packets, while the result is short; then those of the page that is not full.
+    bytes: BytesMut,
+    /// Where the rows begin in it.
+    head: usize,
+    rows: u32,
+    spool: Option<SpoolId>,
+    total: usize,
+}
+
+impl Writer {
+    pub(super) fn new(spools: Rc<Spools>, ask: Ask, who: Who) -> Self {
+        Writer {
+            spools,
+            ask,
+            who: Some(who),
+            bytes: BytesMut::new(),
+            head: 0,
+            rows: 0,
+            spool: None,
+            total: 0,
+        }
+    }
+
+    /// A packet before the rows, or the one and only.
+    pub fn head(&mut self, payload: &[u8]) -> Result<(), Unfit> {
+        put_packet(&mut self.bytes, payload);
+        self.head = self.bytes.len();
+        self.bound(payload.len())
+    }
+
+    /// The result's own bound holds from the first byte, whether or not it becomes a spool.
+    fn bound(&mut self, more: usize) -> Result<(), Unfit> {
+        self.total += more + 4;
+        let most = self.spools.ledger.borrow().rules().result;
+        if self.total as u64 > most { Err(Unfit::Result(most)) } else { Ok(()) }
+    }
+
+    /// A row. Waits where the disk is behind.
+    ///
+    /// # Errors
+    /// There is no place for it; the whole result is given up.
+    pub async fn row(&mut self, payload: &[u8]) -> Result<(), Unfit> {
+        self.bound(payload.len())?;
+        put_packet(&mut self.bytes, payload);
+        self.rows += 1;
+        match self.spool {
+            None if self.bytes.len() > SHORT => self.outgrow().await,
+            None => Ok(()),
+            Some(_) if self.rows >= self.spools.page_rows.get() || self.bytes.len() >= PAGE => {
+                self.close().await
+            }
+            Some(_) => Ok(()),
+        }
+    }
+
+    /// It is a spool from now on: what is in hand is cut into pages.
+    async fn outgrow(&mut self) -> Result<(), Unfit> {
+        let all = self.bytes.split().freeze();
+        let (head, rows) = (all.slice(..self.head), all.slice(self.head..));
+        let Some(who) = self.who.take() else { return Err(Unfit::Unknown) };
+        self.spool = Some(self.spools.begin(self.ask, who, head)?);
+        (self.rows, self.head) = (0, 0);
+        for row in packets(&rows) {
+            put_packet(&mut self.bytes, row);
+            self.rows += 1;
+            if self.rows >= self.spools.page_rows.get() || self.bytes.len() >= PAGE {
+                self.close().await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn close(&mut self) -> Result<(), Unfit> {
+        let Some(spool) = self.spool else { return Ok(()) };
+        let page = Bytes::copy_from_slice(&self.bytes);
+        self.bytes.clear();
+        let rows = std::mem::take(&mut self.rows);
+        self.spools.page(spool, rows, page).await
+    }
+
+    /// The last packet: the result is whole.
+    ///
+    /// # Errors
+    /// There is no place for what is left of it.
+    pub async fn finish(mut self, tail: Option<&[u8]>) -> Result<Whole, Unfit> {
+        if self.spool.is_none() {
+            if let Some(tail) = tail {
+                put_packet(&mut self.bytes, tail);
+            }
+            self.spools.learn(self.ask.class, self.bytes.len());
+            return Ok(Whole::Short(std::mem::take(&mut self.bytes)));
+        }
+        if self.rows > 0 {
+            self.close().await?;
+        }
+        let Some(spool) = self.spool.take() else { return Err(Unfit::Unknown) };
+        self.spools.whole(spool, Bytes::copy_from_slice(tail.unwrap_or_default()));
+        Ok(Whole::Long(spool))
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        if let Some(spool) = self.spool.take() {
+            self.spools.give_up(spool);
+        }
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod files;
 pub mod record;
+pub mod segments;
 
 pub use files::{Disk, Files};
 pub use record::{Kind, RecordError};
