Name segments in a crash-safe manifest, and refuse nothing whose result is short

Need: nothing told a spool folder of a later version from ours, or a lost segment from one that never was; and with all room taken by slow readers a lookup of one row would have been refused as well.

Change: a manifest record (checksummed, written aside, renamed) names the segments before one begins and before one goes; what it does not name is removed, what is missing is told, a folder without one or with a later one is left alone. Admission looks only at classes whose results outgrow 64 KB; a result that found no room counts for what is expected of its class.

--- a/src/net/spools/disk.rs
+++ b/src/net/spools/disk.rs
@@ -4,6 +4,7 @@
 //! Each process has a folder of its own below the operators' one, locked while it lives. Folders whose lock is free
 //! are taken over at the start; those of living processes are only read.
 
+use crate::say;
 use crate::store::segments::{Folder, Recovered, Rules, SegmentError, Segments, Volume};
 use bytes::Bytes;
 use std::collections::HashMap;
@@ -130,7 +131,21 @@
         let (mut next, mut local) = (first, 1);
         for path in folders(dir)? {
             let Some(lock) = lock(&path)? else { continue };
-            let (segments, recovered) = Segments::open(Folder::new(&path)?, rules)?;
+            // A folder that cannot be read whole (a later version's, say) is left alone, and told of.
+            let (segments, recovered) = match Segments::open(Folder::new(&path)?, rules) {
+                Ok(opened) => opened,
+                Err(e) => {
+                    say!("spools: {}: {e}; it is left alone", path.display());
+                    continue;
+                }
+            };
+            let Recovered { dropped, torn, missing, .. } = recovered;
+            if dropped + missing > 0 || torn > 0 {
+                say!(
+                    "spools: {}: {dropped} results were not whole, {torn} bytes torn, {missing} segments missing",
+                    path.display()
+                );
+            }
             for kept in keeps(recovered) {
                 if owned.is_empty() {
                     local = local.max(kept.0 + 1);
@@ -228,6 +243,12 @@
     fn list(&mut self) -> io::Result<Vec<(u32, u64)>> {
         self.0.list()
     }
+    fn name(&mut self, _: &[u32]) -> io::Result<()> {
+        Ok(())
+    }
+    fn named(&mut self) -> io::Result<Option<Vec<u32>>> {
+        self.0.named()
+    }
 }
 
 struct Worker {
--- a/src/net/spools/mod.rs
+++ b/src/net/spools/mod.rs
@@ -26,8 +26,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, oneshot};
 
-/// A result up to this is handed over at once and is no spool, in bytes.
-pub const SHORT: usize = 64 << 10;
+pub use crate::spool::ledger::SHORT;
 /// A page is closed at this, in bytes, if not before by its rows. One row may be longer.
 pub const PAGE: usize = 128 << 10;
 /// Bytes on their way to the disk; beyond, engines are read no faster than the disk writes.
--- a/src/net/spools/writer.rs
+++ b/src/net/spools/writer.rs
@@ -109,7 +109,12 @@
         let page = Bytes::copy_from_slice(&self.bytes);
         self.bytes.clear();
         let rows = std::mem::take(&mut self.rows);
-        self.spools.page(spool, rows, page).await
+        let kept = self.spools.page(spool, rows, page).await;
+        if kept.is_err() {
+            // The next of its class is refused before it is sent.
+            self.spools.learn(self.ask.class, self.total);
+        }
+        kept
     }
 
     /// The last packet: the result is whole.
--- a/src/spool/ledger.rs
+++ b/src/spool/ledger.rs
@@ -123,6 +123,8 @@
     seen: f64,
 }
 
+/// A result up to this, in bytes, is handed over at once: it needs no room here.
+pub const SHORT: usize = 64 << 10;
 /// The weight that a class's sizes keep at each result.
 const KEEP: f64 = 0.95;
 /// Results before their sizes are believed.
@@ -193,13 +195,15 @@
         let expected = self.expected(ask.class);
         let no = |why| Some(why);
         let why = match () {
+            // What is short waits nowhere.
+            () if expected <= SHORT as u64 => None,
             () if self.spools.len() >= self.rules.most && self.evictable(ask.load).next().is_none() => {
                 no("too many results wait for their readers")
             }
             () if self.tenant_room(ask.tenant, ask.load) < expected => {
                 no("its tenant's results leave no room for another")
             }
-            () if self.room(now, ask.load) < expected.max(1) => {
+            () if self.room(now, ask.load) < expected => {
                 no("neither memory nor disk has room for its result")
             }
             () => None,
--- a/src/store/segments/mod.rs
+++ b/src/store/segments/mod.rs
@@ -8,6 +8,9 @@
 //! - An append that fails leaves no trace: the segment is cut back to what was whole, or if even that fails, written to
 //!   no more.
 //!
+//! - A manifest names the segments that are ours: it is written before a segment begins and before one goes. What it does
+//!   not name is a rest of before, and removed; what it names and is not there was lost, and told.
+//!
 //! All of it blocks, and none of it knows of the runtime: one thread owns it.
 
 pub mod frame;
@@ -106,6 +109,8 @@
     pub dropped: usize,
     /// Bytes behind the last whole frame of a segment.
     pub torn: u64,
+    /// Segments that the manifest names and that are not there; the newest may never have begun.
+    pub missing: usize,
 }
 
 /// All spools of one folder.
@@ -135,7 +140,25 @@
             next: 1,
         };
         let mut recovered = Recovered::default();
-        let listed = s.volume.list()?;
+        let mut listed = s.volume.list()?;
+        match s.volume.named()? {
+            Some(named) => {
+                let there: Vec<u32> = listed.iter().map(|l| l.0).collect();
+                let newest = named.iter().max().copied();
+                recovered.missing =
+                    named.iter().filter(|n| Some(**n) != newest && !there.contains(n)).count();
+                for stray in there.iter().filter(|n| !named.contains(n)) {
+                    s.volume.remove(*stray)?;
+                }
+                listed.retain(|(n, _)| named.contains(n));
+                s.next = newest.map_or(1, |n| n + 1);
+            }
+            // The manifest comes before the first segment: these are not ours.
+            None if !listed.is_empty() => {
+                return Err(io::Error::other("there are segments and no manifest: the folder is not ours"));
+            }
+            None => s.volume.name(&[])?,
+        }
         let last = listed.last().map(|l| l.0);
         let mut begun = BTreeMap::new();
         for (number, length) in listed {
@@ -146,14 +169,17 @@
                 // Nothing may be written behind what is torn.
                 s.volume.truncate(number, whole)?;
             }
-            s.next = number + 1;
+            s.next = s.next.max(number + 1);
         }
         recovered.dropped = begun.len();
         s.keep_whole(&mut recovered);
         let empty: Vec<u32> = s.segments.iter().filter(|(_, s)| s.live == 0).map(|(n, _)| *n).collect();
+        for number in &empty {
+            s.segments.remove(number);
+        }
+        s.volume.name(&s.segments.keys().copied().collect::<Vec<_>>())?;
         for number in empty {
             s.volume.remove(number)?;
-            s.segments.remove(&number);
         }
         Ok((s, recovered))
     }
@@ -302,11 +328,17 @@
     fn sweep(&mut self) -> Result<(), SegmentError> {
         let dead: Vec<u32> =
             self.segments.iter().filter(|(_, s)| s.live == 0 && s.length > 0).map(|(n, _)| *n).collect();
-        for number in dead {
-            if self.current == Some(number) {
+        if dead.is_empty() {
+            return Ok(());
+        }
+        for number in &dead {
+            if self.current == Some(*number) {
                 self.current = None;
             }
-            self.segments.remove(&number);
+            self.segments.remove(number);
+        }
+        self.volume.name(&self.segments.keys().copied().collect::<Vec<_>>())?;
+        for number in dead {
             self.volume.remove(number)?;
         }
         Ok(())
@@ -396,6 +428,8 @@
                     self.volume.sync(full)?;
                 }
                 let number = self.next;
+                let named: Vec<u32> = self.segments.keys().copied().chain([number]).collect();
+                self.volume.name(&named)?;
                 self.next += 1;
                 self.segments.insert(number, Segment::default());
                 self.current = Some(number);
--- a/src/store/segments/volume.rs
+++ b/src/store/segments/volume.rs
@@ -1,5 +1,6 @@
 //! Where segments lie: numbered files that are only ever written at their end.
 
+use crate::store::{Disk, Kind, RecordError, Store};
 use std::collections::VecDeque;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
@@ -17,8 +18,17 @@
     fn remove(&mut self, segment: u32) -> io::Result<()>;
     /// All segments with their lengths in bytes, in order.
     fn list(&mut self) -> io::Result<Vec<(u32, u64)>>;
+    /// The manifest names exactly these from now on: whole, or as it was before.
+    fn name(&mut self, segments: &[u32]) -> io::Result<()>;
+    /// What the manifest names; none if there has never been one.
+    fn named(&mut self) -> io::Result<Option<Vec<u32>>>;
 }
 
+/// The manifest's file, what it is, and its longest content in bytes.
+const MANIFEST: &str = "manifest";
+const KIND: Kind = Kind { tag: *b"SEGM", form: 1 };
+const MOST: usize = 1 << 20;
+
 /// Files that are open at a time.
 const OPEN: usize = 8;
 
@@ -40,7 +50,7 @@
         Ok(Folder { path: path.to_path_buf(), open: VecDeque::new() })
     }
 
-    fn name(&self, segment: u32) -> PathBuf {
+    fn file_of(&self, segment: u32) -> PathBuf {
         self.path.join(format!("segment-{segment:08}"))
     }
 
@@ -56,7 +66,7 @@
                 let mut options = OpenOptions::new();
                 options.read(true).append(true).create(create);
                 std::os::unix::fs::OpenOptionsExt::mode(&mut options, 0o600);
-                let file = options.open(self.name(segment))?;
+                let file = options.open(self.file_of(segment))?;
                 if self.open.len() >= OPEN {
                     self.open.pop_front();
                 }
@@ -90,7 +100,7 @@
 
     fn remove(&mut self, segment: u32) -> io::Result<()> {
         self.open.retain(|(n, _)| *n != segment);
-        std::fs::remove_file(self.name(segment))
+        std::fs::remove_file(self.file_of(segment))
     }
 
     fn list(&mut self) -> io::Result<Vec<(u32, u64)>> {
@@ -106,4 +116,16 @@
         all.sort_unstable();
         Ok(all)
     }
+
+    fn name(&mut self, segments: &[u32]) -> io::Result<()> {
+        let content = serde_json::to_vec(segments).map_err(io::Error::other)?;
+        Store::new(Disk, &self.path, MANIFEST, KIND, MOST).save(&content)
+    }
+
+    fn named(&mut self) -> io::Result<Option<Vec<u32>>> {
+        let read =
+            |content: &[u8]| serde_json::from_slice(content).map_err(|e| RecordError::Content(e.to_string()));
+        // A manifest of a later program, or of another's: nothing here is to be touched.
+        Store::new(Disk, &self.path, MANIFEST, KIND, MOST).load(read).map_err(io::Error::other)
+    }
 }
