--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
 use hitchwinch::net::shared::Shared;
+use hitchwinch::net::signals::{SIGHUP, SIGTERM, Signals};
 use hitchwinch::net::spools::Spools;
 use hitchwinch::net::unix_ms;
 use hitchwinch::net::{listener, mysql};
@@ -22,7 +23,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
 
@@ -59,7 +59,7 @@
 
 /// Serves the platform until SIGTERM and the last answer.
 async fn platform() -> Result<(), Error> {
-    let (mut term, hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (mut term, hup) = (Signals::new(SIGTERM)?, Signals::new(SIGHUP)?);
     let read = || Platform::from_env(|v| std::env::var(v).ok());
     let mut config = read()?;
     let pool = Pool::default();
@@ -100,7 +100,7 @@
 
 /// Serves MySQL clients until SIGTERM and the last answer.
 async fn serve_mysql(file: &str) -> Result<(), Error> {
-    let (mut term, hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (mut term, hup) = (Signals::new(SIGTERM)?, Signals::new(SIGHUP)?);
     let mut config = Mysql::read(file)?;
     let pool = Pool::default();
     let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
@@ -323,7 +323,7 @@
 /// On every SIGHUP reads the configuration again. One that is not whole and valid changes nothing; of a valid
 /// one `take` swaps in what it changes, or tells the key that a running program cannot take.
 async fn reload<C>(
-    mut hup: Signal,
+    mut hup: Signals,
     read: impl Fn() -> Result<C, ConfigError>,
     mut take: impl FnMut(C) -> Result<Option<&'static str>, Error>,
 ) {
@@ -341,7 +341,7 @@
 /// more are accepted, for they would find an end here that another process could give them a whole life: only
 /// those that were accepted are read and answered on. The last answers are given before the kill can come.
 async fn wind_down<L: Leg>(
-    term: &mut Signal,
+    term: &mut Signals,
     hub: &Rc<Hub<L>>,
     longest: f64,
     handed_over: bool,
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -18,6 +18,22 @@
     NoListener(RawFd),
     #[error("descriptor {0} listens on {1}, not on {2}")]
     Address(RawFd, SocketAddr, SocketAddr),
+    #[error("descriptor {0} cannot be taken ({1}), and listen {2} cannot be bound instead: {3}")]
+    Fallback(RawFd, io::Error, SocketAddr, io::Error),
+}
+
+/// A safe duplicate of this process's own descriptor `number`.
+fn duplicate(number: RawFd) -> io::Result<std::os::fd::OwnedFd> {
+    let own = pidfd_open(getpid(), PidfdFlags::empty())?;
+    Ok(pidfd_getfd(own, number, PidfdGetfdFlags::empty())?)
+}
+
+/// Whether the system call was refused as such rather than failing on this descriptor: not there (ENOSYS, as a
+/// filter answers), or not permitted (EPERM, as a stricter filter or a security module answers).
+fn refused(e: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let code = e.raw_os_error();
+    code == Some(Errno::NOSYS.raw_os_error()) || code == Some(Errno::PERM.raw_os_error())
 }
 
 /// Listens at this address, on the inherited descriptor if there is one. That one is never shut down: it is the
@@ -28,8 +44,16 @@
     };
     let failed = |e: io::Error| ListenError::Descriptor(number, e);
     // By its number alone it could only be owned unsafely; asked for from ourselves it is a safe duplicate.
-    let own = pidfd_open(getpid(), PidfdFlags::empty()).map_err(|e| failed(e.into()))?;
-    let socket = pidfd_getfd(own, number, PidfdGetfdFlags::empty()).map_err(|e| failed(e.into()))?;
+    let socket = match duplicate(number) {
+        Ok(socket) => socket,
+        Err(e) if refused(&e) => {
+            // A system-call filter (such as the fleet bench's) or a kernel before 5.6: the address is bound
+            // here instead, which works wherever the holder lets others bind it too.
+            crate::say!("descriptor {number}: pidfd_getfd is refused ({e}); listening on {at} without it");
+            return TcpListener::bind(at).await.map_err(|b| ListenError::Fallback(number, e, at, b));
+        }
+        Err(e) => return Err(failed(e)),
+    };
     if !socket_acceptconn(&socket).unwrap_or(false) {
         return Err(ListenError::NoListener(number));
     }
@@ -66,4 +90,13 @@
             assert!(matches!(listen(at, Some(9999)).await, Err(ListenError::Descriptor(..))));
         });
     }
+
+    #[test]
+    fn only_a_refused_call_falls_back() {
+        let code = |errno: rustix::io::Errno| io::Error::from_raw_os_error(errno.raw_os_error());
+        assert!(refused(&code(rustix::io::Errno::NOSYS)), "what the fleet bench's filter answers");
+        assert!(refused(&code(rustix::io::Errno::PERM)));
+        assert!(!refused(&code(rustix::io::Errno::BADF)), "a wrong number is the operator's to mend");
+        assert!(!refused(&io::Error::other("no number")));
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod pool;
 pub mod resp;
 pub mod shared;
+pub mod signals;
 pub mod spools;
 pub mod statement;
 
