--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 use hitchwinch::net::signals::{SIGHUP, SIGTERM, Signals};
 use hitchwinch::net::spools::Spools;
 use hitchwinch::net::unix_ms;
-use hitchwinch::net::{listener, mysql};
+use hitchwinch::net::{listener, mysql, vitals};
 use hitchwinch::say;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -79,6 +79,7 @@
     let sink = hub.clone();
     spawn_local(journal.run(Box::new(move |change| sink.change(&change))));
     spawn_local(hub.clone().clock());
+    spawn_local(vitals::tell());
     let accepting = spawn_local(front.clone().accept(listener));
     say!("{} listens on {listen}", config.name);
     let (longest, handed_over) = (config.sockets.longest, config.inherited.is_some());
@@ -130,6 +131,7 @@
     let following = Rc::new(RefCell::new(following));
     following.borrow_mut().follow(&config.source, &stand);
     spawn_local(hub.clone().clock());
+    spawn_local(vitals::tell());
     let accepting = spawn_local(front.clone().accept(listener));
     say!("the MySQL front listens on {listen}");
     let (longest, handed_over) = (config.sockets.longest, config.inherited.is_some());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod signals;
 pub mod spools;
 pub mod statement;
+pub mod vitals;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
