--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,13 +2,18 @@
 //! Tests, measurements and examples share them. Everything stays on loopback and on one thread.
 
 pub mod client;
+pub mod compare;
 pub mod engine;
 pub mod measure;
 pub mod measure_spool;
+pub mod model;
 pub mod program;
+pub mod random;
 pub mod raw;
 pub mod registry;
+pub mod scenario;
 pub mod stand;
+pub mod world;
 
 /// The machine's Unix clock, in milliseconds: the stand-ins' logs and the checkers run on it.
 pub fn now() -> f64 {
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,474 @@
+//! A day as a JSON5 file: the fleet, the load and the trouble. `lab/scenarios/` holds ready ones.
+
+use crate::model::Params;
+use hitchwinch::{Class, Effect, EngineFacts, Kind, Limits, ReportField, Rules, Settings, Tenant};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Why a file is no day.
+#[derive(Debug, thiserror::Error)]
+pub enum ScenarioError {
+    #[error("{path}: {problem}")]
+    File { path: String, problem: String },
+    #[error("{key}: {problem}")]
+    Key { key: String, problem: String },
+}
+
+fn bad(key: impl Into<String>, problem: impl std::fmt::Display) -> ScenarioError {
+    ScenarioError::Key { key: key.into(), problem: problem.to_string() }
+}
+
+/// A day. Spans are in seconds where a name ends in `_s`, in milliseconds where it ends in `_ms`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    /// What it is about, for reports.
+    #[serde(default)]
+    pub about: String,
+    /// Requests come for so long.
+    pub seconds: f64,
+    pub gateways: usize,
+    #[serde(default = "one_zone")]
+    pub zones: Vec<String>,
+    pub engines: Vec<EngineSet>,
+    /// Kinds by name; what is left out is as in [`Params::default`].
+    #[serde(default)]
+    pub kinds: BTreeMap<String, Params>,
+    #[serde(default = "classes")]
+    pub classes: Vec<ClassSet>,
+    #[serde(default)]
+    pub tenants: Vec<TenantSet>,
+    pub load: Load,
+    #[serde(default)]
+    pub net: Net,
+    #[serde(default)]
+    pub trouble: Vec<Trouble>,
+}
+
+fn one_zone() -> Vec<String> {
+    vec!["home".into()]
+}
+
+/// So many engines of a kind, spread over the zones in turn.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSet {
+    pub kind: String,
+    pub count: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSet {
+    pub name: String,
+    /// Its part of all requests.
+    pub share: f64,
+    /// The mean of its work, and the standard deviation of its logarithm.
+    pub work_ms: f64,
+    #[serde(default = "spread")]
+    pub sigma: f64,
+    #[serde(default = "one")]
+    pub threads: f64,
+    /// The part of its work that reads, drawn between these.
+    #[serde(default)]
+    pub io: [f64; 2],
+    /// Memory that it needs, on average.
+    pub memory_mb: f64,
+    pub worth: f64,
+    pub aim_ms: f64,
+    #[serde(default)]
+    pub aim_stretch: f64,
+    #[serde(default)]
+    pub late_share: f64,
+    pub deadline_ms: f64,
+    /// Running it twice would do harm.
+    #[serde(default, rename = "unsafe")]
+    pub fragile: bool,
+    #[serde(default)]
+    pub holds: bool,
+    #[serde(default)]
+    pub stands: bool,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn spread() -> f64 {
+    0.7
+}
+
+/// The operators' three classes.
+fn classes() -> Vec<ClassSet> {
+    let class =
+        |name: &str, share, work_ms, threads, io, memory_mb, worth, aim_ms, aim_stretch, deadline_ms| {
+            ClassSet {
+                name: name.into(),
+                share,
+                work_ms,
+                sigma: spread(),
+                threads,
+                io,
+                memory_mb,
+                worth,
+                aim_ms,
+                aim_stretch,
+                late_share: 0.25,
+                deadline_ms,
+                fragile: name == "load",
+                holds: name == "load",
+                stands: name != "load",
+            }
+        };
+    vec![
+        class("lookup", 0.794, 320.0, 1.0, [0.21, 0.42], 150.0, 1.0, 2000.0, 1.5, 10_000.0),
+        class("report", 0.15, 3300.0, 3.0, [0.34, 0.59], 1000.0, 5.0, 2000.0, 2.5, 25_000.0),
+        class("load", 0.056, 3300.0, 2.0, [0.42, 0.60], 750.0, 4.0, 4000.0, 3.0, 20_000.0),
+    ]
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TenantSet {
+    pub name: String,
+    /// Its part of all requests.
+    pub share: f64,
+    /// Beyond it its requests are worth a twentieth; none: no bound.
+    pub quota_per_s: Option<f64>,
+}
+
+/// Arrivals wait for nobody.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Load {
+    /// Requests a second of all clients, where the shape is 1.
+    pub per_s: f64,
+    /// Moments in seconds and the part of `per_s` at each, joined by lines; empty: always 1.
+    pub shape: Vec<[f64; 2]>,
+    /// Subject areas, and how unevenly they are asked for.
+    pub areas: usize,
+    pub zipf: f64,
+    /// The standard deviation of an estimate's logarithm, of work and of memory.
+    pub estimate_sigma: f64,
+    /// A refused client asks again so often, after this or after what it was told.
+    pub retries: u32,
+    pub retry_ms: f64,
+    /// The part of clients that leave before their time, at half of it.
+    pub leave: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load {
+            per_s: 50.0,
+            shape: vec![],
+            areas: 60,
+            zipf: 1.0,
+            estimate_sigma: 0.2,
+            retries: 1,
+            retry_ms: 300.0,
+            leave: 0.0,
+        }
+    }
+}
+
+impl Load {
+    /// The part of `per_s` at a moment in seconds.
+    pub fn part(&self, at: f64) -> f64 {
+        let Some(first) = self.shape.first() else { return 1.0 };
+        if at <= first[0] {
+            return first[1];
+        }
+        for pair in self.shape.windows(2) {
+            let ([t0, a], [t1, b]) = (pair[0], pair[1]);
+            if at < t1 {
+                return a + (b - a) * (at - t0) / (t1 - t0).max(1e-9);
+            }
+        }
+        self.shape.last().map_or(1.0, |l| l[1])
+    }
+
+    pub fn most(&self) -> f64 {
+        self.shape.iter().map(|s| s[1]).fold(if self.shape.is_empty() { 1.0 } else { 0.0 }, f64::max)
+    }
+}
+
+/// One way, between a gateway and an engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Net {
+    pub within_ms: f64,
+    /// Between zones, drawn anew for each message.
+    pub across_ms: [f64; 2],
+    /// News of the list reach each gateway within these.
+    pub list_ms: [f64; 2],
+    /// The part of notes that are lost.
+    pub lost_notes: f64,
+}
+
+impl Default for Net {
+    fn default() -> Self {
+        Net { within_ms: 0.3, across_ms: [1.4, 2.6], list_ms: [200.0, 900.0], lost_notes: 0.0 }
+    }
+}
+
+/// Which engines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Which {
+    /// By their places in the fleet.
+    These(Vec<usize>),
+    /// So many, drawn.
+    Some(usize),
+    /// This part of all, drawn.
+    Part { part: f64 },
+    /// All of a zone.
+    Zone { zone: String },
+}
+
+/// Something that goes wrong, from `at_s` on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Trouble {
+    pub at_s: f64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum What {
+    /// Processes end, and come back cold.
+    Die { engines: Which, back_s: f64 },
+    /// They take requests and answer none.
+    Hang { engines: Which, for_s: f64 },
+    /// Another program takes this part of the machine.
+    Neighbour { engines: Which, part: f64, for_s: f64 },
+    /// The list is so much further behind.
+    StaleList { extra_s: f64, for_s: f64 },
+    /// This part of a class's requests costs so many times the usual; their estimates show it.
+    HeavyTail { class: String, part: f64, times: f64, for_s: f64 },
+    /// Nothing passes between these gateways and these engines.
+    Partition { gateways: Vec<usize>, engines: Which, for_s: f64 },
+    /// Messages of these gateways take so much longer.
+    SlowLink { gateways: Vec<usize>, extra_ms: f64, for_s: f64 },
+    /// What these engines have breaks off; their processes go on.
+    Reset { engines: Which },
+    /// All engines of a zone end; those that are back start cold.
+    BuildingLost { zone: String, back_s: f64 },
+    /// The list takes them out of service; after `for_s` they are back, restarted.
+    Drain { engines: Which, for_s: f64 },
+    /// One after the other: drained, restarted, back.
+    RollingRestart { each_s: f64, drain_s: f64 },
+    /// Operators take them out at every gateway, restart them and put them back.
+    ByHand { engines: Which, for_s: f64, restart_after_s: f64 },
+    /// No news of the list reaches anybody.
+    RegistryAway { for_s: f64 },
+}
+
+impl Scenario {
+    /// Reads a day.
+    ///
+    /// # Errors
+    /// What is wrong with the file, by its key.
+    pub fn read(path: &std::path::Path) -> Result<Self, ScenarioError> {
+        let shown = path.display().to_string();
+        let file = |problem: String| ScenarioError::File { path: shown.clone(), problem };
+        let text = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
+        Self::parse(&text).map_err(|e| file(e.to_string()))
+    }
+
+    /// # Errors
+    /// What is wrong with the text, by its key.
+    pub fn parse(text: &str) -> Result<Self, ScenarioError> {
+        let s: Scenario = json5::from_str(text).map_err(|e| bad("JSON5", e))?;
+        s.check()?;
+        Ok(s)
+    }
+
+    fn check(&self) -> Result<(), ScenarioError> {
+        let total: usize = self.engines.iter().map(|e| e.count).sum();
+        if !(1..=5000).contains(&total) {
+            return Err(bad("engines", format!("{total} engines are not 1 to 5000")));
+        }
+        if !(1..=5000).contains(&self.gateways) {
+            return Err(bad("gateways", format!("{} is not in 1 to 5000", self.gateways)));
+        }
+        if !(self.seconds > 0.0 && self.seconds <= 86_400.0) {
+            return Err(bad("seconds", format!("{} is not in 0 to 86400", self.seconds)));
+        }
+        if self.zones.is_empty() {
+            return Err(bad("zones", "at least one is needed"));
+        }
+        for (name, kind) in &self.kinds {
+            kind.check().map_err(|e| bad(format!("kinds.{name}.{}", e.key), e.problem))?;
+        }
+        let unknown = self.engines.iter().position(|e| !self.kinds.contains_key(&e.kind) && e.kind != "std");
+        if let Some(i) = unknown {
+            return Err(bad(format!("engines[{i}].kind"), format!("{:?} is no kind", self.engines[i].kind)));
+        }
+        if self.classes.is_empty() {
+            return Err(bad("classes", "at least one is needed"));
+        }
+        for (i, c) in self.classes.iter().enumerate() {
+            let ok =
+                c.share >= 0.0 && c.work_ms > 0.0 && c.deadline_ms > 0.0 && c.worth > 0.0 && c.threads >= 1.0;
+            if !ok {
+                return Err(bad(
+                    format!("classes[{i}]"),
+                    "share, work, deadline, worth or threads cannot be",
+                ));
+            }
+        }
+        if !(self.load.per_s >= 0.0 && self.load.per_s.is_finite() && self.load.areas > 0) {
+            return Err(bad("load", "per_s or areas cannot be"));
+        }
+        if self.load.shape.windows(2).any(|w| w[0][0] >= w[1][0]) {
+            return Err(bad("load.shape", "moments must rise"));
+        }
+        for (i, t) in self.trouble.iter().enumerate() {
+            let key = format!("trouble[{i}]");
+            let which = match &t.what {
+                What::Die { engines, .. }
+                | What::Hang { engines, .. }
+                | What::Neighbour { engines, .. }
+                | What::Partition { engines, .. }
+                | What::Reset { engines }
+                | What::Drain { engines, .. }
+                | What::ByHand { engines, .. } => Some(engines.clone()),
+                What::BuildingLost { zone, .. } => Some(Which::Zone { zone: zone.clone() }),
+                _ => None,
+            };
+            match which {
+                Some(Which::These(n)) if n.iter().any(|n| *n >= total) => {
+                    return Err(bad(key, format!("there are {total} engines, counted from 0")));
+                }
+                Some(Which::Zone { zone }) if !self.zones.contains(&zone) => {
+                    return Err(bad(key, format!("{zone:?} is no zone")));
+                }
+                _ => {}
+            }
+            if let What::HeavyTail { class, .. } = &t.what
+                && !self.classes.iter().any(|c| c.name == *class)
+            {
+                return Err(bad(key, format!("{class:?} is no class")));
+            }
+            let gateways = match &t.what {
+                What::Partition { gateways, .. } | What::SlowLink { gateways, .. } => &gateways[..],
+                _ => &[],
+            };
+            if gateways.iter().any(|g| *g >= self.gateways) {
+                return Err(bad(key, format!("there are {} gateways, counted from 0", self.gateways)));
+            }
+        }
+        Ok(())
+    }
+
+    /// The kind by its name; `std` is there without a word.
+    pub fn kind(&self, name: &str) -> Params {
+        self.kinds.get(name).cloned().unwrap_or_default()
+    }
+
+    /// The names of kinds, in the order that gateways number them by.
+    pub fn kind_names(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.engines.iter().map(|e| e.kind.clone()).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// What one gateway is told.
+    pub fn settings(&self, zone: usize) -> Settings {
+        let params: Vec<Params> = self.kind_names().iter().map(|n| self.kind(n)).collect();
+        let first = params.first().cloned().unwrap_or_default();
+        let kinds = params.iter().map(|p| Kind { cores: p.cores, memory_mb: p.memory_mb });
+        let class = |c: &ClassSet| Class {
+            worth: c.worth,
+            aim: c.aim_ms,
+            aim_stretch: c.aim_stretch,
+            late_share: c.late_share,
+            effect: if c.fragile { Effect::Unsafe } else { Effect::Safe },
+            in_order: false,
+            only_zones: None,
+            only_kinds: None,
+            threads: c.threads,
+            holds_tables: c.holds,
+            waits_for_loads: c.stands,
+        };
+        Settings {
+            gateways: self.gateways as u32,
+            zone: Some(zone),
+            step: 5.0,
+            classes: self.classes.iter().map(class).collect(),
+            tenants: self
+                .tenants
+                .iter()
+                .map(|t| Tenant { quota_per_s: t.quota_per_s.unwrap_or(f64::MAX) })
+                .collect(),
+            kinds: kinds.collect(),
+            over_share_worth: 0.05,
+            limits: Limits {
+                most_attempts: 3,
+                second_copies: true,
+                cancel: true,
+                probes: false,
+                retry_advice: true,
+                max_retry_after: 500.0,
+            },
+            engines: EngineFacts {
+                takes_grants: true,
+                takes_priority: false,
+                most_grant: 0.4,
+                tells_cost: false,
+                overcommits: false,
+                notes_every: first.note_every,
+            },
+            rules: Rules {
+                answer_grace: 20.0,
+                drain_grace: 1000.0,
+                cold_from: first.cold_from,
+                warm_within: first.warm_within,
+                fall_multiple: first.fall_multiple,
+                fall_window: first.fall_window,
+                order_rest: 0.0,
+                attempt_budget: None,
+            },
+            report_fields: vec![ReportField::Inflight, ReportField::MemoryGranted],
+            must_subscribe: false,
+            cross_zone_price: 0.0,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_day_is_read_and_every_bad_key_is_named() {
+        let good = r#"{ name: "calm", seconds: 30, gateways: 3, zones: ["a", "b"],
+            engines: [{ kind: "gen-a", count: 4 }], kinds: { "gen-a": { cores: 8 } },
+            load: { per_s: 40, shape: [[0, 1], [10, 2]] },
+            trouble: [{ at_s: 5, kind: "die", engines: { part: 0.25 }, back_s: 10 }] }"#;
+        let s = Scenario::parse(good).unwrap();
+        assert_eq!((s.classes.len(), s.load.part(5.0), s.load.part(99.0)), (3, 1.5, 2.0));
+        s.settings(0).check().unwrap();
+        let cases = [
+            ("seconds: 30", "seconds: -1", "seconds"),
+            ("gateways: 3", "gateways: 0", "gateways"),
+            ("kind: \"gen-a\", count", "kind: \"gen-x\", count", "engines[0].kind"),
+            ("count: 4", "count: 0", "engines"),
+            ("cores: 8", "cores: 0", "kinds.gen-a.cores"),
+            ("cores: 8", "core: 8", "core"),
+            ("[10, 2]", "[0, 2]", "load.shape"),
+            ("{ part: 0.25 }", "[9]", "trouble[0]"),
+            ("{ part: 0.25 }", "{ zone: \"x\" }", "trouble[0]"),
+            ("\"die\"", "\"dye\"", "dye"),
+        ];
+        for (old, new, what) in cases {
+            assert!(good.contains(old), "{old}");
+            let e = Scenario::parse(&good.replace(old, new)).unwrap_err().to_string();
+            assert!(e.contains(what), "{new}: {e}");
+        }
+    }
+}
