Read modules whose tests lie in a file of their own to their end in the calls' check

Cause: tests/platform_calls.rs cut every file at its first #[cfg(test)], and in eureka/mod.rs, membership/mod.rs, spool/mod.rs, store/mod.rs and store/segments/mod.rs that is the line before 'mod tests;', near the top: the whole rest of those modules was never looked at.

Change: a file is cut only where an inline 'mod tests {' follows the attribute; files of tests alone (tests.rs, *_tests.rs) are passed over. The check's own test gains a module with a declared tests file and a refused call below it, and a tests.rs that may start programs.

--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -31,9 +31,9 @@
     }
 }
 
-/// The lines of code in a file, without comments and without its tests, which may start the program.
+/// The lines of code in a file, without comments and without its inline tests, which may start the program.
 fn code(text: &str) -> impl Iterator<Item = (usize, &str)> {
-    let end = text.find("#[cfg(test)]").unwrap_or(text.len());
+    let end = text.find("#[cfg(test)]\nmod tests {").unwrap_or(text.len());
     text[..end]
         .lines()
         .enumerate()
@@ -41,12 +41,17 @@
         .filter(|(_, line)| !line.trim().is_empty())
 }
 
+/// Files of tests alone (`tests.rs`, `*_tests.rs`), declared under `#[cfg(test)]` by their module.
+fn only_tests(file: &Path) -> bool {
+    file.file_stem().and_then(|s| s.to_str()).is_some_and(|s| s == "tests" || s.ends_with("_tests"))
+}
+
 fn offences(root: &Path) -> Vec<String> {
     let mut files = vec![];
     sources(root, &mut files);
     files.sort();
     let mut found = vec![];
-    for file in files {
+    for file in files.into_iter().filter(|f| !only_tests(f)) {
         let text = std::fs::read_to_string(&file).expect("a source file");
         for (number, line) in code(&text) {
             for (what, why) in REFUSED {
@@ -75,8 +80,14 @@
     std::fs::write(folder.join("inner/bad.rs"), bad).unwrap();
     let tested = "fn g() {}\n#[cfg(test)]\nmod tests { fn h() { std::process::Command::new(\"x\"); } }\n";
     std::fs::write(folder.join("tested.rs"), tested).unwrap();
+    std::fs::write(folder.join("inner/tests.rs"), "fn t() { std::process::Command::new(\"x\"); }\n").unwrap();
+    // A module whose tests are in a file of their own is read to its end.
+    let declared = "#[cfg(test)]\nmod tests;\nfn spawn() { std::process::Command::new(\"x\"); }\n";
+    std::fs::write(folder.join("declared.rs"), declared).unwrap();
     let found = offences(&folder);
     std::fs::remove_dir_all(&folder).unwrap();
-    assert_eq!(found.len(), 1, "{found:?}");
-    assert!(found[0].ends_with("bad.rs:1: `tokio::signal`: tokio's signal driver makes a Unix socket pair"));
+    assert_eq!(found.len(), 3, "{found:?}");
+    assert!(found[0].ends_with("declared.rs:3: `process::Command`: starts another program"), "{found:?}");
+    assert!(found[1].ends_with("declared.rs:3: `Command::new`: starts another program"), "{found:?}");
+    assert!(found[2].ends_with("bad.rs:1: `tokio::signal`: tokio's signal driver makes a Unix socket pair"));
 }
