Test the listener's fallback when pidfd_getfd is refused, and drop an unused accessor

Signals::number was read by its own test alone.

Change: listen() takes its descriptor through listen_taking(), whose way of taking one is passed in; the test refuses it with ENOSYS (the address is bound and serves), with EPERM while the address is held (the start fails naming both errors and the address) and with EBADF (no fallback). Signals keeps no number.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -5,7 +5,7 @@
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use std::io;
 use std::net::SocketAddr;
-use std::os::fd::RawFd;
+use std::os::fd::{OwnedFd, RawFd};
 use tokio::net::TcpListener;
 
 #[derive(Debug, thiserror::Error)]
@@ -23,7 +23,7 @@
 }
 
 /// A safe duplicate of this process's own descriptor `number`.
-fn duplicate(number: RawFd) -> io::Result<std::os::fd::OwnedFd> {
+fn duplicate(number: RawFd) -> io::Result<OwnedFd> {
     let own = pidfd_open(getpid(), PidfdFlags::empty())?;
     Ok(pidfd_getfd(own, number, PidfdGetfdFlags::empty())?)
 }
@@ -39,12 +39,21 @@
 /// Listens at this address, on the inherited descriptor if there is one. That one is never shut down: it is the
 /// other process's and the platform's as well.
 pub async fn listen(at: SocketAddr, inherited: Option<RawFd>) -> Result<TcpListener, ListenError> {
+    listen_taking(at, inherited, duplicate).await
+}
+
+/// [`listen`], with the way a descriptor is taken passed in.
+async fn listen_taking(
+    at: SocketAddr,
+    inherited: Option<RawFd>,
+    take: impl Fn(RawFd) -> io::Result<OwnedFd>,
+) -> Result<TcpListener, ListenError> {
     let Some(number) = inherited else {
         return TcpListener::bind(at).await.map_err(|e| ListenError::Bind(at, e));
     };
     let failed = |e: io::Error| ListenError::Descriptor(number, e);
     // By its number alone it could only be owned unsafely; asked for from ourselves it is a safe duplicate.
-    let socket = match duplicate(number) {
+    let socket = match take(number) {
         Ok(socket) => socket,
         Err(e) if refused(&e) => {
             // A system-call filter (such as the fleet bench's) or a kernel before 5.6: the address is bound
@@ -91,6 +100,34 @@
         });
     }
 
+    #[test]
+    fn a_refused_pidfd_getfd_binds_the_address_and_a_held_one_names_both_errors() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let errno = |e: rustix::io::Errno| move |_| Err(io::Error::from_raw_os_error(e.raw_os_error()));
+            let free = "127.0.0.1:0".parse().unwrap();
+            let bound = listen_taking(free, Some(7), errno(rustix::io::Errno::NOSYS)).await.unwrap();
+            let at = bound.local_addr().unwrap();
+            assert!(tokio::join!(tokio::net::TcpStream::connect(at), bound.accept()).1.is_ok(), "it serves");
+            let held = listen_taking(at, Some(7), errno(rustix::io::Errno::PERM)).await;
+            match held {
+                Err(ListenError::Fallback(7, first, told, second)) => {
+                    assert_eq!(
+                        (first.raw_os_error(), told),
+                        (Some(rustix::io::Errno::PERM.raw_os_error()), at)
+                    );
+                    assert_eq!(second.kind(), io::ErrorKind::AddrInUse);
+                }
+                other => panic!("{other:?}"),
+            }
+            let wrong = listen_taking(free, Some(7), errno(rustix::io::Errno::BADF)).await;
+            assert!(
+                matches!(wrong, Err(ListenError::Descriptor(7, _))),
+                "a wrong number is no reason to bind"
+            );
+        });
+    }
+
     #[test]
     fn only_a_refused_call_falls_back() {
         let code = |errno: rustix::io::Errno| io::Error::from_raw_os_error(errno.raw_os_error());
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -22,7 +22,6 @@
 #[derive(Debug)]
 pub struct Signals {
     inbox: Receiver,
-    number: i32,
 }
 
 impl Signals {
@@ -34,12 +33,7 @@
         rustix::io::ioctl_fionbio(&writer, true)?;
         signal_hook::low_level::pipe::register(number, writer)?;
         let inbox = Receiver::from_owned_fd(OwnedFd::from(reader))?;
-        Ok(Self { inbox, number })
-    }
-
-    /// The signal's number.
-    pub fn number(&self) -> i32 {
-        self.number
+        Ok(Self { inbox })
     }
 
     /// Waits for the next delivery; `None` if the pipe has broken, after which none will come.
@@ -72,7 +66,6 @@
             // SIGUSR2 is no signal that the program or the test harness uses otherwise.
             let number = signal_hook::consts::SIGUSR2;
             let mut signals = Signals::new(number).unwrap();
-            assert_eq!(signals.number(), number);
             let nothing = tokio::time::timeout(Duration::from_millis(50), signals.recv()).await;
             assert!(nothing.is_err(), "no delivery, no wake-up");
             for _ in 0..3 {
