--- a/src/controller.rs
+++ b/src/controller.rs
@@ -511,13 +511,13 @@
                 self.prefer(&mut found, |e| free(&self.engines[e]));
                 self.prefer(&mut found, half);
             }
-            // The first few of this gateway's own order: hundreds of gateways would hold a connection to each
-            // engine. Its zone's come first, unless crossing costs little of its worth, or its zone is crowded
-            // and another is not (a shift, a lost rack). Harm: the price of crossing, a narrower choice.
+            // The first few of this gateway's own order, those it has met first: hundreds of gateways would hold
+            // a connection to each engine. Its zone's go before them, unless crossing costs little of its worth or
+            // its zone is crowded and another is not (a shift, a lost rack). Harm: a narrower choice.
             let calm = self.s.cross_zone_price * self.mean_worth.or(0.0) > CHEAP * c.worth
                 && self.crowd_of(self.s.zone) <= self.least_crowd().max(HOME_FULL);
-            let home = |e: usize| calm && self.engines[e].zone == self.s.zone;
-            found.sort_by_cached_key(|&e| (!home(e), self.engines[e].rank(self.key)));
+            let order = |x: &Engine| (!calm || x.zone != self.s.zone, x.heard == f64::MIN, x.rank(self.key));
+            found.sort_by_cached_key(|&e| order(&self.engines[e]));
             found.truncate(REACH);
             // No more of our queries than the median: a pair drawn blind would often be two of our busiest.
             let mut counts: Vec<usize> = found.iter().map(|&e| self.engines[e].out.len()).collect();
--- a/tests/many_gateways.rs
+++ b/tests/many_gateways.rs
@@ -44,6 +44,23 @@
     assert!(used.values().all(|n| (2..=20).contains(n)), "{used:?}");
 }
 
+#[test]
+fn engines_that_are_new_are_not_met_while_those_in_hand_have_room() {
+    let mut g = Gateway::new(one_of(100, false), fleet(10));
+    let turn = |g: &mut Gateway, id| {
+        let engine = sends(&g.take(query(id, 0)))[0].1.clone();
+        g.end(id, 0, Outcome::Served);
+        engine
+    };
+    let own: std::collections::BTreeSet<String> = (0..40).map(|id| turn(&mut g, id)).collect();
+    // As many again as there were: in the gateway's order some of them come before what it has.
+    g.does(Event::Engines { update: ListUpdate::Whole, entries: fleet(40) });
+    for id in 40..120 {
+        let engine = turn(&mut g, id);
+        assert!(own.contains(&engine), "{engine} is new, and {own:?} have room");
+    }
+}
+
 #[test]
 fn those_few_give_way_to_others_when_they_have_no_room() {
     let mut g = Gateway::new(one_of(100, false), fleet(30));
