Test the words between dispatchers on the program itself, with a stand-in peer

Need: src/net/peers.rs had no test on sockets. The program is started with a peer's address; an engine's answer brings a report; the peer gets six bytes (seven in hand, half of the memory), a message that can't be read and a stranger's are passed over by a line each, and the program goes on.

--- a/tests/program.rs
+++ b/tests/program.rs
@@ -1,7 +1,7 @@
 //! The program itself on the platform's terms: started, asked whether it is ready, told to stop.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -184,6 +184,59 @@
     program.ends_well();
 }
 
+/// A stand-in peer, an engine whose answers bring reports, and a client: what the engine tells goes on to the peer in
+/// six bytes, and what is no word of a peer is passed over by a line in the log.
+#[test]
+fn an_engines_load_goes_on_to_the_peers_and_what_is_no_word_is_passed_over() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    peer.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let at = peer.local_addr().unwrap();
+    let told = r#""feedback":{"fields":["rif","x0"]},"ceilings":{"peer_messages":true,"#;
+    let config = config(Some(&engine), "127.0.0.1:1")
+        .replace(r#""ceilings":{"#, told)
+        .replace(r#""fleet_size":1"#, r#""fleet_size":2,"deductions":{"peer":0.01}"#)
+        .replace(
+            r#""seed":"7""#,
+            &format!(r#""seed":"7","peer_listen":"127.0.0.1:0","peers":["{at}"],"peers_all":"{at}""#),
+        );
+    let program = Program::run("peers", &config, &[]);
+    let mut client = connect(&program.address);
+    assert!(ready(&mut client));
+    let fields = [("verb", "lookup"), ("txn", "0123456789abcdef"), ("limit", "4000")];
+    let mut payload = vec![3u8];
+    for (name, value) in fields {
+        payload.extend([&[name.len() as u8][..], name.as_bytes(), &[0, value.len() as u8]].concat());
+        payload.extend(value.bytes());
+    }
+    payload.extend(b"select 1");
+    send(&mut client, 2, 1, &payload);
+    let (mut on, _) = engine.accept().unwrap();
+    on.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut asked = [0; 1024];
+    assert!(on.read(&mut asked).unwrap() > 0);
+    let answer = ["0123456789abcdef", "ACK", "total=1,meter=inflight:7;x0:0.5", "a\tb\tc\n"];
+    let words: String = answer.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    on.write_all(format!("*4\r\n{words}").as_bytes()).unwrap();
+    assert_eq!(expect(&mut client).2[0], 0, "served");
+    let mut word = [0; 300];
+    let (size, from) = peer.recv_from(&mut word).unwrap();
+    assert_eq!(
+        (size, word[0], &word[4..6]),
+        (6, b'r', &[63 + 7, 25][..]),
+        "seven in hand, half of the memory"
+    );
+    // Back to it: a word that it can read says nothing, one that it can't is told of, and so is a stranger's.
+    peer.send_to(&word[..size], from).unwrap();
+    peer.send_to(b"?", from).unwrap();
+    assert!(program.says("passed over").contains("of kind 63"), "the first line is that of the second word");
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    stranger.send_to(&word[..size], from).unwrap();
+    assert!(program.says("passed over").contains("not listed"));
+    assert!(ready(&mut client), "and it goes on");
+    program.ends_well();
+}
+
 /// A new process beside the old: both follow an operator's call to either, no client is refused, what the old
 /// one has is answered, and it takes no more.
 fn takes_over(test: &str, config: &str, args: &[&str], engine: &str, greets: impl Fn(&str) -> bool) {
