--- a/src/peers/words.rs
+++ b/src/peers/words.rs
@@ -1,7 +1,9 @@
 //! The form of a message: one load report of one engine, in bytes below 128, so that it is text as well and the
 //! simulator's wire can carry it.
 //!
-//!     message = kind:1 ('r') engine:3 value:1 for each field of a report
+//! ```text
+//! message = kind:1 ('r') engine:3 value:1 for each field of a report
+//! ```
 //!
 //! `engine` is 21 bits of a hash of its id; a value is a step on a scale of its own: shares by steps of 0.02 to 1.26,
 //! counts by ones to 40, then by a tenth each.
