--- a/tests/many_gateways.rs
+++ b/tests/many_gateways.rs
@@ -61,6 +61,43 @@
     }
 }
 
+/// However many share one cold engine and want it all the time: what they send it in any window stays under the
+/// bound in the settings, by what it can do at its age when the window begins.
+#[test]
+fn what_all_gateways_send_to_one_cold_engine_stays_under_its_bound_at_3_30_and_100() {
+    for n in [3u32, 30, 100] {
+        let s = one_of(n, false);
+        let (r, cores) = (s.rules.clone(), s.kinds[0].cores);
+        let cold = EngineEntry { started: Some(1000.0), ..entry("new") };
+        let mut all: Vec<Gateway> =
+            (0..n).map(|seed| Gateway::seeded(s.clone(), vec![cold.clone()], u64::from(seed) + 7)).collect();
+        let mut sent: Vec<(f64, f64)> = vec![];
+        for step in 0..300u64 {
+            let now = 1000.0 + step as f64 * 20.0;
+            for (g, x) in all.iter_mut().enumerate() {
+                x.now = now;
+                x.does(Event::Timer(0));
+                if !(step + g as u64).is_multiple_of(5) {
+                    continue;
+                }
+                let q = Query { work: Some(500.0), time_left: 200.0, ..query(step, 0) };
+                for (id, _) in sends(&x.take(q)) {
+                    sent.push((now, 500.0));
+                    x.end(id, 0, Outcome::Served);
+                }
+            }
+        }
+        assert!(sent.len() > 20, "{n} gateways use it, {} sends", sent.len());
+        for (start, _) in &sent {
+            let able = r.cold_from + (1.0 - r.cold_from) * ((start - 1000.0) / r.warm_within).min(1.0);
+            let bound = r.fall_multiple * able * cores * r.fall_window;
+            let window = sent.iter().filter(|(t, _)| t >= start && *t < start + r.fall_window);
+            let sum: f64 = window.map(|(_, w)| w).sum();
+            assert!(sum <= bound, "{n} gateways: {sum} of {bound} in the window from {start}");
+        }
+    }
+}
+
 #[test]
 fn those_few_give_way_to_others_when_they_have_no_room() {
     let mut g = Gateway::new(one_of(100, false), fleet(30));
