Write a test's request once, and give the peers' outlet away without a copy

Need: on reading the change again, tests/program.rs built the same request in two tests, and net::peers copied its outlet to hand it over.

--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -30,7 +30,10 @@
     let tell = move |message: &[u8]| {
         let _ = out.try_send_to(message, all);
     };
-    hub.upgrade().into_iter().for_each(|hub| hub.join(peers.terms.clone(), Box::new(tell.clone())));
+    match hub.upgrade() {
+        Some(hub) => hub.join(peers.terms, Box::new(tell)),
+        None => return,
+    }
     let from: HashSet<_> = peers.each.iter().copied().collect();
     // One byte more than a message may hold, so that a longer one shows.
     let mut buffer = [0; MOST + 1];
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -159,20 +159,24 @@
     payload[0] == 0
 }
 
+/// A look-up that its client waits for so many milliseconds.
+fn lookup(limit: &str) -> Vec<u8> {
+    let mut payload = vec![3u8];
+    for (name, value) in [("verb", "lookup"), ("txn", "0123456789abcdef"), ("limit", limit)] {
+        payload.extend([&[name.len() as u8][..], name.as_bytes(), &[0, value.len() as u8]].concat());
+        payload.extend(value.bytes());
+    }
+    payload.extend(b"select 1");
+    payload
+}
+
 #[test]
 fn it_stops_in_order_and_answers_what_it_has_taken() {
     let engine = TcpListener::bind("127.0.0.1:0").unwrap(); // takes connections and says nothing
     let program = start("stop", Some(&engine));
     let mut a = connect(&program.address);
     assert!(ready(&mut a));
-    let fields = [("verb", "lookup"), ("txn", "0123456789abcdef"), ("limit", "60000")];
-    let mut payload = vec![3u8];
-    for (name, value) in fields {
-        payload.extend([&[name.len() as u8][..], name.as_bytes(), &[0, value.len() as u8]].concat());
-        payload.extend(value.bytes());
-    }
-    payload.extend(b"select 1");
-    send(&mut a, 2, 1, &payload);
+    send(&mut a, 2, 1, &lookup("60000"));
     assert!(ready(&mut a), "and so the request before is taken");
     program.signal("-TERM");
     while ready(&mut a) {}
@@ -203,14 +207,7 @@
     let program = Program::run("peers", &config, &[]);
     let mut client = connect(&program.address);
     assert!(ready(&mut client));
-    let fields = [("verb", "lookup"), ("txn", "0123456789abcdef"), ("limit", "4000")];
-    let mut payload = vec![3u8];
-    for (name, value) in fields {
-        payload.extend([&[name.len() as u8][..], name.as_bytes(), &[0, value.len() as u8]].concat());
-        payload.extend(value.bytes());
-    }
-    payload.extend(b"select 1");
-    send(&mut client, 2, 1, &payload);
+    send(&mut client, 2, 1, &lookup("4000"));
     let (mut on, _) = engine.accept().unwrap();
     on.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
     let mut asked = [0; 1024];
