--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint and run
-.PHONY: build test lint check run
+.PHONY: build test lint module check run
 
 build:
 	cargo build --release --locked
@@ -11,8 +11,13 @@
 	cargo fmt --all --check
 	cargo clippy --locked --workspace --all-targets -- -D warnings
 
+# The decision module stays small enough to be read in one sitting: lines that are not blank, columns.
+module:
+	@awk 'NF {n++} length($$0) > 110 {wide++; print FILENAME ":" FNR ": wider than 110 columns"} \
+	  END {print FILENAME ": " n " non-blank lines (1070 at most)"; exit n > 1070 || wide}' src/controller.rs
+
 # The whole verdict, as CI asks for it.
-check: lint test
+check: module lint test
 
 # PROXY_CONFIG names the configuration.
 run: build
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -511,9 +511,9 @@
                 self.prefer(&mut found, |e| free(&self.engines[e]));
                 self.prefer(&mut found, half);
             }
-            // The first few of this gateway's own order, those it has met first: hundreds of gateways would hold
-            // a connection to each engine. Its zone's go before them, unless crossing costs little of its worth or
-            // its zone is crowded and another is not (a shift, a lost rack). Harm: a narrower choice.
+            // The first few of this gateway's own order, those it has met first: hundreds of gateways would
+            // hold a connection to each engine. Its zone's go before them, unless crossing costs little of a
+            // query's worth, or its zone is crowded and another is not (lost racks). Harm: less choice.
             let calm = self.s.cross_zone_price * self.mean_worth.or(0.0) > CHEAP * c.worth
                 && self.crowd_of(self.s.zone) <= self.least_crowd().max(HOME_FULL);
             let order = |x: &Engine| (!calm || x.zone != self.s.zone, x.heard == f64::MIN, x.rank(self.key));
