--- a/src/controller.rs
+++ b/src/controller.rs
@@ -517,8 +517,7 @@
             let calm = self.s.cross_zone_price * self.mean_worth.or(0.0) > CHEAP * c.worth
                 && self.crowd_of(self.s.zone) <= self.least_crowd().max(HOME_FULL);
             let order = |x: &Engine| (!calm || x.zone != self.s.zone, x.heard == f64::MIN, x.rank(self.key));
-            found.sort_by_cached_key(|&e| order(&self.engines[e]));
-            found.truncate(REACH);
+            let mut found = first_by(found, REACH, |&e| order(&self.engines[e]));
             // No more of our queries than the median: a pair drawn blind would often be two of our busiest.
             let mut counts: Vec<usize> = found.iter().map(|&e| self.engines[e].out.len()).collect();
             counts.sort_unstable();
--- a/src/core/figures.rs
+++ b/src/core/figures.rs
@@ -28,6 +28,8 @@
     pub targets: usize,
     /// Those of them that get nothing now, by hand or by choice.
     pub targets_disabled: usize,
+    /// Messages at the peers' address that were no word of a peer's.
+    pub peer_messages_refused: u64,
 }
 
 impl Figures {
@@ -51,6 +53,7 @@
             ("concurrent", self.concurrent as u64),
             ("targets", self.targets as u64),
             ("targets_disabled", self.targets_disabled as u64),
+            ("peer_messages_refused", self.peer_messages_refused),
         ];
         rest.iter().for_each(|(name, n)| lines.push_str(&format!("{name}={n}\n")));
         lines
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -164,15 +164,25 @@
         self.bulletin = Some(bulletin);
     }
 
-    /// A peer's message.
+    /// A peer's message. What is none changes nothing and is counted.
     pub fn heard(&mut self, now: Millis, message: &[u8]) -> Result<(), WordError> {
         let Some(bulletin) = &mut self.bulletin else { return Ok(()) };
-        if let Some((engine, report)) = bulletin.heard(now, message)? {
-            self.report(now, Report::Told { engine, report });
+        match bulletin.heard(now, message) {
+            Ok(Some((engine, report))) => self.report(now, Report::Told { engine, report }),
+            Ok(None) => {}
+            Err(e) => {
+                self.figures.peer_messages_refused += 1;
+                return Err(e);
+            }
         }
         Ok(())
     }
 
+    /// Somebody who is no peer spoke at the peers' address.
+    pub fn stranger(&mut self) {
+        self.figures.peer_messages_refused += 1;
+    }
+
     /// What is to be done since the last call.
     pub fn commands(&mut self) -> Vec<Command> {
         std::mem::take(&mut self.commands)
--- a/src/main.rs
+++ b/src/main.rs
@@ -69,7 +69,8 @@
     let leg = RespLeg::new(config.sockets.clone(), config.names.report_fields.clone(), pool.clone());
     let hub = Hub::new(core, config.names.clone(), leg);
     let (at, address) = watch::channel(config.journal);
-    let journal = Journal::new(address, config.known.take()).map_err(|e| format!("known: {e}"))?;
+    let journal =
+        Journal::new(address, config.known.take(), config.seed).map_err(|e| format!("known: {e}"))?;
     let listener = listener::listen(config.listen, config.inherited).await?;
     let listen = listener.local_addr()?;
     let front = Front::new(hub.clone(), pool.clone(), &config.limits);
--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -1,5 +1,6 @@
 //! The platform's journal service: server-sent events over HTTP, in order, from where the list in hand ends.
 
+use super::pause::Pauses;
 use super::{Change, Discovery, Engine, Sink};
 use crate::interface::{EngineState, ListUpdate};
 use crate::say;
@@ -14,8 +15,6 @@
 /// as told whether or not they came, 2 s after a new process has said that it is ready.
 const SILENCE: Duration = Duration::from_millis(1500);
 const CONNECT: Duration = Duration::from_millis(1000);
-const AGAIN: Duration = Duration::from_millis(100);
-const AGAIN_MOST: Duration = Duration::from_millis(400);
 /// No head or line of the journal is longer: one event carries the whole list at most.
 const LINE_MOST: usize = 1 << 20;
 
@@ -81,17 +80,20 @@
     pos: u64,
     first: Vec<Change>,
     silence: Duration,
+    pauses: Pauses,
     /// The place after which an event could not be read: asked for once more, then passed over.
     unread: Option<u64>,
 }
 
 impl Journal {
-    /// `known` holds the events up to the start.
+    /// `known` holds the events up to the start; `seed` is this dispatcher's own.
     pub fn new(
         address: watch::Receiver<SocketAddr>,
         known: serde_json::Value,
+        seed: u64,
     ) -> Result<Self, serde_json::Error> {
-        let mut journal = Journal { address, pos: 0, first: vec![], silence: SILENCE, unread: None };
+        let (silence, pauses) = (SILENCE, Pauses::new(seed));
+        let mut journal = Journal { address, pos: 0, first: vec![], silence, pauses, unread: None };
         if !known.is_null() {
             let known: Known = serde_json::from_value(known)?;
             let mut changes: Vec<Change> =
@@ -154,7 +156,7 @@
 impl Discovery for Journal {
     async fn run(mut self, sink: Sink) {
         std::mem::take(&mut self.first).into_iter().for_each(&sink);
-        let mut wait = AGAIN;
+        tokio::time::sleep(self.pauses.first()).await;
         loop {
             let before = self.pos;
             let address = *self.address.borrow_and_update();
@@ -165,12 +167,15 @@
                     say!("journal {address}: {e}; asking again from {}", self.pos);
                 }
                 // News shows that the service is well; without any, ask ever more slowly.
-                wait = if self.pos > before { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
-                tokio::time::sleep(wait).await;
+                let news = self.pos > before;
+                tokio::time::sleep(self.pauses.after(news)).await;
             };
-            tokio::select! {
-                () = following => {}
-                Ok(()) = moved.changed() => wait = AGAIN,
+            let moved = tokio::select! {
+                () = following => false,
+                Ok(()) = moved.changed() => true,
+            };
+            if moved {
+                tokio::time::sleep(self.pauses.first()).await;
             }
         }
     }
@@ -350,7 +355,7 @@
             let known = r#"{"pos":3,"entries":[{"pos":1,"hosts":{"reset":true,"instances":[]}}]}"#;
             let known = serde_json::from_str(known).unwrap();
             let (_at, address) = watch::channel(listener.local_addr().unwrap());
-            let mut journal = Journal::new(address, known).unwrap();
+            let mut journal = Journal::new(address, known, 1).unwrap();
             journal.silence = Duration::from_millis(60);
             let told = Rc::new(RefCell::new(vec![]));
             let tell = told.clone();
@@ -399,7 +404,7 @@
                 TcpListener::bind("127.0.0.1:0").await.unwrap(),
             );
             let (at, address) = watch::channel(old.local_addr().unwrap());
-            let journal = Journal::new(address, serde_json::from_str(r#"{"pos":3}"#).unwrap()).unwrap();
+            let journal = Journal::new(address, serde_json::from_str(r#"{"pos":3}"#).unwrap(), 1).unwrap();
             let told = Rc::new(RefCell::new(vec![]));
             let tell = told.clone();
             let sink: Sink = Box::new(move |c| tell.borrow_mut().extend(c.engines.into_iter().map(|e| e.id)));
@@ -429,4 +434,27 @@
             assert_eq!(told.take(), ["a", "b"]);
         });
     }
+
+    /// All start in the same moment and the service, which starts as well, ends each stream at once.
+    #[test]
+    fn dispatchers_that_restart_at_once_call_the_service_one_after_the_other() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (_at, address) = watch::channel(listener.local_addr().unwrap());
+            for seed in 0..40 {
+                let journal = Journal::new(address.clone(), serde_json::Value::Null, seed).unwrap();
+                tokio::task::spawn_local(journal.run(Box::new(|_| {})));
+            }
+            let start = std::time::Instant::now();
+            let mut calls = vec![];
+            while calls.len() < 80 {
+                drop(listener.accept().await.unwrap());
+                calls.push(start.elapsed());
+            }
+            let spread = |c: &[Duration]| c[c.len() - 1] - c[0];
+            assert!(spread(&calls[..40]) > Duration::from_millis(60), "{calls:?}");
+            assert!(spread(&calls[40..]) > Duration::from_millis(60), "{calls:?}");
+        });
+    }
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod eureka;
 pub mod journal;
+mod pause;
 
 use crate::config::FixedEngine;
 use crate::interface::{EngineState, ListUpdate};
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -105,6 +105,11 @@
         Ok(())
     }
 
+    /// Somebody who is no peer spoke at the peers' address.
+    pub fn stranger(&self) {
+        self.core.borrow_mut().stranger();
+    }
+
     /// The way to the engines.
     pub fn leg(&self) -> &L {
         &self.leg
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -43,6 +43,7 @@
         match received {
             // Nobody else has anything to say of the engines.
             Ok((_, sender)) if !from.contains(&sender) => {
+                hub.stranger();
                 say!("peer {sender}: not listed, its message is passed over");
             }
             Ok((size, sender)) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,17 @@
     }
 }
 
+/// The first `n` of these by `key`, in its order: what a stable sort of them all would begin with.
+pub fn first_by<K: Ord>(all: Vec<usize>, n: usize, key: impl Fn(&usize) -> K) -> Vec<usize> {
+    let mut keyed: Vec<(K, usize)> = all.into_iter().map(|e| (key(&e), e)).collect();
+    if keyed.len() > n {
+        keyed.select_nth_unstable(n);
+        keyed.truncate(n);
+    }
+    keyed.sort_unstable();
+    keyed.into_iter().map(|(_, e)| e).collect()
+}
+
 /// One attempt that an engine has from us.
 pub struct Running {
     pub id: QueryId,
--- a/tests/many_gateways.rs
+++ b/tests/many_gateways.rs
@@ -195,3 +195,146 @@
     assert!(sent <= stands, "{sent} sends, it stands {stands}");
     assert!(sent > 0.1 * stands, "{sent} sends leave it idle, it stands {stands}");
 }
+
+/// What a fleet of its own, played against one gateway, has seen: each query's end, and who got what when.
+#[derive(Default)]
+struct Played {
+    ends: std::collections::BTreeMap<QueryId, u32>,
+    sent: Vec<(f64, String)>,
+    served: u32,
+}
+
+/// One query each 10 ms for `steps`, each needing 100 ms of work; `answers` says how an attempt ends after 40 ms.
+fn play(g: &mut Gateway, steps: u64, answers: impl Fn(f64, &str) -> Outcome) -> Played {
+    let mut p = Played::default();
+    let mut out: Vec<(f64, QueryId, u32, String)> = vec![];
+    let mut tries = std::collections::BTreeMap::<QueryId, u32>::new();
+    let first = g.now as QueryId * 1000;
+    for step in 0..steps + 100 {
+        let mut todo = g.pass(10.0);
+        if step < steps {
+            todo.extend(g.take(Query { work: Some(100.0), time_left: 600.0, ..query(first + step, 0) }));
+        }
+        loop {
+            for (id, engine) in sends(&todo) {
+                p.sent.push((g.now, engine.clone()));
+                let attempt = tries.entry(id).or_default();
+                out.push((g.now + 40.0, id, *attempt, engine));
+                *attempt += 1;
+            }
+            finals(&todo).into_iter().for_each(|id| *p.ends.entry(id).or_default() += 1);
+            todo.clear();
+            let Some(i) = out.iter().position(|o| o.0 <= g.now) else { break };
+            let (_, id, attempt, engine) = out.swap_remove(i);
+            let outcome = answers(g.now, &engine);
+            if outcome == Outcome::Served {
+                *p.ends.entry(id).or_default() += 1;
+                p.served += 1;
+            }
+            todo = g.end(id, attempt, outcome);
+        }
+    }
+    assert_eq!(p.ends.len() as u64, steps, "every query came to an end");
+    assert!(p.ends.values().all(|n| *n == 1), "one final answer each: {:?}", p.ends);
+    p
+}
+
+/// Most work that was sent to one engine in any window of the settings.
+fn most_in_a_window(p: &Played, engine: &str, window: f64) -> f64 {
+    let of: Vec<f64> = p.sent.iter().filter(|s| s.1 == engine).map(|s| s.0).collect();
+    let from = |t: &f64| of.iter().filter(|u| *u >= t && **u < t + window).count();
+    of.iter().map(from).max().unwrap_or(0) as f64 * 100.0
+}
+
+#[test]
+fn where_all_engines_are_cold_each_gets_what_it_bears_and_every_query_an_answer() {
+    let mut s = one_of(1, false);
+    s.kinds[0].cores = 2.0;
+    let r = s.rules.clone();
+    let cold = |i| EngineEntry { started: Some(1000.0), ..entry(&format!("e{i}")) };
+    let mut g = Gateway::new(s, (0..3).map(cold).collect());
+    let p = play(&mut g, 150, |_, _| Outcome::Served);
+    for e in ["e0", "e1", "e2"] {
+        let able = r.cold_from + (1.0 - r.cold_from) * 1500.0 / r.warm_within;
+        let (most, bound) = (most_in_a_window(&p, e, r.fall_window), r.fall_multiple * able * 2.0 * 1500.0);
+        assert!(most <= bound, "{e}: {most} of {bound}");
+        assert!(most > 0.5 * bound, "{e} is cold, not closed: {most} of {bound}");
+    }
+    assert!(p.served >= 60 && p.ends.len() as u32 > p.served, "{} served, the rest refused", p.served);
+}
+
+#[test]
+fn where_all_engines_are_replaced_at_once_nothing_goes_to_the_old_and_the_new_serve() {
+    let mut g = Gateway::new(one_of(1, false), fleet(4));
+    play(&mut g, 40, |_, _| Outcome::Served);
+    // Queries are out on the old ones when they go: their connections break with them.
+    let held: Vec<QueryId> = (1..=6).collect();
+    let out: Vec<_> = held.iter().flat_map(|&id| sends(&g.take(query(id, 0)))).collect();
+    assert_eq!(out.len(), 6);
+    let at = g.now;
+    let gone = fleet(4).into_iter().map(|e| EngineEntry { state: EngineState::Gone, ..e });
+    let new = (0..4).map(|i| EngineEntry { started: Some(at), ..entry(&format!("new{i}")) });
+    let mut again = g.does(Event::Engines { update: ListUpdate::Patch, entries: gone.chain(new).collect() });
+    held.iter().for_each(|&id| again.extend(g.end(id, 0, Outcome::Reset)));
+    again.extend(g.pass(100.0));
+    let moved = sends(&again);
+    assert_eq!(moved.len(), 6, "what is harmless to repeat goes on: {again:?}");
+    assert!(moved.iter().all(|(_, e)| e.starts_with("new")), "{moved:?}");
+    held.iter().for_each(|&id| drop(g.end(id, 1, Outcome::Served)));
+    let p = play(&mut g, 100, |_, _| Outcome::Served);
+    assert!(p.sent.iter().all(|(_, e)| e.starts_with("new")));
+    assert!(p.served > 80, "{} of 100", p.served);
+}
+
+#[test]
+fn an_engine_that_refuses_connections_for_want_of_room_is_asked_once_a_second_by_each_and_costs_no_query() {
+    let mut asked = 0;
+    for seed in 0..30 {
+        let mut g = Gateway::seeded(one_of(30, false), fleet(6), seed);
+        let p = play(&mut g, 500, |_, e| if e == "e0" { Outcome::Unreachable } else { Outcome::Served });
+        assert_eq!(p.served, 500, "gateway {seed}: the next engine serves what was refused");
+        let at: Vec<f64> = p.sent.iter().filter(|s| s.1 == "e0").map(|s| s.0).collect();
+        // One is at work on the connection while others may be sent: a try is what begins a second later.
+        let rounds = at.iter().zip(std::iter::once(&f64::MIN).chain(&at)).filter(|(t, u)| **t > **u + 900.0);
+        assert!(rounds.count() <= 6 && at.len() <= 30, "gateway {seed}: {} connections in 5 s", at.len());
+        asked += at.len();
+    }
+    assert!(asked > 0, "nobody met it: the test tells nothing");
+}
+
+#[test]
+fn a_list_that_repeats_or_names_what_was_never_there_changes_nothing() {
+    let mut g = Gateway::new(one_of(1, false), fleet(3));
+    let out = sends(&g.take(query(1, 0)));
+    for update in [ListUpdate::Patch, ListUpdate::Whole, ListUpdate::Patch] {
+        let repeated = g.does(Event::Engines { update, entries: fleet(3) });
+        assert_eq!((sends(&repeated), finals(&repeated)), (vec![], vec![]), "what is out stays out");
+    }
+    let gone = EngineEntry { state: EngineState::Gone, ..entry("never") };
+    g.does(Event::Engines { update: ListUpdate::Patch, entries: vec![gone.clone(), gone] });
+    let p = play(&mut g, 60, |_, _| Outcome::Served);
+    assert!(p.sent.iter().all(|(_, e)| e != "never"));
+    assert_eq!((out.len(), p.served), (1, 60));
+    // The id of one that has gone comes back as a new process: it is cold, and what was known of it is forgotten.
+    let gone = EngineEntry { state: EngineState::Gone, ..entry("e0") };
+    g.does(Event::Engines { update: ListUpdate::Patch, entries: vec![gone] });
+    let new = EngineEntry { started: Some(g.now), ..entry("e0") };
+    g.does(Event::Engines { update: ListUpdate::Patch, entries: vec![new] });
+    let p = play(&mut g, 100, |_, _| Outcome::Served);
+    let r = settings(vec![class(1.0, 1.0)]).rules;
+    let bound = r.fall_multiple * (r.cold_from + 0.7 * 1500.0 / r.warm_within) * 8.0 * r.fall_window;
+    assert!(most_in_a_window(&p, "e0", r.fall_window) <= bound);
+}
+
+/// Its failures and its crowd were true half a minute ago; nobody has met it since.
+#[test]
+fn an_engine_met_once_in_many_seconds_is_not_judged_by_what_it_was_then() {
+    let mut g = Gateway::new(one_of(1, false), fleet(2));
+    let p = play(&mut g, 60, |_, e| if e == "e0" { Outcome::Error } else { Outcome::Served });
+    assert!(p.sent.iter().filter(|s| s.1 == "e0").count() < 30, "left while it fails");
+    g.does(answer("e0", 60.0));
+    g.pass(30_000.0);
+    let p = play(&mut g, 100, |_, _| Outcome::Served);
+    let of = p.sent.iter().filter(|s| s.1 == "e0").count();
+    assert!(of >= 25, "{of} of {} half a minute later", p.sent.len());
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -43,13 +43,16 @@
         std::fs::write(&path, config.replace("FOLDER", folder.to_str().unwrap())).unwrap();
         let mut command = Command::new("sh");
         command.args(["-c", "exec \"$0\" \"$@\" 7<&0", env!("CARGO_BIN_EXE_hitchwinch")]);
-        command.stdin(OwnedFd::from(socket.try_clone().unwrap())).env("TMPDIR", folder);
-        command.env("PROXY_INHERITED_FD", "7").env("PROXY_ADMIN_ADDR", "127.0.0.1:0");
+        command
+            .stdin(OwnedFd::from(socket.try_clone().unwrap()))
+            .env("TMPDIR", folder)
+            .env("PROXY_INHERITED_FD", "7");
         Self::start(command, path, args)
     }
 
     fn start(mut command: Command, path: PathBuf, args: &[&str]) -> Self {
         command.args(args).env("PROXY_CONFIG", &path).stderr(Stdio::piped());
+        command.env("PROXY_ADMIN_ADDR", "127.0.0.1:0");
         if !args.is_empty() {
             command.arg(&path);
         }
@@ -189,7 +192,7 @@
 }
 
 /// A stand-in peer, an engine whose answers bring reports, and a client: what the engine tells goes on to the peer in
-/// six bytes, and what is no word of a peer is passed over by a line in the log.
+/// six bytes, and what is no word of a peer is passed over, counted, and told in the log.
 #[test]
 fn an_engines_load_goes_on_to_the_peers_and_what_is_no_word_is_passed_over() {
     let engine = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -230,6 +233,7 @@
     let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
     stranger.send_to(&word[..size], from).unwrap();
     assert!(program.says("passed over").contains("not listed"));
+    assert!(program.call("GET", "/_vars").contains("\npeer_messages_refused=2\n"), "both are counted");
     assert!(ready(&mut client), "and it goes on");
     program.ends_well();
 }
