--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod raw;
 pub mod registry;
 pub mod scenario;
+pub mod session;
 pub mod stand;
 pub mod world;
 
--- a/crates/lab/src/raw.rs
+++ b/crates/lab/src/raw.rs
@@ -97,9 +97,12 @@
         self.answer().await
     }
 
+    /// The answer to the oldest command that has none: others may have been sent behind it.
+    ///
     /// # Errors
     /// The connection's, or the server's.
     pub async fn answer(&mut self) -> Result<Answer, PacketError> {
+        self.wire.codec_mut().sequence = 1;
         let first = self.next().await?;
         match first.first() {
             Some(0xff) => return Err(PacketError::Sql(read_err(&first))),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod eureka;
 mod mysql;
+mod pins;
 mod platform;
 mod profile;
 pub mod spool;
--- a/src/config/mysql.rs
+++ b/src/config/mysql.rs
@@ -1,8 +1,10 @@
 //! The operators' file of the MySQL front.
 
 use super::eureka::RawEureka;
+use super::pins::RawPins;
 use super::spool::RawSpool;
 use super::*;
+use crate::pins::Terms;
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -61,6 +63,9 @@
     pub rules: ClassRules,
     /// By class: how long a statement may take.
     pub deadlines: Vec<Millis>,
+    /// The class of what holds an engine connection; an unsafe one.
+    pub transaction_class: ClassId,
+    pub pins: Terms,
 }
 
 /// How to reach engines that speak MySQL.
@@ -126,6 +131,9 @@
     server_version: Option<String>,
     read_class: String,
     write_class: String,
+    transaction_class: Option<String>,
+    #[serde(default)]
+    pins: RawPins,
     #[serde(default)]
     user: Vec<RawUser>,
     #[serde(default)]
@@ -247,8 +255,12 @@
         };
         let write = class("write_class", &raw.write_class)?;
         let read = class("read_class", &raw.read_class)?;
-        if !raw.class[write].fragile {
-            return Err(bad("write_class", format!("class {:?} is not unsafe", raw.write_class)));
+        let named = raw.transaction_class.as_ref().map(|t| class("transaction_class", t)).transpose()?;
+        let transaction = named.unwrap_or(write);
+        for (key, class) in [("write_class", write), ("transaction_class", transaction)] {
+            if !raw.class[class].fragile {
+                return Err(bad(key, format!("class {:?} is not unsafe", raw.class[class].name)));
+            }
         }
         let mut contains = vec![];
         for (i, r) in raw.rule.iter().enumerate() {
@@ -408,6 +420,8 @@
                 users,
                 rules: ClassRules::new(write, read, classes.clone(), contains),
                 deadlines,
+                transaction_class: transaction,
+                pins: raw.pins.check()?,
             },
             names: Names { classes, kinds, zones, tenants, tells_cost: false, report_fields: vec![] },
             settings,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -309,6 +309,8 @@
     Spills(f64),
     WaitsForMemory,
     WaitsForLoad,
+    /// Its client holds it and has asked for nothing; the engine answers.
+    Idle,
 }
 
 #[derive(Clone, Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod membership;
 pub mod net;
 pub mod peers;
+pub mod pins;
 pub mod spool;
 mod state;
 pub mod store;
--- a/src/net/mysql/front.rs
+++ b/src/net/mysql/front/mod.rs
@@ -1,11 +1,16 @@
-//! The MySQL front: sessions of clients. What a session holds (its schema, its prepared statements, long
-//! data) is kept here, so that each statement can run on any engine.
+//! The MySQL front: sessions of clients. What a session holds (its schema and settings, its prepared statements, long
+//! data) is kept here, so that each statement can run on any engine; what an engine connection alone can hold keeps
+//! the session there for a while.
+
+mod pinned;
+mod settings;
 
 use super::cursor::{Cursor, cut};
 use super::ours::{self, Ours};
 use super::packet::*;
+use super::session::{Context, State};
 use super::values::{self, Type};
-use super::{Context, Job, Output, SqlError, Work, auth, code, error_of};
+use super::{Job, Output, Packets, SqlError, Work, auth, code, error_of};
 use crate::config::MysqlFront;
 use crate::core::{End as Figure, NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
@@ -15,6 +20,7 @@
 use crate::net::spools::{Line, Reader as SpoolReader, SpoolError, Spools, Who, packets, put_packet};
 use crate::net::statement::{self, Kind};
 use crate::net::{MOST_MB, MOST_MS, unix_ms};
+use crate::pins::Book;
 use crate::say;
 use crate::spool::{Admission, Ask, SpoolId};
 use bytes::{Buf, Bytes, BytesMut};
@@ -52,12 +58,14 @@
     processes: Cell<usize>,
     turned_away: Cell<usize>,
     next: Cell<u32>,
+    /// Who holds engine connections.
+    book: RefCell<Book>,
     stopping: tokio::sync::watch::Sender<bool>,
 }
 
 struct Prepared {
     /// Names were resolved where the session stood then.
-    context: Context,
+    schema: Option<String>,
     sql: Bytes,
     kind: Kind,
     parameters: usize,
@@ -115,6 +123,7 @@
             processes: Cell::new(1),
             turned_away: Cell::new(0),
             next: Cell::new(1),
+            book: RefCell::default(),
             stopping,
         })
     }
@@ -183,14 +192,15 @@
             return Ok(());
         };
         place.uses(Use::Idle, Instant::now());
-        let context = Context { schema: known.schema, names: None };
+        let state = State::new(known.schema);
         let session = Session {
             front: self,
             wire,
             tenant: known.tenant,
             user: known.user,
             ends: known.ends,
-            context,
+            state,
+            hold: None,
             statements: BTreeMap::new(),
             next: 1,
         };
@@ -254,7 +264,9 @@
     tenant: Option<usize>,
     user: String,
     ends: Ends,
-    context: Context,
+    state: State,
+    /// The engine connection that it keeps to.
+    hold: Option<pinned::Hold<'a, L>>,
     statements: BTreeMap<u32, Prepared>,
     next: u32,
 }
@@ -305,12 +317,14 @@
             QUIT => return Err(End::Quit),
             PING => Ok(None),
             INIT_DB => {
-                self.context.schema = Some(String::from_utf8_lossy(&body).into_owned());
+                self.state.stand_in(String::from_utf8_lossy(&body).into_owned());
                 Ok(None)
             }
             RESET_CONNECTION => {
                 self.statements.clear();
-                self.context.names = None;
+                // What is open on an engine ends with its connection.
+                self.hold = None;
+                self.state.reset();
                 Ok(None)
             }
             QUERY => return self.query(body).await,
@@ -336,7 +350,10 @@
             other => Err(SqlError::new(code::COMMAND, format!("command {other:#04x} is not known"))),
         };
         match answer {
-            Ok(_) => self.write([&ok()[..]].into_iter()).await,
+            Ok(_) => {
+                let ok = self.ok();
+                self.write([&ok[..]].into_iter()).await
+            }
             Err(e) => self.say(&e).await,
         }
     }
@@ -526,18 +543,18 @@
         }
         match statement::kind(&sql) {
             Kind::NotCarried(why) => self.say(&SqlError::new(code::NOT_CARRIED, why)).await,
-            Kind::Nothing => self.write([&ok()[..]].into_iter()).await,
-            Kind::Names(names) => {
-                self.context.names = Some(names);
-                self.write([&ok()[..]].into_iter()).await
-            }
+            Kind::Set => self.set(sql).await,
             Kind::Use(schema) => {
-                self.context.schema = Some(schema);
-                self.write([&ok()[..]].into_iter()).await
+                self.state.stand_in(schema);
+                let ok = self.ok();
+                self.write([&ok[..]].into_iter()).await
             }
             kind => {
-                let reply = self.ask(&kind, self.context.clone(), sql, Job::Query).await?;
-                self.pass_on(reply).await
+                let context = self.context_for(&sql);
+                match self.carry(&kind, context, sql, Job::Query).await? {
+                    Ok(reply) => self.pass_on(reply).await,
+                    Err(e) => self.say(&e).await,
+                }
             }
         }
     }
@@ -594,7 +611,7 @@
         let why = match kind {
             _ if own.is_some() => None,
             Kind::NotCarried(why) => Some(why),
-            Kind::Nothing | Kind::Use(_) | Kind::Names(_) => Some("this is not to be prepared"),
+            Kind::Set | Kind::Use(_) => Some("this is not to be prepared"),
             _ => None,
         };
         if let Some(why) = why {
@@ -609,10 +626,14 @@
                 Ok(all) => all,
                 Err(e) => return self.say(&e).await,
             },
-            None => match self.ask(&kind, self.context.clone(), sql.clone(), Job::Prepare).await? {
-                Reply::Served(Output::Short(packets)) => packets.iter().map(<[u8]>::to_vec).collect(),
-                other => return self.pass_on(other).await,
-            },
+            None => {
+                let context = self.state.context().clone();
+                match self.carry(&kind, context, sql.clone(), Job::Prepare).await? {
+                    Ok(Reply::Served(Output::Short(packets))) => packets.iter().map(<[u8]>::to_vec).collect(),
+                    Ok(other) => return self.pass_on(other).await,
+                    Err(e) => return self.say(&e).await,
+                }
+            }
         };
         // The id is the session's own: every engine connection has another.
         let id = self.next;
@@ -621,9 +642,9 @@
             let parameters = usize::from(u16::from_le_bytes([first[7], first[8]]));
             self.next = self.next.wrapping_add(1).max(1);
             let long = BTreeMap::new();
-            let context = self.context.clone();
+            let schema = self.state.context().schema.clone();
             let prepared = Prepared {
-                context,
+                schema,
                 sql,
                 kind,
                 parameters,
@@ -679,15 +700,17 @@
             }
             let execute = values::complete(s.parameters, r.0, &mut s.bound, &long)?;
             let cursor = flags == CURSOR_READ_ONLY;
-            Ok((s.kind.clone(), s.context.clone(), s.sql.clone(), execute, s.ours.clone(), cursor))
+            Ok((s.kind.clone(), s.schema.clone(), s.sql.clone(), execute, s.ours.clone(), cursor))
         });
         match ready {
             Ok((_, _, _, _, Some(own), _)) => self.answer_ours(own, true).await,
-            Ok((kind, context, sql, execute, None, cursor)) => {
-                let reply = self.ask(&kind, context, sql, Job::Execute(execute)).await?;
-                match reply {
-                    Reply::Served(output) if cursor => self.open_cursor(&body, output).await,
-                    reply => self.pass_on(reply).await,
+            Ok((kind, schema, sql, execute, None, cursor)) => {
+                // Names as they were, all else as the session stands now.
+                let context = Context { schema, ..self.context_for(&sql) };
+                match self.carry(&kind, context, sql, Job::Execute(execute)).await? {
+                    Ok(Reply::Served(output)) if cursor => self.open_cursor(&body, output).await,
+                    Ok(reply) => self.pass_on(reply).await,
+                    Err(e) => self.say(&e).await,
                 }
             }
             Err(e) => self.say(&e).await,
--- /dev/null
+++ b/src/net/mysql/front/pinned.rs
@@ -0,0 +1,187 @@
+//! The client's end of a pin: statements of a session that keeps to one engine connection for a while.
+
+use super::super::pin::{Carried, Order, Pinned, lost};
+use super::*;
+use crate::pins::{Next, Step, fate};
+use tokio::sync::mpsc;
+
+/// A place among the pins, given back when it is dropped.
+struct Booked<'a, L: Leg<Work = Work, Output = Output>>(&'a Front<L>, Option<usize>);
+
+impl<L: Leg<Work = Work, Output = Output>> Drop for Booked<'_, L> {
+    fn drop(&mut self) {
+        self.0.book.borrow_mut().give(self.1);
+    }
+}
+
+/// A pin of this session.
+pub(super) struct Hold<'a, L: Leg<Work = Work, Output = Output>> {
+    orders: mpsc::Sender<Order>,
+    pinned: Rc<Pinned>,
+    answer: oneshot::Receiver<Reply<Output>>,
+    /// When its first statement has to have reached an engine.
+    until: tokio::time::Instant,
+    pub open: bool,
+    /// Ends the attempt, and with it what is open, before the place is given back.
+    _asked: Asked<'a, L>,
+    _booked: Booked<'a, L>,
+}
+
+/// What a statement came to: an answer to pass on, or an error of the front's own.
+pub(super) type Came = Result<Reply<Output>, SqlError>;
+
+impl<'a, L: Leg<Work = Work, Output = Output>> Session<'a, L> {
+    /// An OK of the front's own, with the session's status.
+    pub(super) fn ok(&self) -> Vec<u8> {
+        let open = self.hold.as_ref().is_some_and(|h| h.open);
+        let flags =
+            [(AUTOCOMMIT, self.state.autocommit()), (IN_TRANSACTION, open)].into_iter().filter(|f| f.1);
+        let [low, high] = flags.fold(0, |all, f| all | f.0).to_le_bytes();
+        vec![0, 0, 0, low, high, 0, 0]
+    }
+
+    /// Carries a statement out where the session stands: on its pin, on a new one if it needs that, else anywhere.
+    pub(super) async fn carry(
+        &mut self,
+        kind: &Kind,
+        context: Context,
+        sql: Bytes,
+        job: Job,
+    ) -> Result<Came, End> {
+        let idle = matches!(kind, Kind::Ends | Kind::Within | Kind::UnlockTables);
+        if self.hold.is_none() && idle && !matches!(job, Job::Prepare) {
+            return Ok(Ok(Reply::Served(Output::Short(Packets::one(&self.ok())))));
+        }
+        let runs = !matches!(job, Job::Prepare | Job::Enter);
+        let needs = matches!(kind, Kind::Pins(_)) || !self.state.autocommit();
+        let came = match self.hold.is_some() || runs && needs {
+            true => self.order(kind, context, sql, job).await?,
+            false => Ok(self.ask(kind, context, sql, job).await?),
+        };
+        if let Ok(Reply::Served(Output::Short(packets))) = &came
+            && let Some(p) = packets.iter().next().filter(|p| p.first() == Some(&0) && runs)
+        {
+            self.state.inserted(insert_id(p).unwrap_or(0));
+        }
+        Ok(came)
+    }
+
+    fn step(&self, kind: &Kind, sql: &[u8], job: &Job) -> Step {
+        let held = self.hold.is_some();
+        let commits = match (job, kind) {
+            // A setting may be autocommit, which commits.
+            (Job::Enter, _) => true,
+            (Job::Prepare, _) | (_, Kind::Within) => false,
+            (_, Kind::Ends) => !statement::rolls_back(sql),
+            _ => held && statement::commits_by_the_way(sql),
+        };
+        let begins = match kind {
+            Kind::Pins(reason) if !matches!(job, Job::Prepare) => Some(*reason),
+            _ => None,
+        };
+        Step { begins, unlocks: *kind == Kind::UnlockTables, commits }
+    }
+
+    /// Opens the pin's request: one attempt, at an engine that the module chooses.
+    fn begin(&mut self) -> Result<(), SqlError> {
+        let (config, front) = (self.front.config(), self.front);
+        let terms = config.pins.clone();
+        let booked = front.book.borrow_mut().take(&terms, self.tenant);
+        booked.map_err(|e| SqlError::new(code::PINS, format!("{e}; nothing ran, try again later")))?;
+        let booked = Booked(front, self.tenant);
+        let class = config.transaction_class;
+        let limit = config.deadlines.get(class).copied().unwrap_or(10_000.0);
+        let longest = terms.longest;
+        let (pinned, orders) = Pinned::new(terms, self.state.next_transaction());
+        let ask = Ask { tenant: self.tenant, class, load: true };
+        let who = Who { user: self.user.clone(), statement: "a transaction".into(), binary: false };
+        let context = self.state.context().clone();
+        let work = Work { context, sql: Bytes::new(), job: Job::Pin(pinned.clone()), ask, who };
+        let new = NewRequest {
+            class,
+            tenant: self.tenant,
+            group: None,
+            deadline: unix_ms() + limit + longest,
+            work: None,
+            memory_mb: None,
+        };
+        let (tx, answer) = oneshot::channel();
+        let id = front.hub.open(new, work, Box::new(move |reply| drop(tx.send(reply))));
+        let asked = Asked(&front.hub, id);
+        let until = tokio::time::Instant::now() + crate::net::span(limit);
+        self.hold = Some(Hold { orders, pinned, answer, until, open: false, _asked: asked, _booked: booked });
+        Ok(())
+    }
+
+    /// Sends a statement to the session's pin and waits for its answer.
+    async fn order(&mut self, kind: &Kind, context: Context, sql: Bytes, job: Job) -> Result<Came, End> {
+        let config = self.front.config();
+        let class = config.rules.class(*kind == Kind::Read, None, &sql);
+        let ask = Ask { tenant: self.tenant, class, load: *kind != Kind::Read };
+        if !matches!(job, Job::Prepare | Job::Enter)
+            && let Admission::No { why, later } = self.front.spools.admit(ask)
+        {
+            return Ok(Ok(Reply::Refused { later, why }));
+        }
+        let step = self.step(kind, &sql, &job);
+        let rolls_back = *kind == Kind::Ends && !step.commits;
+        if self.hold.is_none()
+            && let Err(e) = self.begin()
+        {
+            return Ok(Err(e));
+        }
+        let statement = String::from_utf8_lossy(&sql).chars().take(STATEMENT).collect();
+        let who = Who { user: self.user.clone(), statement, binary: matches!(job, Job::Execute(_)) };
+        let work = Work { context, sql, job, ask, who };
+        let Some(hold) = self.hold.as_mut() else { return Ok(Err(lost(None, fate(None)))) };
+        let (reply, mut carried) = oneshot::channel();
+        if hold.orders.send(Order { work, step, reply }).await.is_err() {
+            // It ended while nothing was asked of it.
+            let over = hold.pinned.over();
+            self.hold = None;
+            let done = Reply::Served(Output::Short(Packets::one(&self.ok())));
+            return Ok(if rolls_back { Ok(done) } else { Err(lost(over, fate(None))) });
+        }
+        let mut watched = true;
+        let came = loop {
+            let mut byte = [0; 1];
+            tokio::select! {
+                biased;
+                carried = &mut carried => match carried {
+                    Ok(Carried { output, next, open }) => {
+                        hold.open = open;
+                        if next == Next::Free {
+                            self.hold = None;
+                        }
+                        return Ok(Ok(Reply::Served(output)));
+                    }
+                    Err(_) => break Err(lost(hold.pinned.over(), fate(Some(step)))),
+                },
+                reply = &mut hold.answer => break match reply {
+                    // No engine has begun with it: that is the statement's answer.
+                    Ok(reply) if !hold.pinned.begun() => Ok(reply),
+                    _ => Err(lost(hold.pinned.over(), fate(Some(step)))),
+                },
+                seen = self.wire.get_ref().peek(&mut byte), if watched => match seen {
+                    Ok(0) | Err(_) => return Err(End::Quit),
+                    Ok(_) => watched = false,
+                },
+                () = tokio::time::sleep_until(hold.until), if !hold.pinned.begun() => {
+                    break Ok(Reply::TimedOut { harmless: true });
+                }
+            }
+        };
+        self.hold = None;
+        Ok(match came {
+            Err(_) if rolls_back => Ok(Reply::Served(Output::Short(Packets::one(&self.ok())))),
+            came => came,
+        })
+    }
+}
+
+/// The id of a new row that an OK tells of.
+fn insert_id(ok: &[u8]) -> Result<u64, PacketError> {
+    let mut r = Reader(Bytes::copy_from_slice(ok).slice(1..));
+    r.lenenc()?;
+    r.lenenc()
+}
--- /dev/null
+++ b/src/net/mysql/front/settings.rs
@@ -0,0 +1,116 @@
+//! SET: what a session sets is taken in as data, after an engine has agreed where it may say no.
+
+use super::super::session::Taken;
+use super::super::session::set::{self, SetError};
+use super::super::session::{State, literal};
+use super::*;
+
+impl<L: Leg<Work = Work, Output = Output>> Session<'_, L> {
+    pub(super) async fn set(&mut self, sql: Bytes) -> Result<(), End> {
+        match self.taken(&sql).await? {
+            Ok((state, false)) => {
+                let context = state.context().clone();
+                match self.carry(&Kind::Read, context, Bytes::new(), Job::Enter).await? {
+                    Ok(reply) if agreed(&reply) => {
+                        self.state = state;
+                        let ok = self.ok();
+                        self.write([&ok[..]].into_iter()).await
+                    }
+                    Ok(reply) => self.pass_on(reply).await,
+                    Err(e) => self.say(&e).await,
+                }
+            }
+            Ok((state, true)) => {
+                self.state = state;
+                let ok = self.ok();
+                self.write([&ok[..]].into_iter()).await
+            }
+            Err(e) => self.say(&e).await,
+        }
+    }
+
+    /// The state after this SET; true if no engine need be asked.
+    async fn taken(&mut self, sql: &Bytes) -> Result<Result<(State, bool), SqlError>, End> {
+        let changes = match set::parse(sql) {
+            Ok(changes) => changes,
+            Err(e) => return Ok(Err(told(&e))),
+        };
+        let asks = match self.state.set(&changes, &[]) {
+            Ok(Taken::Asks(asks)) => asks,
+            Ok(Taken::Changed { state, checked }) => return Ok(Ok((state, checked && self.hold.is_none()))),
+            Err(e) => return Ok(Err(told(&e))),
+        };
+        let mut values = vec![];
+        for expression in asks {
+            let select = Bytes::from(format!("SELECT {expression}"));
+            if statement::kind(&select) != Kind::Read {
+                let why = "SET takes values that can be read without leaving anything behind";
+                return Ok(Err(SqlError::new(code::NOT_CARRIED, why)));
+            }
+            let context = self.context_for(&select);
+            match self.carry(&Kind::Read, context, select, Job::Query).await? {
+                Ok(reply) => match one_value(&reply) {
+                    Ok(value) => values.push(value),
+                    Err(e) => return Ok(Err(e)),
+                },
+                Err(e) => return Ok(Err(e)),
+            }
+        }
+        Ok(match self.state.set(&changes, &values) {
+            Ok(Taken::Changed { state, checked }) => Ok((state, checked && self.hold.is_none())),
+            Ok(Taken::Asks(_)) => Err(SqlError::new(code::NOT_CARRIED, "a value of SET is not known")),
+            Err(e) => Err(told(&e)),
+        })
+    }
+
+    /// Where a statement stands; one that asks for it gets the session's LAST_INSERT_ID.
+    pub(super) fn context_for(&self, sql: &[u8]) -> Context {
+        match statement::asks_insert_id(sql) {
+            true => self.state.context_with_insert_id(),
+            false => self.state.context().clone(),
+        }
+    }
+}
+
+fn told(e: &SetError) -> SqlError {
+    let code = if matches!(e, SetError::Syntax { .. }) { code::SYNTAX } else { code::NOT_CARRIED };
+    SqlError::new(code, e.to_string())
+}
+
+fn agreed(reply: &Reply<Output>) -> bool {
+    let Reply::Served(Output::Short(packets)) = reply else { return false };
+    packets.iter().next().and_then(|p| p.first()) == Some(&0)
+}
+
+/// The one value of a result, as a literal.
+fn one_value(reply: &Reply<Output>) -> Result<String, SqlError> {
+    if let Some(e) = error_of(reply) {
+        return Err(e);
+    }
+    let several = || SqlError::new(code::NOT_CARRIED, "SET takes one value that is not long");
+    let Reply::Served(Output::Short(packets)) = reply else { return Err(several()) };
+    let all: Vec<Bytes> = packets.iter().map(Bytes::copy_from_slice).collect();
+    match &all[..] {
+        [e] if e.first() == Some(&0xff) => Err(read_err(e)),
+        // One column, its end, one row, its end.
+        [count, column, _, row, _] if count[..] == [1] => {
+            let null = row.first() == Some(&0xfb);
+            let mut r = Reader(row.clone());
+            let value = if null { None } else { Some(r.lenenc_bytes().map_err(|_| several())?) };
+            let numeric = column_type(column).is_some_and(|t| matches!(t, 0..=5 | 8 | 9 | 0xf6));
+            Ok(literal(value.as_deref(), numeric))
+        }
+        _ => Err(several()),
+    }
+}
+
+/// The type of a column, by its definition.
+fn column_type(column: &Bytes) -> Option<u8> {
+    let mut r = Reader(column.clone());
+    for _ in 0..6 {
+        r.lenenc_bytes().ok()?;
+    }
+    r.lenenc().ok()?;
+    r.take(6).ok()?;
+    r.u8().ok()
+}
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -2,7 +2,9 @@
 //! each connection when it first needs them.
 
 use super::packet::*;
-use super::{Context, Execute, Job, Output, Packets, SqlError, Work, auth, code};
+use super::pin::{Ended, Telling, Told};
+use super::session::{Context, INSERT_ID};
+use super::{Execute, Job, Output, Packets, SqlError, Work, auth, code};
 use crate::config::{Access, Sockets};
 use crate::core::AttemptId;
 use crate::interface::*;
@@ -59,13 +61,15 @@
     }
 }
 
-struct Connection {
+pub(super) struct Connection {
     live: Option<Live>,
-    wire: Wire<PacketCodec>,
+    pub(super) wire: Wire<PacketCodec>,
+    /// The flags behind its last answer that was no error.
+    pub(super) status: u16,
     /// Its number at the engine, by which it can be killed.
     number: u32,
     address: SocketAddr,
-    context: Context,
+    pub(super) context: Context,
     statements: HashMap<Key, u32>,
     oldest: VecDeque<Key>,
     opened: Millis,
@@ -98,6 +102,8 @@
     idle: Vec<Connection>,
     /// Connections, idle or not.
     open: usize,
+    /// Those of them that sessions hold.
+    pinned: usize,
     /// Those of them that are logged in.
     live: Rc<Cell<usize>>,
     /// Its engine is listed no more: it goes with its last connection.
@@ -124,14 +130,14 @@
     cut: Rc<Notify>,
 }
 
-struct Shared {
+pub(super) struct Shared {
     weak: Weak<Shared>,
     engines: RefCell<HashMap<String, Slot>>,
     running: RefCell<HashMap<AttemptId, Running>>,
     kills: Cell<usize>,
     processes: Cell<usize>,
     access: Access,
-    sockets: Sockets,
+    pub(super) sockets: Sockets,
     pool: Pool,
     spools: Rc<Spools>,
     /// Who is told what connections show.
@@ -144,15 +150,16 @@
 struct Place<'a> {
     shared: &'a Shared,
     engine: &'a str,
+    pin: bool,
     kept: bool,
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         let mut engines = self.shared.engines.borrow_mut();
-        if !self.kept
-            && let Some(slot) = engines.get_mut(self.engine)
-        {
+        let Some(slot) = engines.get_mut(self.engine) else { return };
+        slot.pinned = slot.pinned.saturating_sub(usize::from(self.pin));
+        if !self.kept {
             slot.open = slot.open.saturating_sub(1);
             if slot.gone && slot.open == 0 {
                 engines.remove(self.engine);
@@ -200,10 +207,8 @@
         let cut_here = cut.clone();
         let engine = start.engine.clone();
         let task = spawn_local(async move {
-            let in_service = || weak.upgrade().is_some_and(|hub| hub.in_service(&start.engine));
-            let sent = || weak.upgrade().into_iter().for_each(|hub| hub.written(1));
-            let end = shared.attempt(&start, &work, &mark, &cut_here, in_service, sent);
-            let end = end.await;
+            let told = Telling { hub: weak.clone(), attempt, engine: start.engine.clone() };
+            let end = shared.attempt(&start, &work, &mark, &cut_here, &told).await;
             shared.running.borrow_mut().remove(&attempt);
             let Some(hub) = weak.upgrade() else { return };
             match end {
@@ -222,18 +227,8 @@
     fn drop_attempt(&self, attempt: AttemptId) {
         let Some(running) = self.0.running.borrow_mut().remove(&attempt) else { return };
         running.task.abort();
-        let Some((address, number)) = running.written.get() else { return };
-        if self.0.kills.get() < KILLS {
-            let shared = self.0.clone();
-            shared.kills.set(shared.kills.get() + 1);
-            spawn_local(async move {
-                let limit = span(4.0 * shared.sockets.connect_timeout);
-                let kill = tokio::time::timeout(limit, shared.kill(address, number)).await;
-                shared.kills.set(shared.kills.get() - 1);
-                if !matches!(kill, Ok(Ok(()))) {
-                    say!("engine at {address}: connection {number} could not be killed");
-                }
-            });
+        if let Some((address, number)) = running.written.get() {
+            self.0.kill_beside(address, number);
         }
     }
 
@@ -299,11 +294,11 @@
         work: &Work,
         written: &Cell<Option<(SocketAddr, u32)>>,
         cut: &Notify,
-        in_service: impl Fn() -> bool,
-        sent: impl Fn(),
+        told: &dyn Told,
     ) -> Result<Output, Outcome> {
         let idle = self.take(&start.engine, work)?;
-        let place = Place { shared: self, engine: &start.engine, kept: false };
+        let pin = matches!(work.job, Job::Pin(_));
+        let place = Place { shared: self, engine: &start.engine, pin, kept: false };
         let mut c = match idle {
             Some(c) => c,
             None => match self.connect(&start.engine).await {
@@ -326,9 +321,37 @@
                 }
             },
         };
-        let result = tokio::select! {
-            result = self.run(&mut c, work, written, &in_service, &sent, start.until) => result,
-            () = cut.notified() => Err(PacketError::Cut),
+        let result = match &work.job {
+            Job::Pin(pinned) => {
+                let held = async {
+                    self.enter(&mut c, &work.context).await?;
+                    self.hold(&mut c, pinned, written, told, start.until).await
+                };
+                let held = tokio::select! {
+                    held = held => held,
+                    () = cut.notified() => Err(PacketError::Cut),
+                };
+                match held {
+                    Ok(Ended::Free(reply, carried)) => {
+                        // The connection first: who hears the answer may ask for one at once.
+                        c.used = Instant::now();
+                        self.give(place, c);
+                        let _ = reply.send(carried);
+                        return Ok(Output::Short(Packets::default()));
+                    }
+                    // Its statements were answered; by its end the engine rolls back.
+                    Ok(Ended::Closed) => return Ok(Output::Short(Packets::default())),
+                    Err(e) => Err(e),
+                }
+            }
+            _ => {
+                c.status = 0;
+                let (in_service, sent) = (|| told.in_service(), || told.sent());
+                tokio::select! {
+                    result = self.run(&mut c, work, written, &in_service, &sent, start.until) => result,
+                    () = cut.notified() => Err(PacketError::Cut),
+                }
+            }
         };
         if let (Err(PacketError::Io(e)), Some(live)) = (&result, &mut c.live) {
             live.broken = e.kind() != io::ErrorKind::TimedOut;
@@ -339,12 +362,16 @@
         {
             slot.keep(Connection::rests);
         }
-        let wrote = written.take().is_some();
+        let begun = matches!(&work.job, Job::Pin(pinned) if pinned.begun());
+        let wrote = written.take().is_some() || begun;
         match result {
             Ok(output) => {
                 let outcome = verdict(&output);
                 c.used = Instant::now();
-                self.give(place, c);
+                // A transaction that a plain statement has left open is nobody's: it ends with its connection.
+                if c.status & IN_TRANSACTION == 0 {
+                    self.give(place, c);
+                }
                 outcome.map_or(Ok(output), Err)
             }
             // The statement ran and a second run would bring as much: that is the answer.
@@ -387,15 +414,22 @@
         let mut engines = self.engines.borrow_mut();
         let slot = engines.get_mut(engine).ok_or(Outcome::Unreachable)?;
         let idle = span(self.sockets.idle * 0.8);
+        let most = (self.access.connections / self.processes.get()).max(1);
+        // Sessions that hold connections leave some to statements that need none for long.
+        let pin = matches!(work.job, Job::Pin(_));
+        if pin && slot.pinned >= (most - most / 4).max(1) {
+            return Err(Outcome::Full);
+        }
         slot.keep(|c| c.used.elapsed() < idle && c.rests());
         let key = (work.context.clone(), work.sql.clone());
         // A connection cannot leave all schemas again: a session without one needs a fresh connection.
         let fits = |c: &Connection| c.can_enter(&work.context);
         let known = slot.idle.iter().rposition(|c| fits(c) && c.statements.contains_key(&key));
         if let Some(i) = known.or_else(|| slot.idle.iter().rposition(fits)) {
+            slot.pinned += usize::from(pin);
             return Ok(Some(slot.idle.swap_remove(i)));
         }
-        if slot.open >= (self.access.connections / self.processes.get()).max(1) {
+        if slot.open >= most {
             // One that does not fit makes room for one that does.
             if slot.idle.pop().is_none() {
                 return Err(Outcome::Full);
@@ -403,6 +437,7 @@
             slot.open -= 1;
         }
         slot.open += 1;
+        slot.pinned += usize::from(pin);
         Ok(None)
     }
 
@@ -457,6 +492,7 @@
         Ok(Connection {
             live: None,
             wire,
+            status: 0,
             number,
             address,
             context: Context::default(),
@@ -499,6 +535,24 @@
         }
     }
 
+    /// Ends what runs on a connection that is given up.
+    pub(super) fn put_down(&self, c: &Connection) {
+        self.kill_beside(c.address, c.number);
+    }
+
+    fn kill_beside(&self, address: SocketAddr, number: u32) {
+        let Some(shared) = self.weak.upgrade().filter(|s| s.kills.get() < KILLS) else { return };
+        shared.kills.set(shared.kills.get() + 1);
+        spawn_local(async move {
+            let limit = span(4.0 * shared.sockets.connect_timeout);
+            let kill = tokio::time::timeout(limit, shared.kill(address, number)).await;
+            shared.kills.set(shared.kills.get() - 1);
+            if !matches!(kill, Ok(Ok(()))) {
+                say!("engine at {address}: connection {number} could not be killed");
+            }
+        });
+    }
+
     async fn kill(&self, address: SocketAddr, number: u32) -> Result<(), PacketError> {
         let mut c = self.open(address).await?;
         let sql = format!("KILL {number}");
@@ -509,7 +563,7 @@
 
     /// Runs the work on a connection. `written` is set right before the first byte that may make it run:
     /// whatever fails earlier proves that it never did.
-    async fn run(
+    pub(super) async fn run(
         &self,
         c: &mut Connection,
         work: &Work,
@@ -522,6 +576,10 @@
             return Err(PacketError::Protocol("the connection stands in another session's place"));
         }
         self.enter(c, &work.context).await?;
+        // Statements change it: it is set anew for whoever asks for it next.
+        if c.context.settings.contains_key(INSERT_ID) {
+            Rc::make_mut(&mut c.context.settings).remove(INSERT_ID);
+        }
         let mark = (c.address, c.number);
         let gate = || -> Result<(), PacketError> {
             // The connection took its time: the engine may drain by now, or the time be over.
@@ -531,12 +589,15 @@
             Ok(())
         };
         match &work.job {
+            Job::Enter => Ok(Output::Short(Packets::one(&ok()))),
+            // A pin carries out what others bring, and is brought by none.
+            Job::Pin(_) => Err(PacketError::Protocol("a pin within a pin")),
             Job::Query => {
                 gate()?;
                 written.set(Some(mark));
                 command(&mut c.wire, QUERY, &[&work.sql]).await?;
                 sent();
-                self.result(&mut c.wire, work).await
+                self.result(c, work).await
             }
             Job::Prepare => {
                 gate()?;
@@ -580,27 +641,6 @@
         }
     }
 
-    /// Takes the connection to where the session stands.
-    async fn enter(&self, c: &mut Connection, context: &Context) -> Result<(), PacketError> {
-        let names = context.names.as_ref().map(|n| format!("SET NAMES {n}"));
-        let steps = [
-            (INIT_DB, context.schema.clone(), c.context.schema != context.schema),
-            (QUERY, names, c.context.names != context.names),
-        ];
-        for (kind, text, differs) in steps {
-            let Some(text) = text.filter(|_| differs) else { continue };
-            command(&mut c.wire, kind, &[text.as_bytes()]).await?;
-            let p = next(&mut c.wire).await?;
-            match p.first() {
-                Some(0) => {}
-                Some(0xff) => return Err(PacketError::Sql(read_err(&p))),
-                _ => return Err(PacketError::Protocol("it answers rows to a setting")),
-            }
-        }
-        c.context = context.clone();
-        Ok(())
-    }
-
     async fn prepare(
         &self,
         c: &mut Connection,
@@ -655,7 +695,7 @@
         let head = [&id.to_le_bytes()[..], &[0, 1, 0, 0, 0]].concat();
         command(&mut c.wire, STMT_EXECUTE, &[&head, &e.body]).await?;
         sent();
-        self.result(&mut c.wire, work).await
+        self.result(c, work).await
     }
 
     /// What is told of a statement before it runs stays small.
@@ -668,7 +708,8 @@
 
     /// Reads a whole result: an OK, an ERR, or columns and rows up to their end. Rows go into the spool as they come,
     /// and the connection is free at the last packet. A result that its engine breaks off with an error is that error.
-    async fn result(&self, wire: &mut Wire<PacketCodec>, work: &Work) -> Result<Output, PacketError> {
+    async fn result(&self, c: &mut Connection, work: &Work) -> Result<Output, PacketError> {
+        let (wire, last) = (&mut c.wire, &mut c.status);
         const SEVERAL: PacketError = PacketError::Protocol("several results at once are not carried");
         let mut writer: Writer = self.spools.writer(work.ask, work.who.clone());
         let first = next(wire).await?;
@@ -682,7 +723,10 @@
             Some(0xff) => return alone(&first),
             Some(0xfb) => return Err(PacketError::Protocol("it asks for a local file")),
             Some(0) if ok_status(&first)? & MORE_RESULTS != 0 => return Err(SEVERAL),
-            Some(0) => return alone(&first),
+            Some(0) => {
+                *last = ok_status(&first)?;
+                return alone(&first);
+            }
             Some(_) => writer.head(&first)?,
         }
         // Columns end with one EOF, rows with another, or with an error.
@@ -695,7 +739,8 @@
                         writer.head(&p)?;
                         break;
                     }
-                    (Some(_), true) => {
+                    (Some(status), true) => {
+                        *last = status;
                         return Ok(match writer.finish(Some(&p)).await? {
                             Whole::Short(bytes) => Output::Short(bytes.into()),
                             Whole::Long(spool) => Output::Long(spool),
--- a/src/net/mysql/mod.rs
+++ b/src/net/mysql/mod.rs
@@ -1,5 +1,6 @@
-//! The MySQL front and its engine leg. Sessions belong to the client, connections to the engines, and no
-//! state of a session lives on an engine: that is what lets a session move when its engine drains.
+//! The MySQL front and its engine leg. Sessions belong to the client, connections to the engines. What a session has
+//! set is data here and set anew wherever a statement runs ([`session`]); what cannot be keeps the session on one
+//! connection for a while ([`pin`]).
 
 pub mod auth;
 pub mod cursor;
@@ -7,12 +8,16 @@
 pub mod leg;
 pub mod ours;
 pub mod packet;
+pub mod pin;
+pub mod session;
 pub mod values;
 
 use crate::net::hub::Reply;
 use crate::net::spools::{self, Who};
 use crate::spool::{Ask, SpoolId};
 use bytes::{BufMut, Bytes, BytesMut};
+use session::Context;
+use std::rc::Rc;
 
 /// What a client asked for, as an engine connection can carry it out alone.
 #[derive(Debug)]
@@ -25,16 +30,12 @@
     pub who: Who,
 }
 
-/// What of a session an engine connection has to stand in before it can carry a statement out.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Context {
-    pub schema: Option<String>,
-    /// The words behind SET NAMES.
-    pub names: Option<String>,
-}
-
 #[derive(Debug)]
 pub enum Job {
+    /// Only take a connection to where the session stands: what the engine says to that is the answer.
+    Enter,
+    /// Hold a connection and carry out what the session sends.
+    Pin(Rc<pin::Pinned>),
     /// COM_QUERY.
     Query,
     /// COM_STMT_PREPARE: brings the statement's parameters and columns.
@@ -73,6 +74,13 @@
 }
 
 impl Packets {
+    /// One packet alone.
+    pub fn one(payload: &[u8]) -> Self {
+        let mut packets = Packets::default();
+        packets.push(payload);
+        packets
+    }
+
     pub fn push(&mut self, payload: &[u8]) {
         self.bytes.put_u32(payload.len() as u32);
         self.bytes.put_slice(payload);
@@ -115,7 +123,9 @@
 /// | 1045 | 28000 | wrong user or password |
 /// | 1040 | 08004 | too many clients |
 /// | 1053 | 08S01 | the dispatcher shuts down |
-/// | 1235 | 42000 | a feature that is not carried: transactions, cursors, LOCAL INFILE, session state |
+/// | 1235 | 42000 | a feature that is not carried: the message names it |
+/// | 1213 | 40001 | a transaction, or what else a pin held, is rolled back: begin it again |
+/// | 1203 | 42000 | too many sessions hold an engine connection |
 /// | 1243 | HY000 | no such prepared statement |
 /// | 1210 | HY000 | parameters that cannot be read |
 /// | 1461 | 42000 | too many prepared statements in the session |
@@ -135,6 +145,8 @@
     pub const TOO_MANY: Code = (1040, "08004");
     pub const SHUTDOWN: Code = (1053, "08S01");
     pub const NOT_CARRIED: Code = (1235, "42000");
+    pub const ROLLED_BACK: Code = (1213, "40001");
+    pub const PINS: Code = (1203, "42000");
     pub const NO_STATEMENT: Code = (1243, "HY000");
     pub const ARGUMENTS: Code = (1210, "HY000");
     pub const STATEMENTS: Code = (1461, "42000");
--- a/src/net/mysql/packet.rs
+++ b/src/net/mysql/packet.rs
@@ -19,7 +19,9 @@
 pub const SESSION_TRACK: u32 = 1 << 23;
 pub const DEPRECATE_EOF: u32 = 1 << 24;
 
-/// Autocommit is on: the only mode that is carried.
+/// A transaction is open.
+pub const IN_TRANSACTION: u16 = 1;
+/// Each statement commits by itself.
 pub const AUTOCOMMIT: u16 = 2;
 pub const MORE_RESULTS: u16 = 8;
 /// The rows of this result are fetched; and the last of them have been.
--- /dev/null
+++ b/src/net/mysql/pin.rs
@@ -0,0 +1,268 @@
+//! The engine's end of a pin: one attempt that holds a connection and carries out what its session sends, until
+//! nothing holds it there, a bound ends it, or the connection breaks. When it ends is [`crate::pins`]'s to say.
+
+use super::leg::{Connection, Shared, command, next};
+use super::packet::*;
+use super::session::Context;
+use super::{Output, Packets, SqlError, Work, code};
+use crate::core::AttemptId;
+use crate::interface::{Millis, Note};
+use crate::net::hub::{Hub, Leg};
+use crate::net::{span, unix_ms};
+use crate::pins::{After, Next, Over, Pin, Step, Terms};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// How often a pin looks whether its engine drains, and asks an idle connection whether it is alive.
+const LOOK: Duration = Duration::from_millis(250);
+const ASK: Millis = 1000.0;
+
+/// One statement of a pinned session.
+pub struct Order {
+    pub work: Work,
+    pub step: Step,
+    pub reply: oneshot::Sender<Carried>,
+}
+
+/// What it came to.
+pub struct Carried {
+    pub output: Output,
+    pub next: Next,
+    /// The transaction is open, as the engine tells.
+    pub open: bool,
+}
+
+/// What a session and its pin share.
+pub struct Pinned {
+    /// Taken by the attempt that holds the connection: there is never a second.
+    orders: RefCell<Option<mpsc::Receiver<Order>>>,
+    /// Why it was ended from here.
+    over: Cell<Option<Over>>,
+    pub terms: Terms,
+    /// Sent on the connection before the first statement.
+    pub first: Option<String>,
+}
+
+impl std::fmt::Debug for Pinned {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Pinned").field("over", &self.over).finish_non_exhaustive()
+    }
+}
+
+impl Pinned {
+    pub fn new(terms: Terms, first: Option<String>) -> (Rc<Self>, mpsc::Sender<Order>) {
+        let (tx, rx) = mpsc::channel(1);
+        (Rc::new(Pinned { orders: RefCell::new(Some(rx)), over: Cell::new(None), terms, first }), tx)
+    }
+
+    /// An attempt has begun to carry out what is sent: from then on it may have run.
+    pub fn begun(&self) -> bool {
+        self.orders.borrow().is_none()
+    }
+
+    pub fn over(&self) -> Option<Over> {
+        self.over.get()
+    }
+}
+
+/// What the pin's attempt tells its hub.
+pub trait Told {
+    fn in_service(&self) -> bool;
+    fn sent(&self);
+    /// From now on the module leaves it alone.
+    fn holds(&self);
+    /// The engine has answered on it.
+    fn heard(&self);
+}
+
+/// An attempt's hub, as long as it lives.
+pub struct Telling<L: Leg> {
+    pub hub: Weak<Hub<L>>,
+    pub attempt: AttemptId,
+    pub engine: String,
+}
+
+impl<L: Leg> Told for Telling<L> {
+    fn in_service(&self) -> bool {
+        self.hub.upgrade().is_some_and(|hub| hub.in_service(&self.engine))
+    }
+    fn sent(&self) {
+        self.hub.upgrade().into_iter().for_each(|hub| hub.written(1));
+    }
+    fn holds(&self) {
+        self.hub.upgrade().into_iter().for_each(|hub| hub.answering(self.attempt));
+    }
+    fn heard(&self) {
+        self.hub.upgrade().into_iter().for_each(|hub| hub.note(self.attempt, Note::Idle));
+    }
+}
+
+/// How a pin ended, its connection being sound.
+pub enum Ended {
+    /// Nothing holds it any more: the last answer, to be handed over once the connection is back.
+    Free(oneshot::Sender<Carried>, Carried),
+    /// The connection is to be closed, by which the engine rolls back what is open.
+    Closed,
+}
+
+impl Shared {
+    /// Carries out what the session sends. An error is that of the connection, which is lost; whoever waits for an
+    /// answer learns it from the reply's end.
+    pub(super) async fn hold(
+        &self,
+        c: &mut Connection,
+        pinned: &Pinned,
+        written: &Cell<Option<(SocketAddr, u32)>>,
+        told: &dyn Told,
+        until: Millis,
+    ) -> Result<Ended, PacketError> {
+        let Some(mut orders) = pinned.orders.borrow_mut().take() else {
+            return Err(PacketError::Protocol("what was open on another engine is not opened again"));
+        };
+        told.holds();
+        let mut pin = Pin::new(pinned.terms.clone(), unix_ms());
+        let mut asked = unix_ms();
+        if let Some(first) = &pinned.first {
+            self.settle(c, QUERY, first).await?;
+        }
+        loop {
+            let order = tokio::select! {
+                biased;
+                order = orders.recv() => match order {
+                    Some(order) => order,
+                    None => return Ok(Ended::Closed),
+                },
+                // Nothing is owed: whatever comes is the end of it.
+                said = next(&mut c.wire) => return Err(said.err().unwrap_or(PacketError::Order)),
+                () = tokio::time::sleep(LOOK) => {
+                    let now = unix_ms();
+                    if !told.in_service() {
+                        pin.drains(now);
+                    }
+                    if let Some(over) = pin.over(now) {
+                        pinned.over.set(Some(over));
+                        return Ok(Ended::Closed);
+                    }
+                    if now >= asked + ASK {
+                        asked = now;
+                        self.settle(c, PING, "").await?;
+                        told.heard();
+                    }
+                    continue;
+                }
+            };
+            let Order { work, step, reply } = order;
+            pin.sent(unix_ms(), step);
+            written.set(None);
+            let (always, sent) = (|| true, || told.sent());
+            let result = {
+                let run = self.run(c, &work, written, &always, &sent, until);
+                tokio::pin!(run);
+                loop {
+                    tokio::select! {
+                        result = &mut run => break Some(result),
+                        () = tokio::time::sleep(LOOK) => {
+                            let now = unix_ms();
+                            if !told.in_service() {
+                                pin.drains(now);
+                            }
+                            pinned.over.set(pin.over(now));
+                            if pinned.over().is_some() {
+                                break None;
+                            }
+                        }
+                    }
+                }
+            };
+            // What runs is killed, or the engine would go on with it.
+            let Some(result) = result else {
+                self.put_down(c);
+                return Err(PacketError::Cut);
+            };
+            asked = unix_ms();
+            let output = match result {
+                Ok(output) => output,
+                // The schema, a setting or the statement is wrong, and nothing ran: that is the answer.
+                Err(PacketError::Sql(e)) => Output::Short(Packets::one(&err(&e))),
+                Err(e) => return Err(e),
+            };
+            told.heard();
+            let after = match error_code(&output) {
+                Some(code) => After::Error(code),
+                None => After::Status { open: c.status & IN_TRANSACTION != 0 },
+            };
+            let next = pin.answered(asked, after);
+            let open = pin.holds(crate::pins::Reason::Transaction);
+            let carried = Carried { output, next, open };
+            if next == Next::Free {
+                written.set(None);
+                return Ok(Ended::Free(reply, carried));
+            }
+            // A client that has gone ends the pin with its next look at the orders.
+            let _ = reply.send(carried);
+        }
+    }
+
+    /// A command whose answer is a plain OK.
+    pub(super) async fn settle(&self, c: &mut Connection, kind: u8, text: &str) -> Result<(), PacketError> {
+        let answered = async {
+            command(&mut c.wire, kind, &[text.as_bytes()]).await?;
+            next(&mut c.wire).await
+        };
+        let limit = span(4.0 * self.sockets.connect_timeout);
+        let p = tokio::time::timeout(limit, answered).await.map_err(std::io::Error::from)??;
+        match p.first() {
+            Some(0) => {
+                c.status = ok_status(&p)?;
+                Ok(())
+            }
+            Some(0xff) => Err(PacketError::Sql(read_err(&p))),
+            _ => Err(PacketError::Protocol("it answers rows to a setting")),
+        }
+    }
+
+    /// Takes the connection to where the session stands, step by step, so that what fails leaves the truth behind.
+    pub(super) async fn enter(&self, c: &mut Connection, context: &Context) -> Result<(), PacketError> {
+        if let Some(schema) = context.schema.clone().filter(|_| c.context.schema != context.schema) {
+            self.settle(c, INIT_DB, &schema).await?;
+            c.context.schema = Some(schema);
+        }
+        if let Some(names) = context.names.clone().filter(|_| c.context.names != context.names) {
+            self.settle(c, QUERY, &format!("SET NAMES {names}")).await?;
+            c.context.names = Some(names);
+        }
+        if let Some(set) = super::session::turn(&c.context.settings, &context.settings) {
+            self.settle(c, QUERY, &set).await?;
+            c.context.settings = context.settings.clone();
+        }
+        Ok(())
+    }
+}
+
+/// The code of an answer that is an error.
+fn error_code(output: &Output) -> Option<u16> {
+    let Output::Short(packets) = output else { return None };
+    let p = packets.iter().next().filter(|p| p.first() == Some(&0xff))?;
+    Some(read_err(&Bytes::copy_from_slice(p)).code)
+}
+
+/// What a client is told whose pin was lost: whether anything may hold is said plainly.
+pub fn lost(over: Option<Over>, fate: crate::pins::Fate) -> SqlError {
+    let why = over.map_or("its engine connection was lost".to_string(), |o| o.to_string());
+    match fate {
+        crate::pins::Fate::RolledBack => SqlError::new(
+            code::ROLLED_BACK,
+            format!("the transaction is rolled back, {why}; begin it again from its start"),
+        ),
+        crate::pins::Fate::Unknown => SqlError::new(
+            code::FAILED,
+            format!(
+                "the commit was sent and not answered, {why}: it is not known whether it holds; look before you send it again"
+            ),
+        ),
+    }
+}
--- a/src/net/statement.rs
+++ b/src/net/statement.rs
@@ -1,6 +1,8 @@
 //! What a statement tells of itself without a parser: the group of tables that it names, whether it plainly
 //! reads, and a hint in its leading comment. Words inside strings and comments never count.
 
+use crate::pins::Reason;
+
 /// What stands in a statement.
 #[derive(Clone, Debug, PartialEq)]
 enum Token {
@@ -182,10 +184,15 @@
     Write,
     /// `use schema`
     Use(String),
-    /// `set names`: a Unicode character set, and maybe a collation, in words that may be sent on.
-    Names(String),
-    /// Asks for what holds anyway.
-    Nothing,
+    /// Changes what the session is; read by [`crate::net::mysql::session::set`].
+    Set,
+    /// COMMIT or ROLLBACK.
+    Ends,
+    /// SAVEPOINT and the like: of use in a transaction, and harmless outside.
+    Within,
+    UnlockTables,
+    /// Leaves something behind on its connection that no other has.
+    Pins(Reason),
     /// Cannot be carried, and why: sessions move between engines, and each statement stands alone.
     NotCarried(&'static str),
 }
@@ -198,7 +205,7 @@
     exp extract field find_in_set first_value floor format from_base64 from_days from_unixtime greatest \
     group_concat hex hour if ifnull inet_aton inet_ntoa insert instr json_array json_arrayagg json_contains \
     json_extract json_keys json_length json_object json_objectagg json_search json_unquote json_valid lag \
-    last_day last_value lcase lead least left length ln locate log log10 log2 lower lpad ltrim makedate \
+    last_day last_insert_id last_value lcase lead least left length ln locate log log10 log2 lower lpad ltrim makedate \
     maketime max md5 microsecond mid min minute mod month monthname now nth_value ntile nullif oct \
     octet_length ord percent_rank period_add period_diff pi position pow power quarter quote radians rand \
     rank regexp_instr regexp_like regexp_replace regexp_substr repeat replace reverse right round row \
@@ -234,11 +241,25 @@
     let first = word(start);
     let words: Vec<String> = (0..end).map(word).collect();
     let has = |w: &str| words.iter().any(|x| x == w);
+    let several = (0..end).any(|i| mark(i, b';'));
     match first.as_str() {
-        "begin" | "start" | "commit" | "rollback" | "savepoint" | "release" | "xa" => {
-            return Kind::NotCarried("transactions are not carried: each statement commits by itself");
+        "xa" => return Kind::NotCarried("distributed transactions are not carried"),
+        "commit" | "rollback" if has("release") && !has("no") && !has("to") => {
+            return Kind::NotCarried("RELEASE is not carried: close the connection");
+        }
+        _ if several => return Kind::NotCarried("several statements at once are not carried"),
+        "begin" => return Kind::Pins(Reason::Transaction),
+        "start" if word(start + 1) == "transaction" => return Kind::Pins(Reason::Transaction),
+        "commit" => return Kind::Ends,
+        "rollback" => return if has("to") { Kind::Within } else { Kind::Ends },
+        "savepoint" | "release" => return Kind::Within,
+        "lock" if matches!(word(start + 1).as_str(), "table" | "tables") => {
+            return Kind::Pins(Reason::Tables);
+        }
+        "unlock" if matches!(word(start + 1).as_str(), "table" | "tables") => return Kind::UnlockTables,
+        "lock" | "unlock" | "start" => {
+            return Kind::NotCarried("engines are not administered through the dispatcher");
         }
-        "lock" | "unlock" => return Kind::NotCarried("table locks are not carried"),
         "prepare" | "execute" | "deallocate" => {
             return Kind::NotCarried("statements are prepared by the protocol, not by SQL");
         }
@@ -248,7 +269,7 @@
         "kill" | "shutdown" | "restart" | "flush" | "reset" | "install" | "uninstall" | "clone" => {
             return Kind::NotCarried("engines are not administered through the dispatcher");
         }
-        "call" | "do" => return Kind::NotCarried("stored procedures are not carried"),
+        "call" => return Kind::NotCarried("stored procedures are not carried"),
         "load" if has("local") => return Kind::NotCarried("LOCAL INFILE is not carried"),
         "use" => {
             return match all.get(start + 1) {
@@ -256,29 +277,28 @@
                 _ => Kind::NotCarried("USE takes the name of a schema"),
             };
         }
-        "set" => return set(statement),
+        "set" => return Kind::Set,
         _ => {}
     }
-    if has("temporary") {
-        return Kind::NotCarried("temporary tables are not carried");
-    }
     let calls = |w: &str| (0..end).any(|i| words[i] == w && mark(i + 1, b'('));
-    if ["last_insert_id", "found_rows", "row_count", "get_lock", "release_lock", "release_all_locks"]
-        .into_iter()
-        .any(calls)
-    {
-        return Kind::NotCarried("what a session remembers or locks is not carried");
+    if has("temporary") && matches!(first.as_str(), "create" | "drop") {
+        return Kind::Pins(Reason::Temporary);
     }
-    // One @ is a variable of the session, two are the engine's own.
-    let variable = |i: usize| mark(i, b'@') && !mark(i + 1, b'@') && (i == 0 || !mark(i - 1, b'@'));
-    if (0..end).any(variable) {
-        return Kind::NotCarried("variables of a session are not carried");
+    if ["get_lock", "release_lock", "release_all_locks"].into_iter().any(calls) {
+        return Kind::Pins(Reason::UserLock);
+    }
+    if ["found_rows", "row_count"].into_iter().any(calls) {
+        return Kind::NotCarried("what the statement before has counted is not carried");
     }
-    if (0..end).any(|i| mark(i, b';')) {
-        return Kind::NotCarried("several statements at once are not carried");
+    // One @ is a variable of the user's, two are the engine's own. Read, it is set anew wherever the statement
+    // runs; assigned, it is left behind there.
+    let variable = |i: usize| mark(i, b'@') && !mark(i + 1, b'@') && (i == 0 || !mark(i - 1, b'@'));
+    if (0..end).any(variable) && (all[..end].windows(2).any(|w| w == ASSIGN) || has("into")) {
+        return Kind::Pins(Reason::Variable);
     }
+    // Its locks end with the statement, unless a transaction is open.
     if has("for") && (has("share") || words.windows(2).any(|w| w[0] == "for" && w[1] == "update")) {
-        return Kind::NotCarried("row locks are not carried: they would end with the statement");
+        return Kind::Write;
     }
     let reads = matches!(
         first.as_str(),
@@ -296,27 +316,32 @@
     if reads && !writes && !calls_unknown && !heeded { Kind::Read } else { Kind::Write }
 }
 
-/// Of what a session may set, the character set is carried along, and autocommit is on in any case.
-fn set(statement: &[u8]) -> Kind {
-    let text = String::from_utf8_lossy(statement).to_ascii_lowercase();
-    let text = text.trim().trim_end_matches(';').trim_end();
-    let bare: String = text.chars().filter(|c| !c.is_whitespace()).collect();
-    let scope = ["", "session", "@@", "@@session.", "local", "@@local."];
-    let on = |s: &str| ["1", "on", "true"].iter().any(|v| bare == format!("set{s}autocommit={v}"));
-    if scope.into_iter().any(on) {
-        return Kind::Nothing;
-    }
-    let words: Vec<&str> = text.split_ascii_whitespace().map(|w| w.trim_matches(['\'', '"', '`'])).collect();
-    let plain = |w: &str| w.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'_');
-    // Engine connections speak Unicode; another character set would garble what is read and written.
-    let unicode = |w: &str| matches!(w, "utf8" | "utf8mb3" | "utf8mb4");
-    match words[..] {
-        ["set", "names", set] if unicode(set) => Kind::Names(set.to_string()),
-        ["set", "names", set, "collate", c] if unicode(set) && c.starts_with("utf8") && plain(c) => {
-            Kind::Names(format!("{set} COLLATE {c}"))
+/// The statement asks for LAST_INSERT_ID().
+pub fn asks_insert_id(statement: &[u8]) -> bool {
+    let mut all = tokens(statement).peekable();
+    while let Some(token) = all.next() {
+        let named = matches!(token, Token::Name { text, .. } if text.eq_ignore_ascii_case("last_insert_id"));
+        if named && all.peek() == Some(&Token::Mark(b'(')) {
+            return true;
         }
-        _ => Kind::NotCarried("settings of a session are not carried, but for names in Unicode"),
     }
+    false
+}
+
+/// It is a ROLLBACK, not a COMMIT.
+pub fn rolls_back(statement: &[u8]) -> bool {
+    matches!(tokens(statement).next(), Some(Token::Name { text, .. }) if text.eq_ignore_ascii_case("rollback"))
+}
+
+/// It ends an open transaction with a commit, by the way: what defines tables, users or locks does.
+pub fn commits_by_the_way(statement: &[u8]) -> bool {
+    let first = tokens(statement).find_map(|t| match t {
+        Token::Name { text, quoted: false } => Some(text.to_ascii_lowercase()),
+        _ => None,
+    });
+    let reads_or_changes_rows =
+        " select insert update delete replace with values table show describe desc explain do ";
+    !first.is_some_and(|w| listed(reads_or_changes_rows, &w))
 }
 
 const ASSIGN: [Token; 2] = [Token::Mark(b':'), Token::Mark(b'=')];
@@ -360,23 +385,31 @@
             ("replace into t values (1)", "write"),
             ("/* class=lookup */ update t set a = 1", "write"),
             ("", "write"),
-            ("begin", "no"),
-            ("START TRANSACTION", "no"),
-            ("set autocommit=0", "no"),
-            ("select @x", "no"),
-            ("select @x := 1", "no"),
+            ("begin", "pins"),
+            ("START TRANSACTION READ ONLY;", "pins"),
+            ("begin; commit", "no"),
+            ("start replica", "no"),
+            ("commit and no chain no release", "ends"),
+            ("commit release", "no"),
+            ("rollback", "ends"),
+            ("rollback to savepoint a", "within"),
+            ("savepoint a", "within"),
+            ("lock tables t write", "pins"),
+            ("lock instance for backup", "no"),
+            ("unlock tables", "unlock"),
+            ("xa start 'x'", "no"),
+            ("set autocommit=0", "set"),
+            ("select @x", "read"),
+            ("select @x := 1", "pins"),
+            ("select a into @x from t", "pins"),
+            ("select get_lock('a', 1)", "pins"),
+            ("select row_count()", "no"),
             ("select 1; delete from t", "no"),
-            ("select * from t for update", "no"),
-            ("create temporary table x (a int)", "no"),
-            ("select last_insert_id()", "no"),
+            ("select * from t for update", "write"),
+            ("create temporary table x (a int)", "pins"),
+            ("select last_insert_id()", "read"),
             ("load data local infile 'x' into table t", "no"),
-            ("set names utf8mb4", "names"),
-            ("SET NAMES 'utf8mb4' COLLATE 'utf8mb4_0900_ai_ci';", "names"),
-            ("set names latin1", "no"),
-            ("set names utf8mb4 collate utf8;drop", "no"),
-            ("SET @@session.autocommit = ON", "nothing"),
-            ("SET SESSION sql_mode = ''", "no"),
-            ("SET autocommit = 1", "nothing"),
+            ("SET NAMES 'utf8mb4'", "set"),
             ("use `a b`", "use"),
         ];
         for (text, wanted) in cases {
@@ -384,12 +417,22 @@
                 Kind::Read => "read",
                 Kind::Write => "write",
                 Kind::Use(_) => "use",
-                Kind::Nothing => "nothing",
-                Kind::Names(_) => "names",
+                Kind::Set => "set",
+                Kind::Ends => "ends",
+                Kind::Within => "within",
+                Kind::UnlockTables => "unlock",
+                Kind::Pins(_) => "pins",
                 Kind::NotCarried(_) => "no",
             };
             assert_eq!(found, wanted, "{text}");
         }
+        assert!(asks_insert_id(b"insert into t values (LAST_INSERT_ID())"));
+        assert!(!asks_insert_id(b"select 'last_insert_id()', last_insert_id from t"));
+        assert!(
+            commits_by_the_way(b"/* x */ alter table t add a int")
+                && commits_by_the_way(b"lock tables t read")
+        );
+        assert!(!commits_by_the_way(b"(select 1)") && !commits_by_the_way(b"insert into t values (1)"));
         let hint = hints(b" /* class=report, limit:1500 */ select 1");
         assert_eq!(hint, [("class".into(), "report".into()), ("limit".into(), "1500".into())]);
         assert!(hints(b"select 1 /* class=report */").is_empty());
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -126,6 +126,14 @@
         users: [("ann".to_string(), User { password: "secret".into(), tenant: Some(0) })].into(),
         rules: ClassRules::new(1, 0, classes, vec![]),
         deadlines: vec![5000.0, 5000.0],
+        transaction_class: 1,
+        pins: hitchwinch::pins::Terms {
+            idle: 60_000.0,
+            longest: 60_000.0,
+            drain: 500.0,
+            most: 4,
+            most_of_tenant: 3,
+        },
     }
 }
 
