--- /dev/null
+++ b/crates/conformance/src/lib.rs
@@ -0,0 +1,296 @@
+//! Plays the scripts of [`cases`] against the MySQL front and, for calibration, straight against the stand-in engine
+//! that the front leads to; writes the table of `docs/MYSQL-CONFORMANCE.md`.
+
+pub mod cases;
+
+use cases::{CASES, Case, Engine as Against, Step, UNTESTED, Want};
+use hitchwinch::config::{Mysql, Source};
+use hitchwinch::core::{Bounds, Core};
+use hitchwinch::net::discovery::{Change, Engine as Listed};
+use hitchwinch::net::hub::Hub;
+use hitchwinch::net::mysql::front::Front;
+use hitchwinch::net::mysql::leg::MysqlLeg;
+use hitchwinch::net::mysql::packet::{PacketError, QUERY, Reader, eof_status, ok_tail};
+use hitchwinch::net::pool::Pool;
+use hitchwinch::net::spools::Spools;
+use hitchwinch::{EngineState, ListUpdate};
+use lab::engine::Engine;
+use lab::raw::{Answer, Session, Wants};
+use lab::stand;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+pub type Error = Box<dyn std::error::Error>;
+
+/// How a case came out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Came {
+    Carried,
+    /// As wanted, by an error: its code and its words.
+    Refused(u16, String),
+    /// Not as wanted.
+    Differs(String),
+}
+
+/// A front of its own in this process, before these engines.
+///
+/// # Errors
+/// Its file is wrong, or it cannot listen.
+pub async fn front(engines: &[Engine]) -> Result<SocketAddr, Error> {
+    let list =
+        engines.iter().map(|e| format!("[[engine]]\nid = {:?}\naddress = \"{}\"\n", e.name(), e.address()));
+    let config = Mysql::parse(&stand::file("", &list.collect::<String>()), |_| None)?;
+    let pool = Pool::default();
+    let bounds = Bounds { open: config.sockets.most_open, margin: 20.0, page_wait: 600.0 };
+    let core = Core::new(config.settings.clone(), 1, bounds)?;
+    let names = config.names.clone();
+    let (spools, done) = Spools::open(&config.spool, names.classes.clone(), names.tenants.clone())?;
+    spawn_local(spools.clone().attend(done));
+    let leg = MysqlLeg::new(config.access, config.sockets, pool.clone(), spools.clone());
+    let hub = Hub::new(core, names, leg);
+    let Source::Fixed(fixed) = config.source else { return Err("the engines are not listed".into()) };
+    let listed = fixed.into_iter().map(|e| Listed {
+        id: e.id,
+        address: Some(e.address),
+        state: EngineState::Ready,
+        zone: e.zone,
+        kind: e.kind,
+        cell: 0,
+        started: None,
+    });
+    hub.change(&Change { update: ListUpdate::Whole, engines: listed.collect() });
+    spawn_local(hub.clone().clock());
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    spawn_local(Front::new(hub, pool, config.front, spools).accept(listener));
+    Ok(address)
+}
+
+/// Who plays: where, and as whom.
+#[derive(Clone, Copy)]
+pub struct Target<'a> {
+    pub address: SocketAddr,
+    pub user: &'a str,
+    pub password: &'a str,
+    /// Engines that are slowed down where a script asks for it.
+    pub engines: &'a [Engine],
+}
+
+impl Target<'_> {
+    async fn session(&self) -> Result<Session, PacketError> {
+        Session::log_in(self.address, self.user, self.password, Wants::default()).await
+    }
+
+    /// Plays one case on a session of its own.
+    pub async fn play(&self, case: &Case) -> Came {
+        let mut s = match self.session().await {
+            Ok(s) => s,
+            Err(e) => return Came::Differs(format!("log in: {e}")),
+        };
+        let mut came = Came::Carried;
+        for step in case.steps {
+            match tokio::time::timeout(Duration::from_secs(5), self.step(&mut s, step)).await {
+                Ok(Ok(None)) => {}
+                Ok(Ok(Some((code, text)))) => came = Came::Refused(code, text),
+                Ok(Err(e)) => return Came::Differs(format!("{step:?}: {e}")),
+                Err(_) => return Came::Differs(format!("{step:?}: no answer within 5 s")),
+            }
+        }
+        came
+    }
+
+    /// The error that was wanted, if one was; an error of its own tells what came instead.
+    async fn step(&self, s: &mut Session, step: &Step) -> Result<Option<(u16, String)>, String> {
+        match *step {
+            Step::Sql(sql, want) => judge(want, s.query(sql).await, false),
+            Step::Command(kind, body, want) => {
+                s.send(kind, &[body]).await.map_err(|e| e.to_string())?;
+                if let Want::Any = want {
+                    let p = s.packet().await.map_err(|e| e.to_string())?;
+                    return if p.first() == Some(&0xff) { Err("an error".into()) } else { Ok(None) };
+                }
+                judge(want, s.answer().await, false)
+            }
+            Step::Prepared(sql, wants) => {
+                let id = match s.prepare(sql).await {
+                    Ok((id, _)) => id,
+                    Err(e) => return judge(wants.first().copied().unwrap_or(Want::Any), Err(e), true),
+                };
+                for want in wants {
+                    judge(*want, s.execute(id, false).await, true)?;
+                }
+                Ok(None)
+            }
+            Step::Cursor(sql, rows, want) => {
+                let (id, _) = s.prepare(sql).await.map_err(|e| e.to_string())?;
+                s.execute(id, true).await.map_err(|e| e.to_string())?;
+                judge(want, s.fetch(id, rows).await, true)
+            }
+            Step::ChangeUser(user, password, want) => {
+                let end = s.change_user(user, password).await;
+                judge(
+                    want,
+                    end.map(|()| Answer { columns: 0, rows: vec![], last: Default::default() }),
+                    false,
+                )
+            }
+            Step::Killed(sql, want) => {
+                self.engines.iter().for_each(|e| e.work(Duration::from_secs(3)));
+                s.send(QUERY, &[sql.as_bytes()]).await.map_err(|e| e.to_string())?;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                let mut other = self.session().await.map_err(|e| e.to_string())?;
+                other.query(&format!("kill query {}", s.number)).await.map_err(|e| e.to_string())?;
+                let answer = s.answer().await;
+                self.engines.iter().for_each(|e| e.work(Duration::from_millis(1)));
+                judge(want, answer, false)
+            }
+            Step::Beside(sql, want) => {
+                let mut other = self.session().await.map_err(|e| e.to_string())?;
+                judge(want, other.query(sql).await, false)
+            }
+        }
+    }
+}
+
+fn judge(
+    want: Want,
+    came: Result<Answer, PacketError>,
+    binary: bool,
+) -> Result<Option<(u16, String)>, String> {
+    let answer = match (came, want) {
+        (Err(PacketError::Sql(e)), Want::Code(code)) if e.code == code => return Ok(Some((code, e.message))),
+        (Err(e), _) => return Err(e.to_string()),
+        (Ok(answer), _) => answer,
+    };
+    let status = || match answer.last.first() {
+        Some(0) => ok_tail(&answer.last).map_or(0, |t| t.0),
+        _ => eof_status(&answer.last).unwrap_or(0),
+    };
+    let right = match want {
+        Want::Any => true,
+        Want::Ok => answer.columns == 0,
+        Want::Rows(n) => answer.rows.len() == n,
+        Want::First(texts) => {
+            let row = answer.rows.first().map(|r| columns(r.clone(), binary)).unwrap_or_default();
+            row.len() >= texts.len() && row.iter().zip(texts).all(|(a, b)| a == b)
+        }
+        Want::Status(with, without) => status() & with == with && status() & without == 0,
+        Want::Code(_) => false,
+    };
+    match right {
+        true => Ok(None),
+        false => Err(format!("{} rows, status {:#x}", answer.rows.len(), status())),
+    }
+}
+
+/// The texts of a row; NULL by its name.
+fn columns(row: bytes::Bytes, binary: bool) -> Vec<String> {
+    let mut r = Reader(row.slice(if binary { 2 } else { 0 }..));
+    let mut all = vec![];
+    while !r.0.is_empty() {
+        if r.0.first() == Some(&0xfb) {
+            all.push("NULL".to_string());
+            let _ = r.u8();
+            continue;
+        }
+        match r.lenenc_bytes() {
+            Ok(b) => all.push(String::from_utf8_lossy(&b).into_owned()),
+            Err(_) => break,
+        }
+    }
+    all
+}
+
+/// A case with how it came out at the front, and at the engine where it was asked.
+pub type Line = (&'static Case, Came, Option<Came>);
+
+/// Plays all cases against both.
+///
+/// # Errors
+/// Engines or front cannot be set up.
+pub async fn play() -> Result<Vec<Line>, Error> {
+    let engines = stand::engines(2, Duration::from_millis(1)).await?;
+    let address = front(&engines).await?;
+    let at_front = Target { address, user: "guest", password: "guest", engines: &engines };
+    let address = engines.first().ok_or("no engine")?.address();
+    let at_engine = Target { address, user: "lab", password: lab::engine::PASSWORD, engines: &engines };
+    let mut all = vec![];
+    for case in CASES {
+        let own = match case.engine {
+            Against::Alike => Some(at_engine.play(case).await),
+            Against::No => None,
+        };
+        all.push((case, at_front.play(case).await, own));
+    }
+    Ok(all)
+}
+
+/// The page, as `docs/MYSQL-CONFORMANCE.md` holds it.
+pub fn page(lines: &[Line]) -> String {
+    let mut text = String::from(
+        "# MySQL conformance\n\nWritten by `cargo run -p hitchwinch-conformance -- --write docs/MYSQL-CONFORMANCE.md`; a test \
+         compares the two.\nEach line is a script of `crates/conformance/src/cases.rs`, played against the front and, for \
+         calibration, straight\nagainst the stand-in engine.\n\n",
+    );
+    let count = |f: fn(&Came) -> bool| lines.iter().filter(|l| f(&l.1)).count();
+    let _ = writeln!(
+        text,
+        "{} carried, {} refused with a reason, {} not as wanted, {} untested.",
+        count(|c| *c == Came::Carried),
+        count(|c| matches!(c, Came::Refused(..))),
+        count(|c| matches!(c, Came::Differs(_))),
+        UNTESTED.len(),
+    );
+    let mut area = "";
+    for (case, front, engine) in lines {
+        if case.area != area {
+            area = case.area;
+            let _ = writeln!(text, "\n## {area}\n\n| what | front | stand-in engine |\n| --- | --- | --- |");
+        }
+        let told = |came: &Came| match came {
+            Came::Carried => "carried".to_string(),
+            Came::Refused(code, why) => format!("{code}: {}", why.replace('|', "\\|")),
+            Came::Differs(how) => format!("**not as wanted**: {}", how.replace('|', "\\|")),
+        };
+        let own = engine.as_ref().map_or("-".to_string(), told);
+        let _ = writeln!(text, "| {} | {} | {own} |", case.name, told(front));
+    }
+    text.push_str("\n## Untested\n\n| what | why |\n| --- | --- |\n");
+    for (what, why) in UNTESTED {
+        let _ = writeln!(text, "| {what} | {why} |");
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hitchwinch::net::mysql::SqlError;
+
+    fn answer(rows: &[&'static [u8]], last: &'static [u8]) -> Result<Answer, PacketError> {
+        let rows: Vec<_> = rows.iter().map(|r| bytes::Bytes::from_static(r)).collect();
+        Ok(Answer { columns: usize::from(!rows.is_empty()), rows, last: bytes::Bytes::from_static(last) })
+    }
+
+    #[test]
+    fn what_is_not_as_wanted_is_told() {
+        let eof: &[u8] = &[0xfe, 0, 0, 3, 0];
+        let row: &[u8] = b"\x01a\xfb";
+        let wrong = || Err(PacketError::Sql(SqlError::new((1045, "28000"), "denied")));
+        assert!(judge(Want::Rows(1), answer(&[row], eof), false).is_ok());
+        assert!(judge(Want::Rows(2), answer(&[row], eof), false).is_err());
+        assert!(judge(Want::First(&["a", "NULL"]), answer(&[row], eof), false).is_ok());
+        assert!(judge(Want::First(&["b"]), answer(&[row], eof), false).is_err());
+        assert!(judge(Want::First(&["a"]), answer(&[], eof), false).is_err());
+        assert!(judge(Want::Status(1, 4), answer(&[row], eof), false).is_ok());
+        assert!(judge(Want::Status(1, 2), answer(&[row], eof), false).is_err());
+        assert!(judge(Want::Ok, answer(&[row], eof), false).is_err());
+        assert!(judge(Want::Code(1045), wrong(), false).is_ok_and(|e| e.is_some()));
+        assert!(judge(Want::Code(1235), wrong(), false).is_err());
+        assert!(judge(Want::Code(1045), answer(&[row], eof), false).is_err());
+        assert!(judge(Want::Any, wrong(), false).is_err());
+    }
+}
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -335,7 +335,8 @@
             tokio::time::sleep(inner.work.get()).await;
         }
         drop(running);
-        let end = eof(session.status());
+        let mut end = eof(session.status());
+        end[1..3].copy_from_slice(&session.warnings().to_le_bytes());
         if let Some(said) = said {
             self.tell(wire, said, binary, session.status()).await?;
         } else if let Some(rows) = Rows::read(&sql) {
@@ -348,7 +349,9 @@
             }
             SinkExt::<&[u8]>::flush(wire).await?;
         } else {
-            wire.send(&done(session.status())[..]).await?;
+            let mut done = done(session.status());
+            done[5..7].copy_from_slice(&session.warnings().to_le_bytes());
+            wire.send(&done[..]).await?;
         }
         let mut ran = inner.ran.borrow_mut();
         (ran[place].answered, ran[place].held) = (true, now() - ran[place].at);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod compare;
 pub mod engine;
 pub mod measure;
+pub mod measure_sessions;
 pub mod measure_spool;
 pub mod model;
 pub mod program;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use lab::measure::{self, Subject};
+use lab::measure_sessions;
 use lab::measure_spool::{self, Spooling};
 use lab::registry::{Instance, Node, Rules};
 use std::net::SocketAddr;
@@ -131,6 +132,13 @@
         #[arg(long, default_value_t = 10_000)]
         spools: u64,
     },
+    /// What sessions of the MySQL front cost beside the engine asked directly.
+    Sessions {
+        #[command(flatten)]
+        which: Which,
+        #[arg(long, default_value_t = 10_000)]
+        statements: usize,
+    },
     /// A start with every registry away.
     Start {
         #[command(flatten)]
@@ -219,6 +227,9 @@
                 Measure::Recovery { which, spools } => {
                     measure_spool::recovery(&which.spooling(), spools).await?
                 }
+                Measure::Sessions { which, statements } => {
+                    measure_sessions::sessions(&which.subject(), statements).await?
+                }
                 Measure::Start { which } => measure::start_alone(&which.subject()).await?,
             };
             println!("{line}");
--- /dev/null
+++ b/crates/lab/src/measure_sessions.rs
@@ -0,0 +1,108 @@
+//! What sessions of the MySQL front cost, against the same stand-in engine asked directly.
+
+use crate::engine::PASSWORD;
+use crate::measure::{MeasureError, Subject};
+use crate::program::Folder;
+use crate::raw::{Session, Wants};
+use crate::stand;
+use hdrhistogram::Histogram;
+use hitchwinch::net::mysql::packet::PacketError;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Sessions that are opened for the figures of memory, and those of them that are pinned.
+const IDLE: usize = 200;
+const PINNED: usize = 40;
+
+struct Ran {
+    /// Microseconds.
+    latency: Histogram<u64>,
+    seconds: f64,
+}
+
+impl Ran {
+    fn told(&self, cpu: Option<f64>) -> Value {
+        let n = self.latency.len();
+        json!({
+            "p50_us": self.latency.value_at_quantile(0.5),
+            "p99_us": self.latency.value_at_quantile(0.99),
+            "a_second": (n as f64 / self.seconds).round(),
+            "a_second_of_its_processor": cpu.map(|c| (n as f64 / c.max(1e-3)).round()),
+        })
+    }
+}
+
+async fn log_in(at: SocketAddr, user: &str, password: &str) -> Result<Session, PacketError> {
+    Session::log_in(at, user, password, Wants::default()).await
+}
+
+/// Rounds of these statements, by turns on these sessions.
+async fn rounds(all: &mut [Session], sqls: &[&str], rounds: usize) -> Result<Ran, MeasureError> {
+    let bounds = Histogram::new_with_bounds(1, 60_000_000, 3);
+    let mut latency = bounds.map_err(|e| MeasureError::Client(e.to_string()))?;
+    let (began, turns) = (Instant::now(), all.len().max(1));
+    for n in 0..rounds {
+        let Some(s) = all.get_mut(n % turns) else { break };
+        for sql in sqls {
+            let asked = Instant::now();
+            s.query(sql).await.map_err(|e| MeasureError::Never(format!("{sql}: {e}")))?;
+            let _ = latency.record(asked.elapsed().as_micros() as u64 + 1);
+        }
+    }
+    Ok(Ran { latency, seconds: began.elapsed().as_secs_f64() })
+}
+
+/// Overhead of a statement, alone and in transactions and where two sessions' settings take turns on one connection;
+/// log-ins a second; memory of a session idle and pinned.
+///
+/// # Errors
+/// The program cannot be started, or an answer is wrong.
+pub async fn sessions(subject: &Subject, statements: usize) -> Result<Value, MeasureError> {
+    let failed = |e: PacketError| MeasureError::Never(format!("a session: {e}"));
+    let engines = stand::engines(1, Duration::ZERO).await?;
+    let engine = engines.first().ok_or_else(|| MeasureError::Never("an engine".into()))?;
+    let folder = Folder::new("measure-sessions")?;
+    let list = format!("[[engine]]\nid = {:?}\naddress = \"{}\"\n", engine.name(), engine.address());
+    let text = stand::file("max_clients = 512", &list).replace("[engines]", "[engines]\nconnections = 64");
+    let program = crate::program::Program::start(&subject.program, &folder, "sessions", &text).await?;
+    let read = ["select a from t"];
+    let transaction = ["begin", "insert into t values (1)", "commit"];
+    let mut out = serde_json::Map::new();
+    for (name, sqls, n) in
+        [("read", &read[..], statements), ("transaction", &transaction[..], statements / 3)]
+    {
+        let mut direct = [log_in(engine.address(), "lab", PASSWORD).await.map_err(failed)?];
+        let mut through = [log_in(program.address, "guest", "guest").await.map_err(failed)?];
+        rounds(&mut through, sqls, n / 10).await?;
+        let told = rounds(&mut direct, sqls, n).await?.told(None);
+        out.insert(format!("{name}_direct"), told);
+        let before = program.cpu();
+        let ran = rounds(&mut through, sqls, n).await?;
+        out.insert(name.into(), ran.told(Some(program.cpu() - before)));
+    }
+    let mut two = vec![];
+    for zone in ["+01:00", "+02:00"] {
+        let mut s = log_in(program.address, "guest", "guest").await.map_err(failed)?;
+        s.query(&format!("set time_zone = '{zone}', @a = 1, sql_mode = 'ANSI'")).await.map_err(failed)?;
+        two.push(s);
+    }
+    let before = program.cpu();
+    let ran = rounds(&mut two, &read, statements).await?;
+    out.insert("read_with_settings_by_turns".into(), ran.told(Some(program.cpu() - before)));
+
+    let (empty, began) = (program.memory().0, Instant::now());
+    let mut all = vec![];
+    for _ in 0..IDLE {
+        all.push(log_in(program.address, "guest", "guest").await.map_err(failed)?);
+    }
+    out.insert("log_ins_a_second".into(), json!((IDLE as f64 / began.elapsed().as_secs_f64()).round()));
+    let idle = program.memory().0;
+    for s in all.iter_mut().take(PINNED) {
+        s.query("begin").await.map_err(failed)?;
+    }
+    let pinned = program.memory().0;
+    out.insert("kB_an_idle_session".into(), json!((idle - empty) * 1024.0 / IDLE as f64));
+    out.insert("kB_more_pinned".into(), json!((pinned - idle) * 1024.0 / PINNED as f64));
+    Ok(Value::Object(out))
+}
--- a/crates/lab/src/raw.rs
+++ b/crates/lab/src/raw.rs
@@ -22,6 +22,8 @@
 
 /// A logged-in session.
 pub struct Session {
+    /// Its number, as the greeting told it.
+    pub number: u32,
     wire: Framed<TcpStream, PacketCodec>,
     ok_for_eof: bool,
 }
@@ -64,7 +66,7 @@
         flags |= if wants.tracks { SESSION_TRACK } else { 0 };
         login[..4].copy_from_slice(&flags.to_le_bytes());
         wire.send(&login[..]).await?;
-        let mut s = Session { wire, ok_for_eof: wants.ok_for_eof };
+        let mut s = Session { number: greeting.connection, wire, ok_for_eof: wants.ok_for_eof };
         let p = s.next().await?;
         match p.first() {
             Some(0) => Ok(s),
@@ -72,6 +74,36 @@
         }
     }
 
+    /// Another user takes the session over.
+    ///
+    /// # Errors
+    /// The connection's, or that it is turned away.
+    pub async fn change_user(&mut self, user: &str, password: &str) -> Result<(), PacketError> {
+        // Whatever stands as its proof, the server asks anew with a nonce of its own.
+        self.send(CHANGE_USER, &[user.as_bytes(), &[0, 0, 0, UTF8, 0], auth::NATIVE.as_bytes(), &[0]])
+            .await?;
+        let p = self.next().await?;
+        let mut r = Reader(p.slice(1..));
+        if p.first() != Some(&0xfe) || r.text() != auth::NATIVE {
+            return Err(PacketError::Protocol("it asks for no proof"));
+        }
+        let proof = auth::proof(auth::NATIVE, password, r.0.strip_suffix(&[0]).unwrap_or(&r.0));
+        self.wire.send(&proof.unwrap_or_default()[..]).await?;
+        let p = self.next().await?;
+        match p.first() {
+            Some(0) => Ok(()),
+            _ => Err(PacketError::Sql(read_err(&p))),
+        }
+    }
+
+    /// One packet, whatever it is.
+    ///
+    /// # Errors
+    /// The connection's, also its end.
+    pub async fn packet(&mut self) -> Result<Bytes, PacketError> {
+        self.next().await
+    }
+
     async fn next(&mut self) -> Result<Bytes, PacketError> {
         match self.wire.next().await {
             Some(p) => p,
--- a/crates/lab/src/session.rs
+++ b/crates/lab/src/session.rs
@@ -50,6 +50,8 @@
     variables: BTreeMap<String, String>,
     users: BTreeMap<String, Option<String>>,
     open: bool,
+    /// What the last statement warned of; any that holds the word `warns` does.
+    warned: Option<String>,
     /// Changes of rows that are not committed.
     pending: Vec<String>,
     /// Changes that have become lasting, to be taken out by the engine.
@@ -60,7 +62,12 @@
     pub fn new(number: u32, name: &str) -> Self {
         let variables = VARIABLES.iter().map(|(n, v)| ((*n).to_string(), (*v).to_string())).collect();
         let (users, pending, lasting) = (BTreeMap::new(), vec![], vec![]);
-        Session { number, name: name.into(), variables, users, open: false, pending, lasting }
+        Session { number, name: name.into(), variables, users, open: false, warned: None, pending, lasting }
+    }
+
+    /// How many warnings the last statement brought.
+    pub fn warnings(&self) -> u16 {
+        u16::from(self.warned.is_some())
     }
 
     pub fn number(&self) -> u32 {
@@ -109,9 +116,10 @@
                 return Some(Said::Ok);
             }
             ["rollback" | "savepoint" | "release" | "lock" | "unlock", ..] => return Some(Said::Ok),
-            ["show", "warnings"] => {
+            ["show", "warnings", ..] => {
                 let columns = ["Level", "Code", "Message"].map(String::from).to_vec();
-                return Some(Said::Rows(columns, vec![]));
+                let row = |w: &String| vec![Some("Warning".into()), Some("1265".into()), Some(w.clone())];
+                return Some(Said::Rows(columns, self.warned.iter().map(row).collect()));
             }
             ["show", "variables" | "session", ..] => {
                 let like = text.split(['\'', '"']).nth(1).unwrap_or("%").to_ascii_lowercase();
@@ -130,6 +138,7 @@
             }
             _ => {}
         }
+        self.warned = words.contains(&"warns").then(|| "Data truncated".to_string());
         let changes = matches!(words.first(), Some(&("insert" | "update" | "delete" | "replace" | "load")));
         let reads = matches!(words.first(), Some(&("select" | "with" | "show" | "values" | "table")));
         if !changes && !reads {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -823,7 +823,7 @@
         let x = &mut self.engines[engine];
         self.heard = x.hear(self.now, LOST * self.s.engines.notes_every);
         let Some(r) = x.out.iter_mut().find(|r| (r.id, r.attempt) == (id, attempt)) else { return };
-        r.heard = self.now;
+        (r.heard, r.threads) = (self.now, if note == Note::Idle { 0.0 } else { threads });
         if note == Note::WaitsForMemory {
             // It stands in the engine's line and nothing has run: a full refusal in other words, and a move
             // is free. Harm: an attempt and its place in line, in vain where every engine has a line.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -309,8 +309,10 @@
     Spills(f64),
     WaitsForMemory,
     WaitsForLoad,
-    /// Its client holds it and has asked for nothing; the engine answers.
+    /// Its client holds it and asks nothing of it now, so that it takes no thread; the engine answers.
     Idle,
+    /// Its client has asked for something again.
+    Works,
 }
 
 #[derive(Clone, Debug)]
--- a/src/net/mysql/front/mod.rs
+++ b/src/net/mysql/front/mod.rs
@@ -10,7 +10,7 @@
 use super::packet::*;
 use super::session::{Context, State};
 use super::values::{self, Type};
-use super::{Job, Output, Packets, SqlError, Work, auth, code, error_of};
+use super::{Job, Left, Output, Packets, SqlError, Work, auth, code, error_of};
 use crate::config::MysqlFront;
 use crate::core::{End as Figure, NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
@@ -32,7 +32,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio_util::codec::Encoder;
 
@@ -45,6 +45,8 @@
 const CHUNK: usize = 12 * 1024;
 /// Bytes of one fetch at most.
 const FETCH: usize = 1 << 20;
+/// Why a request fails that another session of its user's has killed.
+const KILLED: &str = "it was killed by KILL QUERY";
 /// COM_STMT_EXECUTE asks for a cursor.
 const CURSOR_READ_ONLY: u8 = 1;
 
@@ -60,6 +62,8 @@
     next: Cell<u32>,
     /// Who holds engine connections.
     book: RefCell<Book>,
+    /// Open sessions by their numbers: whose they are, and how to tell them that what they ask is killed.
+    sessions: RefCell<BTreeMap<u32, (String, Rc<Notify>)>>,
     stopping: tokio::sync::watch::Sender<bool>,
 }
 
@@ -81,6 +85,7 @@
 
 /// A client that has logged in.
 struct Known {
+    number: u32,
     user: String,
     tenant: Option<usize>,
     schema: Option<String>,
@@ -124,6 +129,7 @@
             turned_away: Cell::new(0),
             next: Cell::new(1),
             book: RefCell::default(),
+            sessions: RefCell::default(),
             stopping,
         })
     }
@@ -193,6 +199,9 @@
         };
         place.uses(Use::Idle, Instant::now());
         let state = State::new(known.schema);
+        let killed = Rc::new(Notify::new());
+        let own = (known.user.clone(), killed.clone());
+        self.sessions.borrow_mut().insert(known.number, own);
         let session = Session {
             front: self,
             wire,
@@ -200,6 +209,10 @@
             user: known.user,
             ends: known.ends,
             state,
+            number: known.number,
+            killed: killed.clone(),
+            left: Left::default(),
+            failed: None,
             hold: None,
             statements: BTreeMap::new(),
             next: 1,
@@ -211,14 +224,29 @@
     async fn log_in(&self, wire: &mut Wire<PacketCodec>, host: &str) -> Result<Option<Known>, End> {
         let connection = self.next.get();
         self.next.set(connection.wrapping_add(1));
-        let mut nonce = [0u8; 20];
-        getrandom::fill(&mut nonce).map_err(|_| PacketError::Protocol("no random numbers are to be had"))?;
-        // No zero byte may stand in it: on the wire one ends it.
-        nonce.iter_mut().for_each(|b| *b = *b % 127 + 1);
+        let nonce = nonce()?;
         let greeting =
             Greeting { connection, nonce: nonce.to_vec(), plugin: auth::NATIVE.into(), capabilities: FRONT };
         wire.send(&greeting.write(&self.config().version)[..]).await?;
         let login = Login::read(super::leg::next(wire).await?)?;
+        let user = self.prove(wire, &login, &nonce, host).await?;
+        Ok(user.map(|tenant| Known {
+            number: connection,
+            user: login.user,
+            tenant,
+            schema: login.schema,
+            ends: login.ends,
+        }))
+    }
+
+    /// Checks who a client says it is, and tells it; the user's tenant, or none if the password was wrong.
+    async fn prove(
+        &self,
+        wire: &mut Wire<PacketCodec>,
+        login: &Login,
+        nonce: &[u8],
+        host: &str,
+    ) -> Result<Option<Option<usize>>, End> {
         let (mut plugin, mut proof) = (login.plugin.clone(), login.auth.clone());
         // One that names no way knows the oldest only.
         if plugin.is_empty() {
@@ -227,7 +255,7 @@
         // A client that answered for another way is asked again, for one that is known here.
         if plugin != auth::NATIVE && plugin != auth::SHA2 {
             plugin = auth::NATIVE.into();
-            let ask = [&[0xfe][..], auth::NATIVE.as_bytes(), &[0], &nonce, &[0]].concat();
+            let ask = [&[0xfe][..], auth::NATIVE.as_bytes(), &[0], nonce, &[0]].concat();
             wire.send(&ask[..]).await?;
             proof = super::leg::next(wire).await?.to_vec();
         }
@@ -235,7 +263,7 @@
         let user = config.users.get(&login.user);
         // Some clients end the proof with a zero byte.
         let given = if proof == [0] { &[][..] } else { &proof };
-        let known = user.filter(|u| auth::proves(&plugin, &u.password, &nonce, given));
+        let known = user.filter(|u| auth::proves(&plugin, &u.password, nonce, given));
         let Some(user) = known else {
             let with = if given.is_empty() { "NO" } else { "YES" };
             let text = format!("Access denied for user '{}'@'{host}' (using password: {with})", login.user);
@@ -246,10 +274,18 @@
             wire.send(&[1u8, 3][..]).await?;
         }
         wire.send(&ok()[..]).await?;
-        Ok(Some(Known { user: login.user, tenant: user.tenant, schema: login.schema, ends: login.ends }))
+        Ok(Some(user.tenant))
     }
 }
 
+/// Random bytes for a proof; no zero byte may stand among them: on the wire one ends them.
+fn nonce() -> Result<[u8; 20], PacketError> {
+    let mut nonce = [0u8; 20];
+    getrandom::fill(&mut nonce).map_err(|_| PacketError::Protocol("no random numbers are to be had"))?;
+    nonce.iter_mut().for_each(|b| *b = *b % 127 + 1);
+    Ok(nonce)
+}
+
 async fn turn_away(wire: &mut Wire<PacketCodec>, code: code::Code, text: String) -> Result<(), End> {
     tokio::time::timeout(WRITE, wire.send(&err(&SqlError::new(code, text))[..]))
         .await
@@ -265,6 +301,13 @@
     user: String,
     ends: Ends,
     state: State,
+    /// Its number here, as the greeting told it.
+    number: u32,
+    /// Told when another session of this user's kills what it asks.
+    killed: Rc<Notify>,
+    /// What the statement before has left: its warnings, or its error.
+    left: Left,
+    failed: Option<SqlError>,
     /// The engine connection that it keeps to.
     hold: Option<pinned::Hold<'a, L>>,
     statements: BTreeMap<u32, Prepared>,
@@ -274,6 +317,12 @@
 /// What a command comes to: packets to send, or an error.
 type Answer = Result<Option<Vec<Vec<u8>>>, SqlError>;
 
+impl<L: Leg<Work = Work, Output = Output>> Drop for Session<'_, L> {
+    fn drop(&mut self) {
+        self.front.sessions.borrow_mut().remove(&self.number);
+    }
+}
+
 impl<L: Leg<Work = Work, Output = Output>> Session<'_, L> {
     async fn serve(mut self) -> Result<(), End> {
         let mut stopping = self.front.stopping.subscribe();
@@ -321,12 +370,19 @@
                 Ok(None)
             }
             RESET_CONNECTION => {
-                self.statements.clear();
-                // What is open on an engine ends with its connection.
-                self.hold = None;
-                self.state.reset();
+                self.forget();
                 Ok(None)
             }
+            CHANGE_USER => return self.change_user(body).await,
+            // Several statements in one are not carried; that they are off is no news.
+            SET_OPTION if body[..] == [1, 0] => {
+                return self.write([&eof(AUTOCOMMIT)[..]].into_iter()).await;
+            }
+            SET_OPTION => Err(SqlError::new(code::NOT_CARRIED, "several statements at once are not carried")),
+            STATISTICS => {
+                let text = format!("Sessions: {}", self.front.sessions.borrow().len());
+                return self.write([text.as_bytes()].into_iter()).await;
+            }
             QUERY => return self.query(body).await,
             STMT_PREPARE => return self.prepare(body).await,
             STMT_EXECUTE => return self.execute(body).await,
@@ -358,6 +414,73 @@
         }
     }
 
+    /// All but who and where it is, as at the start. What is open on an engine ends with its connection.
+    fn forget(&mut self) {
+        self.statements.clear();
+        self.hold = None;
+        self.state.reset();
+        *self.left.borrow_mut() = None;
+        self.failed = None;
+    }
+
+    /// Another user takes the session over, if it can prove that it is that one; else it ends.
+    async fn change_user(&mut self, body: Bytes) -> Result<(), End> {
+        let mut r = Reader(body);
+        let user = r.text();
+        let n = r.u8()?;
+        r.take(n.into())?;
+        let schema = Some(r.text()).filter(|s| !s.is_empty());
+        let nonce = nonce()?;
+        // Whatever it has sent was made for the nonce of its log-in: it is asked for a new one.
+        let ask = [&[0xfe][..], auth::NATIVE.as_bytes(), &[0], &nonce, &[0]].concat();
+        self.wire.send(&ask[..]).await?;
+        let proof = tokio::time::timeout(LOGIN, super::leg::next(&mut self.wire)).await;
+        let auth = proof.map_err(|e| PacketError::from(io::Error::from(e)))??.to_vec();
+        let login = Login { user, auth, schema, plugin: auth::NATIVE.into(), ends: self.ends };
+        let front = self.front;
+        let Some(tenant) = front.prove(&mut self.wire, &login, &nonce, "this session").await? else {
+            return Err(End::Quit);
+        };
+        self.forget();
+        self.state = State::new(login.schema);
+        (self.tenant, self.user) = (tenant, login.user);
+        let own = (self.user.clone(), self.killed.clone());
+        front.sessions.borrow_mut().insert(self.number, own);
+        Ok(())
+    }
+
+    /// What the statement before has left, as SHOW WARNINGS tells it.
+    async fn warnings(&mut self) -> Result<(), End> {
+        let left = self.left.borrow().clone();
+        let all = match (left, &self.failed) {
+            (Some(rows), _) => rows,
+            (None, failed) => {
+                let rows = failed.iter().map(|e| vec!["Error".into(), e.code.to_string(), e.message.clone()]);
+                joined(&table(&["Level", "Code", "Message"], rows, false))
+            }
+        };
+        self.hand_over(all).await
+    }
+
+    /// Another session of the same user is told that what it asks is killed.
+    async fn kill(&mut self, number: u32) -> Result<(), End> {
+        let told = match self.front.sessions.borrow().get(&number) {
+            Some((user, killed)) if *user == self.user => {
+                killed.notify_waiters();
+                Ok(())
+            }
+            Some(_) => Err(SqlError::new(code::OWNER, format!("You are not owner of thread {number}"))),
+            None => Err(SqlError::new(code::NO_THREAD, format!("Unknown thread id: {number}"))),
+        };
+        match told {
+            Ok(()) => {
+                let ok = self.ok();
+                self.write([&ok[..]].into_iter()).await
+            }
+            Err(e) => self.say(&e).await,
+        }
+    }
+
     async fn say(&mut self, e: &SqlError) -> Result<(), End> {
         self.write([&err(e)[..]].into_iter()).await
     }
@@ -411,7 +534,7 @@
         }
         let statement = String::from_utf8_lossy(&sql).chars().take(STATEMENT).collect();
         let who = Who { user: self.user.clone(), statement, binary: matches!(job, Job::Execute(_)) };
-        let work = Work { context, sql, job, ask, who };
+        let work = Work { context, sql, job, ask, who, left: self.left.clone() };
         let limit = config.deadlines.get(class).copied().unwrap_or(10_000.0);
         let new = NewRequest {
             class,
@@ -433,6 +556,7 @@
                 reply = &mut answer => {
                     return Ok(reply.unwrap_or(Reply::Failed { why: "the request was lost" }));
                 }
+                () = self.killed.notified() => return Ok(Reply::Failed { why: KILLED }),
                 // Only looked at: a client that sends its next command early has not left.
                 seen = self.wire.get_ref().peek(&mut byte), if watched => match seen {
                     Ok(0) | Err(_) => return Err(End::Quit),
@@ -543,6 +667,8 @@
         }
         match statement::kind(&sql) {
             Kind::NotCarried(why) => self.say(&SqlError::new(code::NOT_CARRIED, why)).await,
+            Kind::Warnings => self.warnings().await,
+            Kind::Kill(number) => self.kill(number).await,
             Kind::Set => self.set(sql).await,
             Kind::Use(schema) => {
                 self.state.stand_in(schema);
@@ -565,11 +691,7 @@
         match statement {
             Ours::Results => {
                 let lines = spools.list(&self.user).await;
-                let mut all = BytesMut::new();
-                for p in listing(&lines, binary) {
-                    put_packet(&mut all, &p);
-                }
-                self.hand_over(all.freeze()).await
+                self.hand_over(joined(&listing(&lines, binary))).await
             }
             Ours::Fetch { handle, from } => {
                 let id = match spools.resume(&self.user, &handle).await {
@@ -611,7 +733,7 @@
         let why = match kind {
             _ if own.is_some() => None,
             Kind::NotCarried(why) => Some(why),
-            Kind::Set | Kind::Use(_) => Some("this is not to be prepared"),
+            Kind::Set | Kind::Use(_) | Kind::Warnings | Kind::Kill(_) => Some("this is not to be prepared"),
             _ => None,
         };
         if let Some(why) = why {
@@ -792,6 +914,23 @@
 
 /// A listing of results, as a result of text columns.
 fn listing(lines: &[Line], binary: bool) -> Vec<Vec<u8>> {
+    let rows = lines.iter().map(|l| {
+        let expires = l.expires_in_s.map_or("while it is read".to_string(), |s| format!("{:.1}", s.max(0.0)));
+        vec![
+            l.handle.clone(),
+            l.statement.clone(),
+            l.pages.to_string(),
+            l.rows.to_string(),
+            l.bytes.to_string(),
+            format!("{:.1}", l.age_s),
+            expires,
+        ]
+    });
+    table(&COLUMNS, rows, binary)
+}
+
+/// A result of text columns.
+fn table(columns: &[&str], rows: impl Iterator<Item = Vec<String>>, binary: bool) -> Vec<Vec<u8>> {
     let text = |s: &str| {
         let mut p = vec![];
         put_lenenc(&mut p, s.len() as u64);
@@ -803,21 +942,11 @@
         // 512 bytes of utf8mb4 at most, a string.
         [&words[..], &[0x0c, UTF8, 0, 0, 2, 0, 0, 0xfd, 0, 0, 0, 0, 0]].concat()
     };
-    let mut all = vec![vec![COLUMNS.len() as u8]];
-    all.extend(COLUMNS.iter().map(|c| column(c)));
+    let mut all = vec![vec![columns.len() as u8]];
+    all.extend(columns.iter().map(|c| column(c)));
     all.push(eof(AUTOCOMMIT).to_vec());
-    for l in lines {
-        let expires = l.expires_in_s.map_or("while it is read".to_string(), |s| format!("{:.1}", s.max(0.0)));
-        let fields = [
-            l.handle.clone(),
-            l.statement.clone(),
-            l.pages.to_string(),
-            l.rows.to_string(),
-            l.bytes.to_string(),
-            format!("{:.1}", l.age_s),
-            expires,
-        ];
-        // A row of the binary protocol: its mark, no NULL among seven columns.
+    for fields in rows {
+        // A row of the binary protocol: its mark, no NULL among so few columns.
         let mut row = if binary { vec![0, 0, 0] } else { vec![] };
         fields.iter().for_each(|f| row.extend(text(f)));
         all.push(row);
@@ -825,3 +954,10 @@
     all.push(eof(AUTOCOMMIT).to_vec());
     all
 }
+
+/// Packets, each behind its length.
+fn joined(all: &[Vec<u8>]) -> Bytes {
+    let mut bytes = BytesMut::new();
+    all.iter().for_each(|p| put_packet(&mut bytes, p));
+    bytes.freeze()
+}
--- a/src/net/mysql/front/pinned.rs
+++ b/src/net/mysql/front/pinned.rs
@@ -1,6 +1,6 @@
 //! The client's end of a pin: statements of a session that keeps to one engine connection for a while.
 
-use super::super::pin::{Carried, Order, Pinned, lost};
+use super::super::pin::{Carried, Order, Pinned, lost, why};
 use super::*;
 use crate::pins::{Next, Step, fate};
 use tokio::sync::mpsc;
@@ -53,15 +53,24 @@
             return Ok(Ok(Reply::Served(Output::Short(Packets::one(&self.ok())))));
         }
         let runs = !matches!(job, Job::Prepare | Job::Enter);
+        *self.left.borrow_mut() = None;
         let needs = matches!(kind, Kind::Pins(_)) || !self.state.autocommit();
         let came = match self.hold.is_some() || runs && needs {
             true => self.order(kind, context, sql, job).await?,
             false => Ok(self.ask(kind, context, sql, job).await?),
         };
+        self.failed = match &came {
+            Ok(reply) => error_of(reply),
+            Err(e) => Some(e.clone()),
+        };
         if let Ok(Reply::Served(Output::Short(packets))) = &came
-            && let Some(p) = packets.iter().next().filter(|p| p.first() == Some(&0) && runs)
+            && let Some(p) = packets.iter().next()
         {
-            self.state.inserted(insert_id(p).unwrap_or(0));
+            match p.first() {
+                Some(0) if runs => self.state.inserted(insert_id(p).unwrap_or(0)),
+                Some(0xff) => self.failed = Some(read_err(&Bytes::copy_from_slice(p))),
+                _ => {}
+            }
         }
         Ok(came)
     }
@@ -96,7 +105,14 @@
         let ask = Ask { tenant: self.tenant, class, load: true };
         let who = Who { user: self.user.clone(), statement: "a transaction".into(), binary: false };
         let context = self.state.context().clone();
-        let work = Work { context, sql: Bytes::new(), job: Job::Pin(pinned.clone()), ask, who };
+        let work = Work {
+            context,
+            sql: Bytes::new(),
+            job: Job::Pin(pinned.clone()),
+            ask,
+            who,
+            left: Left::default(),
+        };
         let new = NewRequest {
             class,
             tenant: self.tenant,
@@ -132,15 +148,15 @@
         }
         let statement = String::from_utf8_lossy(&sql).chars().take(STATEMENT).collect();
         let who = Who { user: self.user.clone(), statement, binary: matches!(job, Job::Execute(_)) };
-        let work = Work { context, sql, job, ask, who };
-        let Some(hold) = self.hold.as_mut() else { return Ok(Err(lost(None, fate(None)))) };
+        let work = Work { context, sql, job, ask, who, left: self.left.clone() };
+        let Some(hold) = self.hold.as_mut() else { return Ok(Err(lost(&why(None), fate(None)))) };
         let (reply, mut carried) = oneshot::channel();
         if hold.orders.send(Order { work, step, reply }).await.is_err() {
             // It ended while nothing was asked of it.
             let over = hold.pinned.over();
             self.hold = None;
             let done = Reply::Served(Output::Short(Packets::one(&self.ok())));
-            return Ok(if rolls_back { Ok(done) } else { Err(lost(over, fate(None))) });
+            return Ok(if rolls_back { Ok(done) } else { Err(lost(&why(over), fate(None))) });
         }
         let mut watched = true;
         let came = loop {
@@ -155,13 +171,15 @@
                         }
                         return Ok(Ok(Reply::Served(output)));
                     }
-                    Err(_) => break Err(lost(hold.pinned.over(), fate(Some(step)))),
+                    Err(_) => break Err(lost(&why(hold.pinned.over()), fate(Some(step)))),
                 },
                 reply = &mut hold.answer => break match reply {
                     // No engine has begun with it: that is the statement's answer.
                     Ok(reply) if !hold.pinned.begun() => Ok(reply),
-                    _ => Err(lost(hold.pinned.over(), fate(Some(step)))),
+                    _ => Err(lost(&why(hold.pinned.over()), fate(Some(step)))),
                 },
+                // The engine is told by its connection's end: what is open is rolled back.
+                () = self.killed.notified() => break Err(lost(KILLED, fate(Some(step)))),
                 seen = self.wire.get_ref().peek(&mut byte), if watched => match seen {
                     Ok(0) | Err(_) => return Err(End::Quit),
                     Ok(_) => watched = false,
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -36,6 +36,8 @@
 const KILLS: usize = 16;
 /// Parameters and columns of a prepared statement, in bytes: 4,096 columns need no more.
 const MOST_PREPARED: usize = 1 << 20;
+/// Warnings that are kept of one statement.
+const WARNINGS: usize = 64;
 /// An engine closes a connection that was idle for too long.
 const TIRED: u16 = 4031;
 
@@ -64,8 +66,9 @@
 pub(super) struct Connection {
     live: Option<Live>,
     pub(super) wire: Wire<PacketCodec>,
-    /// The flags behind its last answer that was no error.
+    /// The flags behind its last answer that was no error, and the warnings that it told of.
     pub(super) status: u16,
+    warnings: u16,
     /// Its number at the engine, by which it can be killed.
     number: u32,
     address: SocketAddr,
@@ -493,6 +496,7 @@
             live: None,
             wire,
             status: 0,
+            warnings: 0,
             number,
             address,
             context: Context::default(),
@@ -597,7 +601,9 @@
                 written.set(Some(mark));
                 command(&mut c.wire, QUERY, &[&work.sql]).await?;
                 sent();
-                self.result(c, work).await
+                let output = self.result(c, work).await?;
+                self.warned(c, work).await?;
+                Ok(output)
             }
             Job::Prepare => {
                 gate()?;
@@ -695,7 +701,30 @@
         let head = [&id.to_le_bytes()[..], &[0, 1, 0, 0, 0]].concat();
         command(&mut c.wire, STMT_EXECUTE, &[&head, &e.body]).await?;
         sent();
-        self.result(c, work).await
+        let output = self.result(c, work).await?;
+        self.warned(c, work).await?;
+        Ok(output)
+    }
+
+    /// Warnings stay on the connection that told of them, and the session may be elsewhere when it asks: they are
+    /// taken along at once.
+    async fn warned(&self, c: &mut Connection, work: &Work) -> Result<(), PacketError> {
+        if std::mem::take(&mut c.warnings) == 0 {
+            return Ok(());
+        }
+        command(&mut c.wire, QUERY, &[format!("SHOW WARNINGS LIMIT {WARNINGS}").as_bytes()]).await?;
+        let (mut packets, mut ends) = (Packets::default(), 0);
+        while ends < 2 {
+            let p = next(&mut c.wire).await?;
+            if p.first() == Some(&0xff) {
+                return Ok(());
+            }
+            packets.push(&p);
+            self.bound(&packets)?;
+            ends += usize::from(eof_status(&p).is_some());
+        }
+        *work.left.borrow_mut() = Some(packets.into_bytes());
+        Ok(())
     }
 
     /// What is told of a statement before it runs stays small.
@@ -709,7 +738,8 @@
     /// Reads a whole result: an OK, an ERR, or columns and rows up to their end. Rows go into the spool as they come,
     /// and the connection is free at the last packet. A result that its engine breaks off with an error is that error.
     async fn result(&self, c: &mut Connection, work: &Work) -> Result<Output, PacketError> {
-        let (wire, last) = (&mut c.wire, &mut c.status);
+        let (wire, last, warnings) = (&mut c.wire, &mut c.status, &mut c.warnings);
+        *warnings = 0;
         const SEVERAL: PacketError = PacketError::Protocol("several results at once are not carried");
         let mut writer: Writer = self.spools.writer(work.ask, work.who.clone());
         let first = next(wire).await?;
@@ -722,9 +752,11 @@
             None => return Err(PacketError::Short),
             Some(0xff) => return alone(&first),
             Some(0xfb) => return Err(PacketError::Protocol("it asks for a local file")),
-            Some(0) if ok_status(&first)? & MORE_RESULTS != 0 => return Err(SEVERAL),
             Some(0) => {
-                *last = ok_status(&first)?;
+                (*last, *warnings) = ok_tail(&first)?;
+                if *last & MORE_RESULTS != 0 {
+                    return Err(SEVERAL);
+                }
                 return alone(&first);
             }
             Some(_) => writer.head(&first)?,
@@ -740,7 +772,7 @@
                         break;
                     }
                     (Some(status), true) => {
-                        *last = status;
+                        (*last, *warnings) = (status, eof_warnings(&p));
                         return Ok(match writer.finish(Some(&p)).await? {
                             Whole::Short(bytes) => Output::Short(bytes.into()),
                             Whole::Long(spool) => Output::Long(spool),
--- a/src/net/mysql/mod.rs
+++ b/src/net/mysql/mod.rs
@@ -17,6 +17,7 @@
 use crate::spool::{Ask, SpoolId};
 use bytes::{BufMut, Bytes, BytesMut};
 use session::Context;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// What a client asked for, as an engine connection can carry it out alone.
@@ -28,8 +29,12 @@
     /// Whose result it brings, for the account of results that wait.
     pub ask: Ask,
     pub who: Who,
+    pub left: Left,
 }
 
+/// What a statement leaves behind for its session: the rows of SHOW WARNINGS, each packet behind its length.
+pub type Left = Rc<RefCell<Option<Bytes>>>;
+
 #[derive(Debug)]
 pub enum Job {
     /// Only take a connection to where the session stands: what the engine says to that is the answer.
@@ -135,6 +140,8 @@
 /// | 1104 | 42000 | a result above a bound, or that breaks off |
 /// | 1064 | 42000 | a statement of ours that cannot be read |
 /// | 1141 | 42000 | no result of this user has this handle, or it has expired |
+/// | 1094 | HY000 | KILL QUERY of a session that is not here |
+/// | 1095 | HY000 | KILL QUERY of another user's session |
 /// | 1421 | HY000 | no cursor is open on this statement |
 pub mod code {
     pub type Code = (u16, &'static str);
@@ -156,6 +163,8 @@
     pub const RESULT: Code = (1104, "42000");
     pub const SYNTAX: Code = (1064, "42000");
     pub const HANDLE: Code = (1141, "42000");
+    pub const NO_THREAD: Code = (1094, "HY000");
+    pub const OWNER: Code = (1095, "HY000");
     pub const NO_CURSOR: Code = (1421, "HY000");
 }
 
--- a/src/net/mysql/packet.rs
+++ b/src/net/mysql/packet.rs
@@ -35,12 +35,15 @@
 pub const QUIT: u8 = 0x01;
 pub const INIT_DB: u8 = 0x02;
 pub const QUERY: u8 = 0x03;
+pub const STATISTICS: u8 = 0x09;
 pub const PING: u8 = 0x0e;
+pub const CHANGE_USER: u8 = 0x11;
 pub const STMT_PREPARE: u8 = 0x16;
 pub const STMT_EXECUTE: u8 = 0x17;
 pub const STMT_SEND_LONG_DATA: u8 = 0x18;
 pub const STMT_CLOSE: u8 = 0x19;
 pub const STMT_RESET: u8 = 0x1a;
+pub const SET_OPTION: u8 = 0x1b;
 pub const STMT_FETCH: u8 = 0x1c;
 pub const RESET_CONNECTION: u8 = 0x1f;
 
@@ -273,12 +276,17 @@
     }
 }
 
-/// The status flags of an OK packet.
-pub fn ok_status(payload: &Bytes) -> Result<u16, PacketError> {
+/// The status flags of an OK packet, and how many warnings it tells of.
+pub fn ok_tail(payload: &Bytes) -> Result<(u16, u16), PacketError> {
     let mut r = Reader(payload.slice(1..));
     r.lenenc()?;
     r.lenenc()?;
-    r.u16()
+    Ok((r.u16()?, r.u16()?))
+}
+
+/// How many warnings the end of columns or rows tells of.
+pub fn eof_warnings(payload: &[u8]) -> u16 {
+    payload.get(1..3).map_or(0, |w| u16::from_le_bytes([w[0], w[1]]))
 }
 
 /// A server's first packet.
--- a/src/net/mysql/pin.rs
+++ b/src/net/mysql/pin.rs
@@ -9,7 +9,7 @@
 use crate::interface::{Millis, Note};
 use crate::net::hub::{Hub, Leg};
 use crate::net::{span, unix_ms};
-use crate::pins::{After, Next, Over, Pin, Step, Terms};
+use crate::pins::{After, Fate, Next, Over, Pin, Step, Terms};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -75,8 +75,10 @@
     fn sent(&self);
     /// From now on the module leaves it alone.
     fn holds(&self);
-    /// The engine has answered on it.
-    fn heard(&self);
+    /// The engine has answered on it, and nothing is asked of it.
+    fn idle(&self);
+    /// Something is asked of it.
+    fn works(&self);
 }
 
 /// An attempt's hub, as long as it lives.
@@ -96,9 +98,12 @@
     fn holds(&self) {
         self.hub.upgrade().into_iter().for_each(|hub| hub.answering(self.attempt));
     }
-    fn heard(&self) {
+    fn idle(&self) {
         self.hub.upgrade().into_iter().for_each(|hub| hub.note(self.attempt, Note::Idle));
     }
+    fn works(&self) {
+        self.hub.upgrade().into_iter().for_each(|hub| hub.note(self.attempt, Note::Works));
+    }
 }
 
 /// How a pin ended, its connection being sound.
@@ -150,13 +155,14 @@
                     if now >= asked + ASK {
                         asked = now;
                         self.settle(c, PING, "").await?;
-                        told.heard();
+                        told.idle();
                     }
                     continue;
                 }
             };
             let Order { work, step, reply } = order;
             pin.sent(unix_ms(), step);
+            told.works();
             written.set(None);
             let (always, sent) = (|| true, || told.sent());
             let result = {
@@ -190,7 +196,7 @@
                 Err(PacketError::Sql(e)) => Output::Short(Packets::one(&err(&e))),
                 Err(e) => return Err(e),
             };
-            told.heard();
+            told.idle();
             let after = match error_code(&output) {
                 Some(code) => After::Error(code),
                 None => After::Status { open: c.status & IN_TRANSACTION != 0 },
@@ -217,7 +223,7 @@
         let p = tokio::time::timeout(limit, answered).await.map_err(std::io::Error::from)??;
         match p.first() {
             Some(0) => {
-                c.status = ok_status(&p)?;
+                c.status = ok_tail(&p)?.0;
                 Ok(())
             }
             Some(0xff) => Err(PacketError::Sql(read_err(&p))),
@@ -250,19 +256,22 @@
     Some(read_err(&Bytes::copy_from_slice(p)).code)
 }
 
+/// Why a pin was lost, in words.
+pub fn why(over: Option<Over>) -> String {
+    over.map_or("its engine connection was lost".to_string(), |o| o.to_string())
+}
+
 /// What a client is told whose pin was lost: whether anything may hold is said plainly.
-pub fn lost(over: Option<Over>, fate: crate::pins::Fate) -> SqlError {
-    let why = over.map_or("its engine connection was lost".to_string(), |o| o.to_string());
+pub fn lost(why: &str, fate: Fate) -> SqlError {
     match fate {
-        crate::pins::Fate::RolledBack => SqlError::new(
-            code::ROLLED_BACK,
-            format!("the transaction is rolled back, {why}; begin it again from its start"),
-        ),
-        crate::pins::Fate::Unknown => SqlError::new(
-            code::FAILED,
-            format!(
-                "the commit was sent and not answered, {why}: it is not known whether it holds; look before you send it again"
-            ),
-        ),
+        Fate::RolledBack => {
+            let text = format!("the transaction is rolled back, {why}; begin it again from its start");
+            SqlError::new(code::ROLLED_BACK, text)
+        }
+        Fate::Unknown => {
+            let text =
+                format!("the commit was sent and not answered, {why}: it is not known whether it holds");
+            SqlError::new(code::FAILED, format!("{text}; look before you send it again"))
+        }
     }
 }
--- a/src/net/statement.rs
+++ b/src/net/statement.rs
@@ -191,6 +191,10 @@
     /// SAVEPOINT and the like: of use in a transaction, and harmless outside.
     Within,
     UnlockTables,
+    /// SHOW WARNINGS or SHOW ERRORS: about the statement before.
+    Warnings,
+    /// KILL QUERY, of a session by its number here.
+    Kill(u32),
     /// Leaves something behind on its connection that no other has.
     Pins(Reason),
     /// Cannot be carried, and why: sessions move between engines, and each statement stands alone.
@@ -266,6 +270,17 @@
         "handler" | "declare" | "open" | "fetch" | "close" => {
             return Kind::NotCarried("cursors are not carried");
         }
+        "kill" if word(start + 1) == "query" => {
+            let number =
+                String::from_utf8_lossy(statement).split_ascii_whitespace().nth(2).map(str::to_string);
+            return match number.and_then(|n| n.trim_end_matches(';').parse().ok()) {
+                Some(n) if end == start + 3 => Kind::Kill(n),
+                _ => Kind::NotCarried("KILL QUERY takes the number of a session"),
+            };
+        }
+        "show" if end == start + 2 && matches!(word(start + 1).as_str(), "warnings" | "errors") => {
+            return Kind::Warnings;
+        }
         "kill" | "shutdown" | "restart" | "flush" | "reset" | "install" | "uninstall" | "clone" => {
             return Kind::NotCarried("engines are not administered through the dispatcher");
         }
@@ -392,6 +407,12 @@
             ("commit and no chain no release", "ends"),
             ("commit release", "no"),
             ("rollback", "ends"),
+            ("show warnings;", "warnings"),
+            ("show errors", "warnings"),
+            ("show warnings limit 2", "read"),
+            ("KILL QUERY 17;", "kill"),
+            ("kill query 17, 18", "no"),
+            ("kill 17", "no"),
             ("rollback to savepoint a", "within"),
             ("savepoint a", "within"),
             ("lock tables t write", "pins"),
@@ -421,6 +442,11 @@
                 Kind::Ends => "ends",
                 Kind::Within => "within",
                 Kind::UnlockTables => "unlock",
+                Kind::Warnings => "warnings",
+                Kind::Kill(n) => {
+                    assert_eq!(n, 17, "{text}");
+                    "kill"
+                }
                 Kind::Pins(_) => "pins",
                 Kind::NotCarried(_) => "no",
             };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -176,3 +176,26 @@
     }
     assert!(further >= 6.0, "the ration is used, {further}");
 }
+
+/// A client that holds an engine's connection and asks nothing takes no thread there: transactions that idle would
+/// keep everybody else off, 8 of them off 8 cores.
+#[test]
+fn an_attempt_that_its_client_holds_idle_leaves_its_threads_to_others() {
+    let wide = Class { threads: 4.0, effect: Effect::Unsafe, ..class(1.0, 2000.0) };
+    for idle in [false, true] {
+        let mut g = Gateway::new(settings(vec![wide.clone()]), vec![entry("e")]);
+        let mut held = 0;
+        for id in 0..12 {
+            held += sends(&g.take(query(id, 0))).len();
+            g.does(Event::Streaming { id, attempt: 0 });
+            let note = if idle { Note::Idle } else { Note::Works };
+            g.does(Event::Progress { id, attempt: 0, note });
+        }
+        assert_eq!(held == 12, idle, "{held} of 12 on an engine that bears 16 threads");
+        if idle {
+            // Once they ask again, all of them count.
+            (0..12).for_each(|id| drop(g.does(Event::Progress { id, attempt: 0, note: Note::Works })));
+            assert_eq!(sends(&g.take(query(12, 0))), vec![]);
+        }
+    }
+}
