--- a/crates/lab/src/measure_sessions.rs
+++ b/crates/lab/src/measure_sessions.rs
@@ -9,7 +9,10 @@
 use hitchwinch::net::mysql::packet::PacketError;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio_rustls::rustls::crypto::ring;
+use tokio_rustls::rustls::{ClientConfig, RootCertStore};
 
 /// Sessions that are opened for the figures of memory, and those of them that are pinned.
 const IDLE: usize = 200;
@@ -53,6 +56,25 @@
     Ok(Ran { latency, seconds: began.elapsed().as_secs_f64() })
 }
 
+const HOST: &str = "lab.example";
+
+/// A key for the dispatcher, as the tables of its file, and a client that trusts it.
+fn keys(folder: &Folder) -> Result<(String, Arc<ClientConfig>), MeasureError> {
+    let wrong = |e: &dyn std::fmt::Display| MeasureError::Never(format!("a key: {e}"));
+    let made = rcgen::generate_simple_self_signed(vec![HOST.to_string()]).map_err(|e| wrong(&e))?;
+    let (cert, key) = (folder.path().join("lab.pem"), folder.path().join("lab.key"));
+    std::fs::write(&cert, made.cert.pem())?;
+    std::fs::write(&key, made.signing_key.serialize_pem())?;
+    let mut roots = RootCertStore::empty();
+    roots.add(made.cert.der().clone()).map_err(|e| wrong(&e))?;
+    let client = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()
+        .map_err(|e| wrong(&e))?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    Ok((format!("[tls]\n[[tls.key]]\ncert = {cert:?}\nkey = {key:?}\n"), Arc::new(client)))
+}
+
 /// Overhead of a statement, alone and in transactions and where two sessions' settings take turns on one connection;
 /// log-ins a second; memory of a session idle and pinned.
 ///
@@ -64,7 +86,9 @@
     let engine = engines.first().ok_or_else(|| MeasureError::Never("an engine".into()))?;
     let folder = Folder::new("measure-sessions")?;
     let list = format!("[[engine]]\nid = {:?}\naddress = \"{}\"\n", engine.name(), engine.address());
-    let text = stand::file("max_clients = 512", &list).replace("[engines]", "[engines]\nconnections = 64");
+    let (tls, client) = keys(&folder)?;
+    let text = stand::file("max_clients = 512", &format!("{list}{tls}"));
+    let text = text.replace("[engines]", "[engines]\nconnections = 64");
     let program = crate::program::Program::start(&subject.program, &folder, "sessions", &text).await?;
     let read = ["select a from t"];
     let transaction = ["begin", "insert into t values (1)", "commit"];
@@ -91,6 +115,24 @@
     let ran = rounds(&mut two, &read, statements).await?;
     out.insert("read_with_settings_by_turns".into(), ran.told(Some(program.cpu() - before)));
 
+    let log_in_tls = async || {
+        Session::log_in_tls(program.address, "guest", "guest", client.clone(), HOST).await.map_err(failed)
+    };
+    let mut secure = [log_in_tls().await?];
+    let before = program.cpu();
+    let ran = rounds(&mut secure, &read, statements).await?;
+    out.insert("read_in_tls".into(), ran.told(Some(program.cpu() - before)));
+    let (began, before) = (Instant::now(), program.cpu());
+    for _ in 0..IDLE {
+        log_in_tls().await?;
+    }
+    out.insert(
+        "log_ins_in_tls_a_second".into(),
+        json!((IDLE as f64 / began.elapsed().as_secs_f64()).round()),
+    );
+    let spent = (program.cpu() - before).max(1e-3);
+    out.insert("of_its_processor".into(), json!((IDLE as f64 / spent).round()));
+
     let (empty, began) = (program.memory().0, Instant::now());
     let mut all = vec![];
     for _ in 0..IDLE {
--- a/crates/lab/src/raw.rs
+++ b/crates/lab/src/raw.rs
@@ -73,7 +73,10 @@
         config: Arc<ClientConfig>,
         host: &str,
     ) -> Result<Self, PacketError> {
-        let stream = Stream::from(TcpStream::connect(address).await?);
+        let tcp = TcpStream::connect(address).await?;
+        // Its hello would wait for the wish before it to be acknowledged.
+        tcp.set_nodelay(true)?;
+        let stream = Stream::from(tcp);
         Self::greet(stream, user, password, Wants::default(), Some((config, host))).await
     }
 
