--- a/src/config/profile.rs
+++ b/src/config/profile.rs
@@ -116,7 +116,8 @@
     /// What the sockets need to know of the settings.
     pub fn sockets(&self) -> Sockets {
         let c = &self.ceilings;
-        let longest = self.grades.iter().filter_map(|g| g.hard_limit).fold(0.0, f64::max);
+        // A class without one waits for as long as its clients say.
+        let longest = self.grades.iter().map(|g| g.hard_limit.unwrap_or(f64::INFINITY)).fold(0.0, f64::max);
         Sockets {
             connect_timeout: c.connect_timeout.unwrap_or(250.0),
             idle: c.conn_idle.unwrap_or(30_000.0),
--- a/src/main.rs
+++ b/src/main.rs
@@ -97,11 +97,12 @@
         Ok(kept)
     }));
 
-    wind_down(&mut term, &hub, longest, handed_over, || {
-        accepting.abort();
-        front.goodbye(handed_over);
-    })
-    .await;
+    let tell = |end: Near| match end {
+        Near::Goodbye => front.goodbye(handed_over),
+        Near::Last => front.end(),
+    };
+    wind_down(&mut term, &hub, longest, handed_over, tell, || front.connections()).await;
+    drop(accepting);
     Ok(())
 }
 
@@ -166,11 +167,13 @@
             Ok(None)
         },
     ));
-    wind_down(&mut term, &hub, longest, handed_over, || {
-        accepting.abort();
-        front.stop();
-    })
-    .await;
+    let tell = |end: Near| {
+        if end == Near::Goodbye {
+            front.stop(handed_over);
+        }
+    };
+    wind_down(&mut term, &hub, longest, handed_over, tell, || front.busy()).await;
+    drop(accepting);
     let lease = following.borrow().registry.as_ref().and_then(|r| r.lease.clone());
     cancel(lease.as_deref()).await;
     Ok(())
@@ -361,24 +364,35 @@
     hub: &Rc<Hub<L>>,
     longest: f64,
     handed_over: bool,
-    farewell: impl Fn(),
+    tell: impl Fn(Near),
+    busy: impl Fn() -> usize,
 ) {
     term.recv().await;
     let began = tokio::time::Instant::now();
-    hub.stop(unix_ms() + frames::stop_span(longest, handed_over).as_secs_f64() * 1000.0);
+    let span = frames::stop_span(longest, handed_over);
+    hub.stop(unix_ms() + span.as_secs_f64() * 1000.0);
     if handed_over {
-        farewell();
+        tell(Near::Goodbye);
     }
     say!("SIGTERM: {} requests are open", hub.owed());
     if !handed_over {
         tokio::time::sleep(frames::ACCEPT_FOR).await;
-        farewell();
+        tell(Near::Goodbye);
     }
     tokio::time::sleep(if handed_over { LINGER } else { LAST }).await;
-    while hub.owed() > 0 && began.elapsed() < Duration::from_secs(30) {
+    tell(Near::Last);
+    // Every answer is given by then; what clients have not taken whole a while later is cut off by the kill in any case.
+    while (hub.owed() > 0 || busy() > 0) && began.elapsed() < span + frames::WRITE_ON {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    // The last answers are still being written.
-    tokio::time::sleep(Duration::from_millis(50)).await;
     say!("stopped after {} ms", began.elapsed().as_millis());
 }
+
+/// How near the end is, as fronts are told.
+#[derive(Clone, Copy, PartialEq)]
+enum Near {
+    /// No new request is wanted.
+    Goodbye,
+    /// Nothing more is waited for: what is owed is answered, and each connection ends.
+    Last,
+}
--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// A comment comes each second; a stream that is silent for this long is cut off and opened anew: its news count
 /// as told whether or not they came, 2 s after a new process has said that it is ready.
@@ -132,23 +133,32 @@
     /// Reads one stream to its end.
     async fn follow(&mut self, address: SocketAddr, sink: &Sink) -> std::io::Result<()> {
         let mut tcp = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await??;
+        // Silent is a stream without whole lines: what trickles in is no news.
+        let mut silent_at = Instant::now() + self.silence;
         let request = format!(
             "GET /journal HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
             address, self.pos
         );
-        tcp.write_all(request.as_bytes()).await?;
+        tokio::time::timeout_at(silent_at, tcp.write_all(request.as_bytes())).await??;
         let mut reader = Reader::default();
         let mut buffer = vec![0; 16 * 1024];
+        let mut come = 0;
         loop {
-            let n = tokio::time::timeout(self.silence, tcp.read(&mut buffer)).await??;
+            let n = tokio::time::timeout_at(silent_at, tcp.read(&mut buffer)).await??;
             if n == 0 {
                 return Ok(());
             }
+            let lines = reader.lines;
+            come += n;
             for (id, data) in reader.feed(&buffer[..n])? {
                 if let Some(change) = self.event(id, &data)? {
                     sink(change);
                 }
             }
+            // One event may be a whole list, which takes its time.
+            if reader.lines > lines || come >= buffer.len() {
+                (silent_at, come) = (Instant::now() + self.silence, 0);
+            }
         }
     }
 }
@@ -191,6 +201,8 @@
     line: Vec<u8>,
     id: Option<u64>,
     data: Option<String>,
+    /// Whole lines so far.
+    lines: u64,
 }
 
 fn broken(what: &str) -> std::io::Error {
@@ -272,6 +284,7 @@
                 self.line.push(b);
                 continue;
             }
+            self.lines += 1;
             let line = std::mem::take(&mut self.line);
             let line = line.strip_suffix(b"\r").unwrap_or(&line);
             if line.is_empty() {
--- /dev/null
+++ b/src/net/frames/mod.rs
@@ -0,0 +1,168 @@
+//! The platform's front: its frames, read and written, and nothing decided.
+
+mod codec;
+mod request;
+mod talk;
+
+pub use codec::{Frame, FrameCodec, FrameError, Send, fields};
+pub use request::{Budget, Work};
+
+use crate::config::Machine;
+use crate::net::hub::{Hub, Leg};
+use crate::net::listener;
+use crate::net::places::{Places, Taken, Use};
+use crate::net::pool::{Buffer, Pool};
+use crate::net::span;
+use crate::say;
+use request::Ids;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+pub const REQUEST: u8 = 2;
+pub const ANSWER: u8 = 4;
+pub const LEAVE: u8 = 8;
+pub const ASK: u8 = 16;
+pub const STATE: u8 = 32;
+pub const GOODBYE: u8 = 64;
+
+pub const SERVED: u8 = 0;
+pub const REFUSED: u8 = 14;
+pub const FAILED: u8 = 2;
+
+/// How far the end is, as connections are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    Serving,
+    /// No new request is wanted.
+    Goodbye,
+    /// Each connection ends once nothing is owed on it and nothing unread.
+    Ending,
+}
+
+/// All that the connections of this front share.
+pub struct Front<L: Leg<Work = Work, Output = Buffer>> {
+    pub hub: Rc<Hub<L>>,
+    pub pool: Pool,
+    pub budget: Budget,
+    ids: Ids,
+    places: Rc<Places>,
+    limits: RefCell<Machine>,
+    processes: Cell<usize>,
+    /// Another process of this dispatcher takes its clients.
+    handed_over: Cell<bool>,
+    phase: watch::Sender<Phase>,
+    connections: Cell<usize>,
+}
+
+impl<L: Leg<Work = Work, Output = Buffer>> Front<L> {
+    pub fn new(hub: Rc<Hub<L>>, pool: Pool, limits: &Machine) -> Rc<Self> {
+        let (phase, _) = watch::channel(Phase::Serving);
+        let (budget, places) = (Budget::new(0), Places::new(0, Use::Idle));
+        let front = Front {
+            hub,
+            pool,
+            budget,
+            ids: Ids::default(),
+            places,
+            limits: RefCell::new(limits.clone()),
+            processes: Cell::new(1),
+            handed_over: Cell::new(false),
+            phase,
+            connections: Cell::new(0),
+        };
+        front.bound();
+        Rc::new(front)
+    }
+
+    /// Bounds by the machine's limits, which a new configuration may change.
+    pub fn limit(&self, limits: &Machine) {
+        *self.limits.borrow_mut() = limits.clone();
+        self.bound();
+    }
+
+    /// So many processes of this dispatcher share the limits.
+    pub fn share(&self, processes: u32) {
+        self.processes.set(processes.max(1) as usize);
+        self.bound();
+    }
+
+    fn bound(&self) {
+        let (limits, processes) = (self.limits.borrow(), self.processes.get());
+        // A quarter of the memory for statements.
+        self.budget.most.set(limits.memory_mb * 1024 * 1024 / 4 / processes);
+        // Clients hold up to a third of the descriptors, so this many are let in.
+        self.places.bound(limits.sockets * 2 / 5 / processes);
+    }
+
+    /// No new request is wanted on any connection; what comes all the same is answered. `to_another`: another
+    /// process holds the listening socket and takes clients.
+    pub fn goodbye(&self, to_another: bool) {
+        self.handed_over.set(to_another);
+        self.phase.send_replace(Phase::Goodbye);
+    }
+
+    /// Every connection ends as soon as it owes nothing and nothing is unread on it.
+    pub fn end(&self) {
+        self.phase.send_replace(Phase::Ending);
+    }
+
+    /// Connections of clients: each of them may owe an answer, or the rest of one.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Accepts connections until the goodbye. Those that the machine has accepted by then are served as well, for their
+    /// requests count as taken, unless another process holds the listening socket and will accept them.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut phase = self.phase.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.places.accept(&listener) => accepted,
+                _ = phase.wait_for(|p| *p > Phase::Serving) => break,
+            };
+            match accepted {
+                Ok((tcp, place)) => self.clone().serve(tcp, place),
+                Err(e) => {
+                    // Out of descriptors: some have to come back.
+                    say!("accept: {e}");
+                    self.places.give_way();
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+        if self.handed_over.get() {
+            return;
+        }
+        // A tenth of the descriptors beyond the bound, which is for as long as they last.
+        let most = self.limits.borrow().sockets / 10;
+        for tcp in listener::accepted(listener, most) {
+            let place = self.places.beyond(Instant::now());
+            self.clone().serve(tcp, place);
+        }
+    }
+
+    fn serve(self: Rc<Self>, tcp: TcpStream, place: Taken) {
+        self.connections.set(self.connections.get() + 1);
+        tokio::task::spawn_local(async move {
+            if let Err(e) = talk::connection(&self, &place, tcp).await {
+                say!("client: {e}");
+            }
+            self.connections.set(self.connections.get() - 1);
+        });
+    }
+}
+
+/// How long after SIGTERM connections are still accepted, and until when every answer must be given.
+pub const ACCEPT_FOR: Duration = Duration::from_millis(500);
+
+/// After that, clients may take their last answers for so long: the kill comes 350 ms after every answer is given.
+pub const WRITE_ON: Duration = Duration::from_millis(250);
+
+/// SIGKILL comes no earlier than the longest deadline (3 s at most counts, 5 s where another process has taken
+/// over) plus 0.7 s.
+pub fn stop_span(longest: f64, handed_over: bool) -> Duration {
+    span(longest.min(if handed_over { 5000.0 } else { 3000.0 }) + 700.0 - 350.0)
+}
--- /dev/null
+++ b/src/net/frames/request.rs
@@ -0,0 +1,145 @@
+//! Requests as clients' frames bring them, and what they hold while they are open.
+
+use super::codec::{FrameError, fields};
+use crate::config::find;
+use crate::core::NewRequest;
+use crate::interface::ClassId;
+use crate::net::hub::{Hub, Leg};
+use crate::net::{MOST_MB, MOST_MS, statement, unix_ms};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+
+/// A request as the engines get it: id, class and statement unchanged.
+#[derive(Debug)]
+pub struct Work {
+    pub txn: String,
+    pub class: String,
+    pub statement: Bytes,
+    held: Held,
+    named: Named,
+}
+
+/// Bytes of statements held in all; more are refused, or a few connections could fill the memory.
+pub struct Budget {
+    pub(super) most: Cell<usize>,
+    held: Rc<Cell<usize>>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Held(usize, Option<Rc<Cell<usize>>>);
+
+impl Budget {
+    pub fn new(bytes: usize) -> Self {
+        Budget { most: Cell::new(bytes), held: Rc::default() }
+    }
+
+    pub(super) fn take(&self, bytes: usize) -> Option<Held> {
+        let held = self.held.get() + bytes;
+        (held <= self.most.get()).then(|| {
+            self.held.set(held);
+            Held(bytes, Some(self.held.clone()))
+        })
+    }
+}
+
+/// Ids of requests that are open. Bounded by these; an id is known by its number.
+#[derive(Clone, Default)]
+pub(super) struct Ids(Rc<RefCell<HashSet<u64>>>);
+
+/// An id while its request is open.
+#[derive(Default)]
+pub(super) struct Named(u64, Option<Ids>);
+
+impl Ids {
+    pub(super) fn take(&self, txn: &str) -> Option<Named> {
+        let id = u64::from_str_radix(txn, 16).ok()?;
+        self.0.borrow_mut().insert(id).then(|| Named(id, Some(self.clone())))
+    }
+}
+
+impl Drop for Named {
+    fn drop(&mut self) {
+        if let Some(home) = &self.1 {
+            home.0.borrow_mut().remove(&self.0);
+        }
+    }
+}
+
+impl std::fmt::Debug for Named {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if let Some(home) = &self.1 {
+            home.set(home.get() - self.0);
+        }
+    }
+}
+
+impl Work {
+    /// Work that counts towards no budget.
+    pub fn free(txn: &str, class: &str, statement: Bytes) -> Self {
+        let (held, named) = (Held::default(), Named::default());
+        Work { txn: txn.into(), class: class.into(), statement, held, named }
+    }
+
+    /// It holds its bytes and its id for as long as it lives.
+    pub(super) fn hold(&mut self, held: Held, named: Named) {
+        (self.held, self.named) = (held, named);
+    }
+}
+
+/// Why a request is failed at the door, and the class that it named, if any.
+pub(super) type AtTheDoor = (Option<ClassId>, String);
+
+/// Reads a request; the error is the message of a `failed`.
+pub(super) fn request<L: Leg>(
+    hub: &Hub<L>,
+    payload: Bytes,
+) -> Result<Result<(NewRequest, Work), AtTheDoor>, FrameError> {
+    let named = Cell::new(None);
+    let (fields, statement) = fields(payload)?;
+    let field = |name: &str| fields.iter().find(|f| f.0 == name).map(|f| f.1.as_str());
+    // An absurd figure would spoil what is learned of all others, so that its request is failed.
+    let number = |name: &str, most: f64| {
+        let read = |v: &str| v.trim().parse::<f64>().ok().filter(|v| (0.0..=most).contains(v));
+        let figure = |v: &str| read(v).ok_or_else(|| format!("{name}: {v:?} is no number from 0 to {most}"));
+        field(name).map(figure).transpose()
+    };
+    let read = || {
+        let class = field("verb").ok_or("the field `verb` is missing")?;
+        let index = find(&hub.names().classes, class).ok_or(format!("verb: no class is named {class:?}"))?;
+        named.set(Some(index));
+        let txn = field("txn").ok_or("the field `txn` is missing")?;
+        if txn.len() != 16 || !txn.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(format!("txn: {txn:?} is not 16 hex digits"));
+        }
+        let ms = number("limit", MOST_MS)?.ok_or("the field `limit` is missing")?;
+        let tenants = &hub.names().tenants;
+        let tenant = match field("team") {
+            _ if tenants.is_empty() => None,
+            None => return Err("the field `team` is missing".to_string()),
+            Some(t) => Some(find(tenants, t).ok_or_else(|| format!("team: no tenant is named {t:?}"))?),
+        };
+        // Engines close on what they cannot read, whatever else is open on that connection.
+        let odd = |c: char| c.is_control() && !c.is_whitespace();
+        if std::str::from_utf8(&statement).map_or(true, |s| s.trim().is_empty() || s.contains(odd)) {
+            return Err("the statement is no text".to_string());
+        }
+        let new = NewRequest {
+            class: index,
+            tenant,
+            group: statement::group(&statement),
+            deadline: unix_ms() + ms,
+            work: number("cpu", MOST_MS)?.filter(|v| *v > 0.0),
+            memory_mb: number("mem", MOST_MB)?.filter(|v| *v > 0.0),
+        };
+        Ok((new, Work::free(txn, class, statement)))
+    };
+    Ok(read().map_err(|why: String| (named.get(), why)))
+}
--- /dev/null
+++ b/src/net/frames/talk.rs
@@ -0,0 +1,338 @@
+//! One client's connection. Its two halves wait for nothing but the socket: what the client says is read whether or not
+//! it takes what is written, is made to wait for useless frames, or has sent what cannot be read; so that its leave, its
+//! close and its reset are seen at once, and what it waits for is not sent on after them.
+
+use super::codec::{Frame, FrameCodec, FrameError, Send};
+use super::request::{Work, request};
+use super::{ANSWER, ASK, FAILED, Front, GOODBYE, LEAVE, Phase, REFUSED, REQUEST, SERVED, STATE};
+use crate::core::{End, RequestId};
+use crate::net::hub::{Leg, Reply};
+use crate::net::places::{Place, Use};
+use crate::net::pool::{self, Buffer, Reads, Turn, Unread};
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// Requests open on one connection.
+const STREAMS: usize = 32;
+/// A client that does not take what was to be written so long ago is gone.
+const WRITE: Duration = Duration::from_secs(5);
+/// A connection without a request or a question for this long is closed; clients close theirs after 4 s, and
+/// what some keep for good would fill the places.
+const IDLE: Duration = Duration::from_secs(5);
+/// A new connection has this long to ask something whole, and every frame to come whole.
+const WHOLE: Duration = Duration::from_millis(2000);
+/// How often a connection looks at these times.
+const CHECK: Duration = Duration::from_millis(500);
+/// A client that sends what cannot be used is taken up again after this, doubled with each such frame up to 64
+/// times: repeats at full speed must not take the others' share. Its answers are never held back, and what it says is
+/// read ahead.
+const PAUSE: Duration = Duration::from_millis(4);
+/// Frames, and bytes in them, that are read ahead: all that may be open, twice. Beyond, the client is read no further
+/// until some are taken up.
+const AHEAD: usize = 2 * STREAMS;
+const AHEAD_BYTES: usize = 4 * pool::SIZE;
+/// Frames read in a row before all else on the connection has its turn.
+const BURST: usize = 64;
+/// What a client still sends after a fault is read away, so that its end is seen; this much a millisecond, at which all
+/// that the machine holds unread for a connection (some megabytes) is through before 0.3 s.
+const AWAY: usize = 16 * pool::SIZE;
+
+pub(super) type Wire = pool::Wire<FrameCodec>;
+
+type Open = Rc<RefCell<HashMap<u32, RequestId>>>;
+
+/// The stream numbers that a connection has used: the highest, and which of the 128 below it. Older ones
+/// count as used, so that nothing grows with their number.
+#[derive(Default)]
+struct Streams {
+    top: u32,
+    below: u128,
+}
+
+impl Streams {
+    /// Takes a number that is new.
+    fn take(&mut self, n: u32) -> bool {
+        if n > self.top {
+            let up = n - self.top;
+            self.below = self.below.checked_shl(up).unwrap_or(0);
+            // The highest before is now so many below; zero is no number.
+            if self.top > 0 && up <= 128 {
+                self.below |= 1 << (up - 1);
+            }
+            self.top = n;
+            return true;
+        }
+        let Some(down) = (self.top - n).checked_sub(1).filter(|d| *d < 128 && n > 0) else { return false };
+        let new = self.below & (1 << down) == 0;
+        self.below |= 1 << down;
+        new
+    }
+}
+
+/// Requests of a connection that ends are left: nobody waits for them any more.
+struct Leaves<'a, L: Leg<Work = Work, Output = Buffer>>(&'a Front<L>, Open);
+
+impl<L: Leg<Work = Work, Output = Buffer>> Drop for Leaves<'_, L> {
+    fn drop(&mut self) {
+        let open = std::mem::take(&mut *self.1.borrow_mut());
+        open.into_values().for_each(|id| self.0.hub.leave(id));
+    }
+}
+
+/// Serves one client connection to its end.
+pub(super) async fn connection<L: Leg<Work = Work, Output = Buffer>>(
+    front: &Front<L>,
+    place: &Place,
+    tcp: TcpStream,
+) -> Result<(), FrameError> {
+    tcp.set_nodelay(true)?;
+    converse(front, place, &mut Wire::new(&front.pool, tcp, FrameCodec)).await
+}
+
+/// What one connection has told of its client.
+struct Client<'a, L: Leg<Work = Work, Output = Buffer>> {
+    front: &'a Front<L>,
+    place: &'a Place,
+    open: Open,
+    streams: Streams,
+    /// Read, and not taken up yet; and the bytes in them.
+    ahead: VecDeque<Frame>,
+    bytes: usize,
+    /// Frames of late that could not be used.
+    useless: u32,
+    /// Nothing is taken up before.
+    pause: Instant,
+    /// Where answers come in.
+    answers: mpsc::Sender<(u32, Reply<Buffer>)>,
+}
+
+async fn converse<L: Leg<Work = Work, Output = Buffer>>(
+    front: &Front<L>,
+    place: &Place,
+    wire: &mut Wire,
+) -> Result<(), FrameError> {
+    let open: Open = Rc::default();
+    let _leaves = Leaves(front, open.clone());
+    // Each open stream has one answer on its way at most, so this never fills.
+    let (tx, mut answers) = mpsc::channel::<(u32, Reply<Buffer>)>(2 * STREAMS);
+    let mut client = Client {
+        front,
+        place,
+        open: open.clone(),
+        streams: Streams::default(),
+        ahead: VecDeque::new(),
+        bytes: 0,
+        useless: 0,
+        pause: Instant::now(),
+        answers: tx,
+    };
+    let mut check = tokio::time::interval(CHECK);
+    let (mut partial, mut burst) = (Duration::ZERO, 0);
+    let mut phase = front.phase.subscribe();
+    phase.mark_changed();
+    let mut told = Phase::Serving;
+    // It ends as soon as nothing is owed and nothing unread.
+    let mut closing = false;
+    let mut fault: Option<FrameError> = None;
+    let (mut away, mut away_from) = (0, Instant::now());
+    loop {
+        if client.owes_nothing() && wire.written() {
+            if fault.is_some() {
+                wire.part().await;
+                return fault.map_or(Ok(()), Err);
+            }
+            if place.state().0 == Use::Busy {
+                place.uses(Use::Idle, Instant::now());
+            }
+            wire.rest();
+            if closing && wire.read_buffer().is_empty() && pool::unread(wire.get_ref()) != Unread::Bytes {
+                return Ok(());
+            }
+        }
+        let room = wire.write_buffer().len() < pool::SIZE;
+        let reads = match () {
+            () if fault.is_some() && away < AWAY => Reads::Away,
+            () if fault.is_some() || burst >= BURST || client.full() => Reads::Nothing,
+            () => Reads::Items,
+        };
+        tokio::select! {
+            biased;
+            Some((stream, reply)) = answers.recv(), if room => {
+                // A client that has left this stream is owed nothing: its answer came too late.
+                if open.borrow_mut().remove(&stream).is_some() {
+                    answer(wire, stream, reply)?;
+                }
+            }
+            turn = wire.turn(reads, false) => match turn {
+                Turn::Written | Turn::Room => {}
+                Turn::Away(n) => away += n,
+                Turn::End => return fault.map_or(Ok(()), Err),
+                Turn::Broken(FrameError::Io(e)) if e.kind() == io::ErrorKind::ConnectionReset => return Ok(()),
+                Turn::Broken(FrameError::Io(e)) => return Err(e.into()),
+                Turn::Broken(e) => fail(wire, &mut fault, e)?,
+                Turn::Heard(frame) => {
+                    (partial, burst) = (Duration::ZERO, burst + 1);
+                    if let Err(e) = client.arrived(frame) {
+                        fail(wire, &mut fault, e)?;
+                    }
+                }
+            },
+            Ok(()) = phase.changed() => {
+                let now = *phase.borrow_and_update();
+                if told < Phase::Goodbye && now >= Phase::Goodbye {
+                    wire.put(Send { kind: GOODBYE, stream: 0, code: None, fields: &[], body: &[] })?;
+                }
+                (told, closing) = (now, closing || now == Phase::Ending);
+            }
+            () = place.cut.notified() => closing = true,
+            () = tokio::time::sleep_until(client.pause.into()), if room && !client.ahead.is_empty() => {
+                burst = 0;
+                if let Err(e) = client.take_up(wire) {
+                    fail(wire, &mut fault, e)?;
+                }
+            }
+            () = tokio::time::sleep_until((away_from + Duration::from_millis(1)).into()), if away >= AWAY => {
+                (away, away_from) = (0, Instant::now());
+            }
+            _ = check.tick() => {
+                if wire.stuck(WRITE) {
+                    return Err(io::Error::from(io::ErrorKind::TimedOut).into());
+                }
+                let waits = !wire.read_buffer().is_empty() && fault.is_none() && !client.full();
+                partial = if waits { partial + CHECK } else { Duration::ZERO };
+                let (state, since) = place.state();
+                if fault.is_none() && (partial > WHOLE || waits && state == Use::Silent && since.elapsed() > WHOLE) {
+                    fail(wire, &mut fault, FrameError::Stalled)?;
+                } else if client.owes_nothing() {
+                    closing |= since.elapsed() > if state == Use::Silent { WHOLE } else { IDLE };
+                }
+            }
+            () = tokio::task::yield_now(), if burst >= BURST => burst = 0,
+        }
+    }
+}
+
+/// After such a frame nothing more is read; what is open is still answered.
+fn fail(wire: &mut Wire, fault: &mut Option<FrameError>, e: FrameError) -> Result<(), FrameError> {
+    if let FrameError::Io(e) = e {
+        return Err(e.into());
+    }
+    if fault.is_none() {
+        let why = e.to_string();
+        wire.put(Send { kind: ANSWER, stream: 0, code: Some(FAILED), fields: &[], body: why.as_bytes() })?;
+        *fault = Some(e);
+    }
+    Ok(())
+}
+
+fn answer(wire: &mut Wire, stream: u32, reply: Reply<Buffer>) -> Result<(), FrameError> {
+    let later;
+    let mut fields: &[(&str, &str)] = &[];
+    let field;
+    let (code, body): (u8, &[u8]) = match &reply {
+        Reply::Served(result) => (SERVED, result),
+        Reply::Refused { later: at, why } => {
+            if let Some(ms) = at {
+                later = format!("{}", ms.max(0.0).ceil() as u64);
+                field = [("later", later.as_str())];
+                fields = &field;
+            }
+            (REFUSED, why.as_bytes())
+        }
+        Reply::Failed { why } => (FAILED, why.as_bytes()),
+        Reply::TimedOut { harmless: true } => (REFUSED, b"the time is over"),
+        Reply::TimedOut { harmless: false } => (FAILED, b"the time is over; it may have run"),
+    };
+    wire.put(Send { kind: ANSWER, stream, code: Some(code), fields, body })
+}
+
+impl<L: Leg<Work = Work, Output = Buffer>> Client<'_, L> {
+    fn owes_nothing(&self) -> bool {
+        self.open.borrow().is_empty() && self.ahead.is_empty()
+    }
+
+    /// No more is read ahead.
+    fn full(&self) -> bool {
+        self.ahead.len() >= AHEAD || self.bytes >= AHEAD_BYTES
+    }
+
+    fn useless(&mut self) {
+        self.pause = Instant::now() + PAUSE * (1 << self.useless.min(6));
+        self.useless += 1;
+    }
+
+    /// A whole frame is here. A leave is heeded at once, whatever waits before it.
+    fn arrived(&mut self, frame: Frame) -> Result<(), FrameError> {
+        if !matches!(frame.kind, REQUEST | LEAVE | ASK) {
+            return Err(FrameError::Kind(frame.kind));
+        }
+        if self.open.borrow().is_empty() {
+            self.place.uses(self.place.state().0.max(Use::Asked), Instant::now());
+        }
+        match frame.kind {
+            REQUEST if !self.streams.take(frame.stream) => return Err(FrameError::Stream(frame.stream)),
+            LEAVE => {
+                let left = self.open.borrow_mut().remove(&frame.stream);
+                match left {
+                    Some(id) => self.front.hub.leave(id),
+                    // Not taken up yet: then it never is.
+                    None => self.ahead.retain(|f| f.kind != REQUEST || f.stream != frame.stream),
+                }
+                self.bytes = self.ahead.iter().map(|f| f.payload.len()).sum();
+            }
+            _ => {
+                self.bytes += frame.payload.len();
+                self.ahead.push_back(frame);
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes the first of what was read up.
+    fn take_up(&mut self, wire: &mut Wire) -> Result<(), FrameError> {
+        let Some(frame) = self.ahead.pop_front() else { return Ok(()) };
+        self.bytes -= frame.payload.len();
+        let (front, stream) = (self.front, frame.stream);
+        if frame.kind == ASK {
+            // Asked is whether the dispatcher is ready, and that it is with any process.
+            let code = if front.hub.ready() || front.handed_over.get() { SERVED } else { REFUSED };
+            return wire.put(Send { kind: STATE, stream, code: Some(code), fields: &[], body: &[] });
+        }
+        let read = request(&front.hub, frame.payload)?.and_then(|(new, work)| {
+            // Two under one id would be one to an engine, and the first may be another client's.
+            let open = || (Some(new.class), "txn: a request of this id is open".to_string());
+            let named = front.ids.take(&work.txn).ok_or_else(open)?;
+            Ok((new, work, named))
+        });
+        let (new, mut work, named) = match read {
+            Ok(request) => request,
+            Err((class, why)) => {
+                self.useless();
+                class.into_iter().for_each(|c| front.hub.turned_away(c, End::Error));
+                let body = why.as_bytes();
+                return wire.put(Send { kind: ANSWER, stream, code: Some(FAILED), fields: &[], body });
+            }
+        };
+        let held = front.budget.take(work.statement.len());
+        let Some(held) = held.filter(|_| self.open.borrow().len() < STREAMS) else {
+            self.useless();
+            front.hub.turned_away(new.class, End::Overload);
+            return answer(wire, stream, Reply::Refused { later: Some(100.0), why: "too much is open" });
+        };
+        work.hold(held, named);
+        self.useless = 0;
+        self.place.uses(Use::Busy, Instant::now());
+        // The answer may come before the id is known, so its place is taken first.
+        self.open.borrow_mut().insert(stream, 0);
+        let tx = self.answers.clone();
+        let reply = move |reply| drop(tx.try_send((stream, reply)));
+        let id = front.hub.open(new, work, Box::new(reply));
+        self.open.borrow_mut().insert(stream, id);
+        Ok(())
+    }
+}
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{OwnedFd, RawFd};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 #[derive(Debug, thiserror::Error)]
 pub enum ListenError {
@@ -75,6 +75,19 @@
     TcpListener::from_std(listener).map_err(failed)
 }
 
+/// Closes the listening socket and gives what the machine has accepted on it by now, `most` at most: a client counts
+/// those as accepted, and asks on them. The socket itself is asked, for the runtime may not have heard of the last yet.
+pub fn accepted(listener: TcpListener, most: usize) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else { return vec![] };
+    let mut all = vec![];
+    while all.len() < most {
+        let Ok((tcp, _)) = listener.accept() else { break };
+        let taken = tcp.set_nonblocking(true).and_then(|()| TcpStream::from_std(tcp));
+        all.extend(taken);
+    }
+    all
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/net/mysql/front/mod.rs
+++ b/src/net/mysql/front/mod.rs
@@ -14,8 +14,9 @@
 use crate::config::MysqlFront;
 use crate::core::{End as Figure, NewRequest, RequestId};
 use crate::net::hub::{Hub, Leg, Reply};
+use crate::net::listener;
 use crate::net::places::{Place, Places, Taken, Use};
-use crate::net::pool::{Pool, Wire};
+use crate::net::pool::{Pool, Unread, Wire};
 use crate::net::spools::writer::STATEMENT;
 use crate::net::spools::{Line, Reader as SpoolReader, SpoolError, Spools, Who, packets, put_packet};
 use crate::net::statement::{self, Kind};
@@ -69,8 +70,44 @@
     /// Open sessions by their numbers: whose they are, and how to tell them that what they ask is killed.
     sessions: RefCell<BTreeMap<u32, (String, Rc<Notify>)>>,
     stopping: tokio::sync::watch::Sender<bool>,
+    /// Another process takes this dispatcher's clients.
+    handed_over: Cell<bool>,
+    /// Commands that are being answered, and last words.
+    busy: Cell<usize>,
 }
 
+/// Counts while something is owed to a client.
+struct Busy<'a>(&'a Cell<usize>);
+
+impl<'a> Busy<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Busy(count)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// COM_QUIT, whole: a client's last word, after which it waits for nothing.
+fn quits(bytes: &[u8]) -> bool {
+    bytes.len() >= 5 && bytes[..3] == [1, 0, 0] && bytes[4] == QUIT
+}
+
+/// Why a session ends whose client is owed an answer: it has gone, or does not keep to its turn.
+fn left(gone: io::Result<()>) -> End {
+    match gone {
+        Err(e) if e.kind() == io::ErrorKind::InvalidData => End::Broken(PacketError::Order),
+        _ => End::Quit,
+    }
+}
+
+/// Bytes that are read of a client that is owed an answer: its next commands, sent early.
+const AHEAD: usize = 64 * 1024;
+
 struct Prepared {
     /// Names were resolved where the session stood then.
     schema: Option<String>,
@@ -136,6 +173,8 @@
             book: RefCell::default(),
             sessions: RefCell::default(),
             stopping,
+            handed_over: Cell::new(false),
+            busy: Cell::new(0),
         })
     }
 
@@ -160,14 +199,28 @@
         self.places.bound((self.config().max_clients / self.processes.get()).max(1));
     }
 
-    /// Sessions between statements end now, the others after the answer that they wait for.
-    pub fn stop(&self) {
+    /// Sessions between statements end now, the others after the answer that they wait for. `to_another`: another process
+    /// holds the listening socket and takes clients.
+    pub fn stop(&self, to_another: bool) {
+        self.handed_over.set(to_another);
         self.stopping.send_replace(true);
     }
 
+    /// Sessions that are owed an answer, or the rest of one.
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
+    /// Accepts clients until the stop. Those that the machine has accepted by then are told of it, unless another process
+    /// holds the listening socket and will accept them.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut stopping = self.stopping.subscribe();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stopping.wait_for(|s| *s) => break,
+            };
+            match accepted {
                 Ok((tcp, peer)) => {
                     let front = self.clone();
                     let place: Option<Taken> = self.places.take(Instant::now());
@@ -191,6 +244,23 @@
                 }
             }
         }
+        if self.handed_over.get() {
+            return;
+        }
+        for tcp in listener::accepted(listener, TURNED_AWAY) {
+            let front = self.clone();
+            spawn_local(async move {
+                let codec = PacketCodec { most: front.config().max_packet, sequence: 0 };
+                front.shut_down(&mut Wire::new(&front.pool, Stream::from(tcp), codec)).await
+            });
+        }
+    }
+
+    /// A client's last word: it has to go elsewhere.
+    async fn shut_down(&self, wire: &mut Wire<PacketCodec, Stream>) -> Result<(), End> {
+        let _busy = Busy::new(&self.busy);
+        let text = "the dispatcher shuts down; connect again".to_string();
+        turn_away(wire, code::SHUTDOWN, text).await
     }
 
     async fn session(self: &Rc<Self>, tcp: TcpStream, host: &str, place: Option<&Place>) -> Result<(), End> {
@@ -200,10 +270,13 @@
         let Some(place) = place else {
             return turn_away(&mut wire, code::TOO_MANY, "Too many connections".into()).await;
         };
+        let mut stopping = self.stopping.subscribe();
         let login = tokio::select! {
-            login = tokio::time::timeout(LOGIN, self.log_in(&mut wire, host)) => login,
+            login = tokio::time::timeout(LOGIN, self.log_in(&mut wire, host)) => Some(login),
+            _ = stopping.wait_for(|s| *s) => None,
             () = place.cut.notified() => return Ok(()),
         };
+        let Some(login) = login else { return self.shut_down(&mut wire).await };
         let Some(known) = login.map_err(|e| PacketError::from(io::Error::from(e)))?? else {
             return Ok(());
         };
@@ -360,8 +433,12 @@
                 biased;
                 command = tokio_stream::StreamExt::next(&mut *self.wire) => command,
                 _ = stopping.wait_for(|s| *s) => {
-                    let text = "the dispatcher shuts down; connect again".to_string();
-                    return turn_away(&mut self.wire, code::SHUTDOWN, text).await;
+                    // What it has asked by now is answered first.
+                    if self.wire.get_ref().unread() == Unread::Bytes {
+                        tokio::task::yield_now().await;
+                        continue;
+                    }
+                    return self.front.shut_down(&mut self.wire).await;
                 }
                 () = tokio::time::sleep(self.front.config().idle) => return Ok(()),
             };
@@ -382,6 +459,7 @@
                     return Err(e.into());
                 }
             };
+            let _busy = Busy::new(&self.front.busy);
             match self.command(command).await {
                 Ok(()) => {}
                 Err(End::Quit) => return Ok(()),
@@ -578,24 +656,16 @@
             memory_mb: number("mem", MOST_MB),
         };
         let (tx, mut answer) = oneshot::channel();
-        let hub = &self.front.hub;
+        let front = self.front;
+        let hub = &front.hub;
         let id = hub.open(new, work, Box::new(move |reply| drop(tx.send(reply))));
         let _leaves = Asked(hub, id);
-        let mut watched = true;
-        loop {
-            let mut byte = [0; 1];
-            tokio::select! {
-                biased;
-                reply = &mut answer => {
-                    return Ok(reply.unwrap_or(Reply::Failed { why: "the request was lost" }));
-                }
-                () = self.killed.notified() => return Ok(Reply::Failed { why: KILLED }),
-                // Only looked at: a client that sends its next command early has not left.
-                seen = self.wire.get_ref().peek(&mut byte), if watched => match seen {
-                    Ok(0) | Err(_) => return Err(End::Quit),
-                    Ok(_) => watched = false,
-                },
-            }
+        tokio::select! {
+            biased;
+            reply = &mut answer => Ok(reply.unwrap_or(Reply::Failed { why: "the request was lost" })),
+            () = self.killed.notified() => Ok(Reply::Failed { why: KILLED }),
+            // A client that sends its next command early has not left; one that quits has, and one that closes.
+            gone = self.wire.ahead(AHEAD, quits) => Err(left(gone)),
         }
     }
 
--- a/src/net/mysql/front/pinned.rs
+++ b/src/net/mysql/front/pinned.rs
@@ -158,10 +158,7 @@
             let done = Reply::Served(Output::Short(Packets::one(&self.ok())));
             return Ok(if rolls_back { Ok(done) } else { Err(lost(&why(over), fate(None))) });
         }
-        let mut watched = true;
-        let came = loop {
-            let mut byte = [0; 1];
-            tokio::select! {
+        let came = tokio::select! {
                 biased;
                 carried = &mut carried => match carried {
                     Ok(Carried { output, next, open }) => {
@@ -172,23 +169,19 @@
                         }
                         return Ok(Ok(Reply::Served(output)));
                     }
-                    Err(_) => break Err(lost(&why(hold.pinned.over()), fate(Some(step)))),
+                    Err(_) => Err(lost(&why(hold.pinned.over()), fate(Some(step)))),
                 },
-                reply = &mut hold.answer => break match reply {
+                reply = &mut hold.answer => match reply {
                     // No engine has begun with it: that is the statement's answer.
                     Ok(reply) if !hold.pinned.begun() => Ok(reply),
                     _ => Err(lost(&why(hold.pinned.over()), fate(Some(step)))),
                 },
                 // The engine is told by its connection's end: what is open is rolled back.
-                () = self.killed.notified() => break Err(lost(KILLED, fate(Some(step)))),
-                seen = self.wire.get_ref().peek(&mut byte), if watched => match seen {
-                    Ok(0) | Err(_) => return Err(End::Quit),
-                    Ok(_) => watched = false,
-                },
+                () = self.killed.notified() => Err(lost(KILLED, fate(Some(step)))),
+                gone = self.wire.ahead(AHEAD, quits) => return Err(left(gone)),
                 () = tokio::time::sleep_until(hold.until), if !hold.pinned.begun() => {
-                    break Ok(Reply::TimedOut { harmless: true });
+                    Ok(Reply::TimedOut { harmless: true })
                 }
-            }
         };
         self.hold = None;
         Ok(match came {
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -12,7 +12,7 @@
 use crate::net::discovery::Change;
 use crate::net::hub::{Hub, Leg, Start};
 use crate::net::members::Witness;
-use crate::net::pool::{Pool, Wire};
+use crate::net::pool::{self, Pool, Unread, Wire};
 use crate::net::spools::writer::Whole;
 use crate::net::spools::{Spools, Writer};
 use crate::net::{span, unix_ms};
@@ -84,7 +84,16 @@
     /// Idle, and still of use. One that the engine has closed meanwhile, or has said something on, must not get a
     /// statement: what breaks after the write may have run.
     fn rests(&mut self) -> bool {
-        let Some(said) = self.wire.next().now_or_never() else { return true };
+        // The machine is asked as well: the runtime may not have heard yet of what came in this very turn.
+        let unheard = pool::unread(self.wire.get_ref());
+        let Some(said) = self.wire.next().now_or_never() else {
+            if unheard == Unread::End
+                && let Some(live) = &mut self.live
+            {
+                live.broken = true;
+            }
+            return unheard == Unread::Nothing;
+        };
         // An engine that is tired of waiting says so, and has not ended.
         let tired = matches!(&said, Some(Ok(p)) if p.first() == Some(&0xff) && read_err(p).code == TIRED);
         if !tired && let Some(live) = &mut self.live {
@@ -625,6 +634,11 @@
                             *c.statements.get(&key).ok_or(PacketError::Protocol("not prepared"))?
                         }
                     };
+                    // By these alone nothing runs.
+                    for (parameter, data) in &e.long {
+                        let head = [&id.to_le_bytes()[..], &parameter.to_le_bytes()].concat();
+                        command(&mut c.wire, STMT_SEND_LONG_DATA, &[&head, data]).await?;
+                    }
                     gate()?;
                     written.set(Some(mark));
                     // An engine that no longer knew it was sent the same attempt.
@@ -694,10 +708,6 @@
         work: &Work,
         sent: &impl Fn(),
     ) -> Result<Output, PacketError> {
-        for (parameter, data) in &e.long {
-            let head = [&id.to_le_bytes()[..], &parameter.to_le_bytes()].concat();
-            command(&mut c.wire, STMT_SEND_LONG_DATA, &[&head, data]).await?;
-        }
         // No cursor, one iteration.
         let head = [&id.to_le_bytes()[..], &[0, 1, 0, 0, 0]].concat();
         command(&mut c.wire, STMT_EXECUTE, &[&head, &e.body]).await?;
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -77,10 +77,15 @@
         if self.taken.borrow().len() >= self.most.get() && !self.give_way() {
             return None;
         }
+        Some(self.beyond(now))
+    }
+
+    /// A place whatever the bound says: for what is already here when the last are let in.
+    pub fn beyond(self: &Rc<Self>, now: Instant) -> Taken {
         let place =
             Rc::new(Place { state: Cell::new((Use::Silent, now)), cut: Notify::new(), home: self.clone() });
         self.taken.borrow_mut().push(place.clone());
-        Some(Taken(place))
+        Taken(place)
     }
 
     /// Makes one give way, if any yields.
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,17 +1,23 @@
 //! Buffers of one size, used again: results and the connections' own buffers come from here.
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io;
 use std::ops::{Deref, DerefMut};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
-use tokio_util::codec::{Decoder, Framed};
+use tokio_util::codec::{Decoder, Encoder, Framed};
 
 /// Holds two pages of a result with their frames; a larger result grows its buffer, which is then not kept. At
 /// the size of the largest (48,000 bytes) the buffers in use filled memory through the whole of a long day.
 pub const SIZE: usize = 16 * 1024;
+/// Bytes that are read away at a time.
+const AWAY: usize = 4 * 1024;
 /// Idle buffers kept; more are given back to the machine.
 const KEPT: usize = 64;
 
@@ -64,6 +70,53 @@
     framed: Option<Framed<S, C>>,
     pool: Pool,
     resting: bool,
+    /// Bytes that the peer has to take, and since when: what stood to be written when that span began.
+    owed: (usize, Instant),
+}
+
+/// What a turn of a connection reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reads {
+    Items,
+    /// What comes is of no use any more: only its end is of interest.
+    Away,
+    Nothing,
+}
+
+/// What a turn of a connection has come to.
+pub enum Turn<I, E> {
+    Written,
+    Heard(I),
+    /// So many bytes were read away.
+    Away(usize),
+    /// The machine takes bytes again, or an error shows with the next.
+    Room,
+    /// Its peer has closed it.
+    End,
+    Broken(E),
+}
+
+/// What a look at a connection itself shows, past what the runtime has been told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    Nothing,
+    Bytes,
+    /// Its peer has closed or reset it.
+    End,
+}
+
+/// Looks at what the machine holds for this connection, unread. The runtime's own notion of it is as old as the last
+/// time it waited: what has come since would be overlooked.
+pub fn unread(tcp: &TcpStream) -> Unread {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    match socket2::SockRef::from(tcp).peek(&mut byte) {
+        Ok(0) => Unread::End,
+        Ok(_) => Unread::Bytes,
+        Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+            Unread::Nothing
+        }
+        Err(_) => Unread::End,
+    }
 }
 
 impl<C, S> Wire<C, S> {
@@ -75,11 +128,10 @@
         let mut parts = Framed::new(stream, codec).into_parts();
         parts.read_buf = std::mem::take(&mut pool.take().bytes);
         parts.write_buf = std::mem::take(&mut pool.take().bytes);
-        Wire { framed: Some(Framed::from_parts(parts)), pool: pool.clone(), resting: false }
+        let owed = (0, Instant::now());
+        Wire { framed: Some(Framed::from_parts(parts)), pool: pool.clone(), resting: false, owed }
     }
-}
 
-impl<C> Wire<C> {
     /// Gives the buffers back while nothing is in them: with a hundred idle connections, each holding what its
     /// largest answer once needed, memory would grow for as long as new ones come.
     pub fn rest(&mut self) {
@@ -100,21 +152,186 @@
         }
     }
 
-    /// What comes next, awake only once there is something.
-    pub async fn heard(&mut self) -> Option<Result<C::Item, C::Error>>
+    /// Puts something into what is to be written; it never waits.
+    pub fn put<I>(&mut self, item: I) -> Result<(), C::Error>
+    where
+        C: Encoder<I>,
+    {
+        self.wake();
+        let mut bytes = std::mem::take(self.write_buffer_mut());
+        if bytes.is_empty() {
+            self.owed.0 = 0;
+        }
+        let put = self.codec_mut().encode(item, &mut bytes);
+        *self.write_buffer_mut() = bytes;
+        put
+    }
+
+    /// Nothing is left to be written.
+    pub fn written(&self) -> bool {
+        self.write_buffer().is_empty()
+    }
+
+    /// Its peer has not taken for so long what stood to be written that long ago.
+    pub fn stuck(&self, limit: Duration) -> bool {
+        !self.written() && self.owed.0 > 0 && self.owed.1.elapsed() > limit
+    }
+
+    fn took(&mut self, n: usize) {
+        let left = self.write_buffer().len();
+        self.owed.0 = self.owed.0.saturating_sub(n);
+        if self.owed.0 == 0 {
+            self.owed = (left, Instant::now());
+        }
+    }
+
+    fn poll_out(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>>
+    where
+        S: AsyncWrite + Unpin,
+    {
+        self.took(0);
+        while !self.written() {
+            let bytes = std::mem::take(self.write_buffer_mut());
+            let wrote = Pin::new(self.get_mut()).poll_write(cx, &bytes);
+            *self.write_buffer_mut() = bytes;
+            let n = ready!(wrote)?;
+            if n == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            self.write_buffer_mut().advance(n);
+            self.took(n);
+        }
+        Pin::new(self.get_mut()).poll_flush(cx)
+    }
+
+    /// Writes until nothing is left to be written. It can be dropped at any time: what is left stays.
+    pub async fn out(&mut self) -> io::Result<()>
+    where
+        S: AsyncWrite + Unpin,
+    {
+        poll_fn(|cx| self.poll_out(cx)).await
+    }
+}
+
+impl<C> Wire<C> {
+    /// Puts something where nothing is left to be written, and writes what the machine takes at once. False if that is not
+    /// a byte: then nothing of it stays here.
+    pub fn begin<I>(&mut self, item: I) -> Result<bool, <C as Encoder<I>>::Error>
+    where
+        C: Encoder<I>,
+    {
+        if let Err(e) = self.put(item) {
+            self.write_buffer_mut().clear();
+            return Err(e);
+        }
+        match self.get_ref().try_write(self.write_buffer()) {
+            Ok(n) => {
+                self.write_buffer_mut().advance(n);
+                self.took(n);
+                Ok(n > 0)
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                self.write_buffer_mut().clear();
+                Ok(false)
+            }
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    fn poll_heard(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<C::Item, C::Error>>>
     where
         C: Decoder,
     {
         if self.resting {
             // An error here is met again by the read.
-            drop(self.get_ref().readable().await);
+            drop(ready!(self.get_ref().poll_read_ready(cx)));
             self.wake();
         }
-        tokio_stream::StreamExt::next(&mut **self).await
+        futures_util::Stream::poll_next(Pin::new(&mut **self), cx)
+    }
+
+    fn poll_away(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        self.read_buffer_mut().clear();
+        let mut bytes = [0; AWAY];
+        let mut bytes = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(self.get_mut()).poll_read(cx, &mut bytes))?;
+        Poll::Ready(Ok(bytes.filled().len()))
+    }
+
+    /// What comes next, awake only once there is something.
+    pub async fn heard(&mut self) -> Option<Result<C::Item, C::Error>>
+    where
+        C: Decoder,
+    {
+        poll_fn(|cx| self.poll_heard(cx)).await
+    }
+
+    /// The next thing that happens: all is written, something is here, or (if asked for) the machine takes bytes. Neither
+    /// half waits for the other, and nothing is lost if it is dropped.
+    pub async fn turn(&mut self, reads: Reads, room: bool) -> Turn<C::Item, C::Error>
+    where
+        C: Decoder,
+    {
+        poll_fn(|cx| {
+            if !self.written()
+                && let Poll::Ready(out) = self.poll_out(cx)
+            {
+                return Poll::Ready(out.map_or_else(|e| Turn::Broken(e.into()), |()| Turn::Written));
+            }
+            let read = match reads {
+                Reads::Nothing => Poll::Pending,
+                Reads::Items => self.poll_heard(cx).map(|heard| match heard {
+                    Some(Ok(item)) => Turn::Heard(item),
+                    Some(Err(e)) => Turn::Broken(e),
+                    None => Turn::End,
+                }),
+                Reads::Away => self.poll_away(cx).map(|read| match read {
+                    Ok(0) => Turn::End,
+                    Ok(n) => Turn::Away(n),
+                    Err(e) => Turn::Broken(e.into()),
+                }),
+            };
+            match read {
+                Poll::Pending if room => self.get_ref().poll_write_ready(cx).map(|_| Turn::Room),
+                read => read,
+            }
+        })
+        .await
     }
 }
 
 impl<C, S: AsyncRead + AsyncWrite + Unpin> Wire<C, S> {
+    /// Reads on while its peer is owed an answer, so that its end is seen behind what it has said: ends with the peer, or
+    /// once what is unread is its `last` word. What was read stays to be heard.
+    ///
+    /// # Errors
+    /// Its peer says more than `most` bytes, or the connection is broken.
+    pub async fn ahead(&mut self, most: usize, last: impl Fn(&[u8]) -> bool) -> io::Result<()>
+    where
+        C: Decoder,
+    {
+        loop {
+            if last(self.read_buffer()) {
+                return Ok(());
+            }
+            if self.read_buffer().len() >= most {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            let read = poll_fn(|cx| {
+                let mut bytes = [0; AWAY];
+                let mut bytes = ReadBuf::new(&mut bytes);
+                ready!(Pin::new(self.get_mut()).poll_read(cx, &mut bytes))?;
+                self.read_buffer_mut().extend_from_slice(bytes.filled());
+                Poll::Ready(io::Result::Ok(bytes.filled().len()))
+            });
+            if read.await? == 0 {
+                return Ok(());
+            }
+            // Made anew, it decodes what stands in its buffer before it reads on.
+            self.framed = self.framed.take().map(|f| Framed::from_parts(f.into_parts()));
+        }
+    }
+
     /// Ends a conversation whose peer may still be sending: what it sends is read away for a moment, since a
     /// close over unread bytes would reset the connection and take the last words with it.
     pub async fn part(&mut self) {
@@ -181,10 +398,10 @@
             wire.rest();
             assert_eq!(pool.0.borrow().len(), 2, "both are back");
             peer.write_all(b"one\ntwo\n").await.unwrap();
-            assert_eq!(wire.heard().await.unwrap().unwrap(), "one");
+            assert!(matches!(wire.turn(Reads::Items, false).await, Turn::Heard(line) if line == "one"));
             wire.rest();
             assert_eq!(pool.0.borrow().len(), 0, "not while something is in them");
-            assert_eq!(wire.heard().await.unwrap().unwrap(), "two");
+            assert!(matches!(wire.turn(Reads::Items, false).await, Turn::Heard(line) if line == "two"));
         });
     }
 }
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -6,11 +6,10 @@
 use crate::net::discovery::Change;
 use crate::net::frames::Work;
 use crate::net::hub::{Hub, Leg, Start};
-use crate::net::pool::{self, Buffer, Pool};
+use crate::net::pool::{self, Buffer, Pool, Reads, Turn, Unread};
 use crate::net::{span, unix_ms};
 use crate::say;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use futures_util::SinkExt;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
@@ -36,12 +35,18 @@
 const CHECK: Millis = 150.0;
 /// Notes that fail to come before a connection that owes answers counts as dead.
 const NOTES: f64 = 3.0;
-/// A connection that owes an answer and says nothing for this long gets nothing new.
-const SILENT: Millis = 1000.0;
+/// A connection that owes an answer gets nothing new once so many notes have failed to come; where engines tell no
+/// notes, silence is no sign.
+const SILENT: f64 = 2.0;
 /// An engine that takes no bytes for this long is cut off.
 const WRITE: Duration = Duration::from_secs(2);
+/// A request that nobody wants any more, and that is half on the wire, may come whole for this long: its client's leave
+/// has to have stopped it by 0.3 s. Then the connection is cut, by which it never comes whole.
+const HALF: Millis = 150.0;
 /// Ids given up on a connection that it remembers: what is late comes soon after or never.
 const REMEMBERED: usize = 512;
+/// An answered id is remembered for this long: a second answer to it comes some milliseconds after the first.
+const ANSWERED: Millis = 2000.0;
 /// Commands on their way to one connection.
 const QUEUE: usize = 1024;
 
@@ -177,10 +182,23 @@
     Drop(String),
 }
 
+/// What an order waits for.
+enum For {
+    /// What is unread has to be read first.
+    Reading,
+    /// The machine takes no byte.
+    Room,
+}
+
 /// How far an attempt is on its connection.
 enum Stage {
     /// Not a byte is written: its end proves that it never ran.
-    Waiting(Start, Rc<Work>),
+    Waiting {
+        start: Start,
+        work: Rc<Work>,
+        /// The machine was asked what is unread on its connection.
+        looked: bool,
+    },
     Written,
     /// Its first page is here.
     Paging {
@@ -206,12 +224,17 @@
     orders: mpsc::Sender<Do>,
     pending: RefCell<HashMap<String, Pending>>,
     /// Ids given up here: a late answer to one must not pass for that of a new attempt.
-    given_up: RefCell<VecDeque<Id>>,
+    given_up: RefCell<VecDeque<(Id, Millis)>>,
+    /// The attempt of which some bytes are on the wire and some are not; and since when it is not wanted.
+    half: RefCell<Option<String>>,
+    unwanted: Cell<Option<Millis>>,
     closing: Cell<bool>,
     /// When it last said something, or was given something to do while it owed nothing.
     heard: Cell<Millis>,
     /// Told to end at once.
     cut: tokio::sync::Notify,
+    /// Something of it has changed that its turn has to look at.
+    look: tokio::sync::Notify,
 }
 
 #[derive(Default)]
@@ -263,12 +286,13 @@
         let fits = |c: &&Rc<Connection>| {
             let (pending, given_up) = (c.pending.borrow(), c.given_up.borrow());
             // One that has stopped short stays open, and nothing on it comes to an end.
-            let silent = !pending.is_empty() && now > c.heard.get() + SILENT;
+            let notes = self.0.sockets.notes;
+            let silent = notes > 0.0 && !pending.is_empty() && now > c.heard.get() + SILENT * notes;
             !c.closing.get()
                 && !silent
                 && pending.len() < self.0.sockets.streams
                 && !pending.contains_key(txn)
-                && !given_up.contains(&id_of(txn))
+                && !given_up.iter().any(|g| g.0 == id_of(txn) && now < g.1)
         };
         let shared = |c: &Connection| alone || c.pending.borrow().values().any(|p| p.alone);
         let free = |c: &&Rc<Connection>| c.pending.borrow().is_empty() || !shared(c);
@@ -289,9 +313,12 @@
             orders,
             pending: RefCell::default(),
             given_up: RefCell::default(),
+            half: RefCell::default(),
+            unwanted: Cell::default(),
             closing: Cell::new(false),
             heard: Cell::new(unix_ms()),
             cut: tokio::sync::Notify::new(),
+            look: tokio::sync::Notify::new(),
         });
         slot.connections.push(connection.clone());
         let (shared, hub, mine) = (self.0.clone(), Rc::downgrade(hub), connection.clone());
@@ -318,7 +345,7 @@
         };
         let txn = work.txn.clone();
         let alone = start.alone;
-        let pending = Pending { attempt, alone, stage: Stage::Waiting(start, work) };
+        let pending = Pending { attempt, alone, stage: Stage::Waiting { start, work, looked: false } };
         if c.orders.try_send(Do::Get(txn.clone())).is_err() {
             return hub.ended(attempt, Outcome::Unreachable, vec![]);
         }
@@ -333,7 +360,11 @@
         let Some((c, txn)) = self.0.attempts.borrow_mut().remove(&attempt) else { return };
         let pending = c.pending.borrow_mut().remove(&txn);
         if let Some(Pending { stage: Stage::Written | Stage::Paging { .. }, .. }) = pending {
-            c.give_up(&txn);
+            c.give_up(&txn, f64::INFINITY);
+            if c.half.borrow().as_ref() == Some(&txn) {
+                c.unwanted.set(Some(unix_ms()));
+                c.look.notify_one();
+            }
             if c.orders.try_send(Do::Drop(txn)).is_err() {
                 // It takes no orders any more: closing gives up all that is on it.
                 c.closing.set(true);
@@ -400,7 +431,7 @@
     /// worth a wait, and closing it would end what may not be repeated.
     fn dead(&self, now: Millis, notes: Millis) -> bool {
         let pending = self.pending.borrow();
-        let owes = pending.values().any(|p| !matches!(p.stage, Stage::Waiting(..)));
+        let owes = pending.values().any(|p| !matches!(p.stage, Stage::Waiting { .. }));
         owes && notes > 0.0 && now > self.heard.get() + NOTES * notes && !pending.values().any(|p| p.alone)
     }
 
@@ -411,12 +442,13 @@
     }
 
     /// The oldest are forgotten, so that a connection's memory does not grow with all that it ever carried.
-    fn give_up(&self, txn: &str) {
-        let mut given_up = self.given_up.borrow_mut();
+    fn give_up(&self, txn: &str, until: Millis) {
+        let (mut given_up, now) = (self.given_up.borrow_mut(), unix_ms());
+        given_up.retain(|g| now < g.1);
         if given_up.len() >= REMEMBERED {
             given_up.pop_front();
         }
-        given_up.push_back(id_of(txn));
+        given_up.push_back((id_of(txn), until));
     }
 
     fn end(&self) {
@@ -442,6 +474,9 @@
             () = c.cut.notified() => return Ok(()),
         };
         tcp.set_nodelay(true)?;
+        // What the machine holds unsent can't be called back, so that it holds little. Where that can't be said, it
+        // holds what it likes.
+        let _ = socket2::SockRef::from(&tcp).set_send_buffer_size(pool::SIZE);
         *connected = true;
         let mut framed = Wire::new(&self.pool, tcp, RespCodec);
         self.converse(hub, engine, c, &mut inbox, &mut framed).await
@@ -458,119 +493,144 @@
         // Closed by us well before the engine does: a request must not cross its close.
         let idle = span(self.sockets.idle * 0.8);
         let mut check = tokio::time::interval(span(CHECK));
-        let mut partial = 0;
+        let (mut partial, mut gets) = (0, 0);
+        // An order that cannot be written yet: it stays here, where it can be called back.
+        let mut waits: Option<(Do, For)> = None;
         loop {
-            let mut gets = 0;
-            if c.closing.get() && c.pending.borrow().is_empty() {
+            if framed.written() {
+                *c.half.borrow_mut() = None;
+                c.unwanted.set(None);
+                // Only now is the last byte of each written.
+                hub.upgrade().into_iter().for_each(|hub| hub.written(std::mem::take(&mut gets)));
+            }
+            let none = c.pending.borrow().is_empty();
+            if c.closing.get() && none && framed.written() {
                 return Ok(());
             }
+            if none && framed.written() {
+                framed.rest();
+            }
+            let unwanted = c.unwanted.get().map(|at| span(at + HALF - unix_ms()));
             tokio::select! {
                 biased;
                 () = c.cut.notified() => return Ok(()),
                 // Before orders: a reset while it was idle must be seen before a request is written into it,
                 // for that one would count as run.
-                answer = framed.heard() => {
-                    let Some(answer) = answer else { return Ok(()) };
-                    partial = 0;
-                    c.heard.set(unix_ms());
-                    if self.answer(hub, c, &answer?, framed).await? {
-                        self.flush(framed).await?;
+                turn = framed.turn(Reads::Items, matches!(waits, Some((_, For::Room)))) => match turn {
+                    Turn::Written | Turn::Away(_) => {}
+                    Turn::Room => {
+                        if let Some((order, _)) = waits.take() {
+                            gets += self.order(hub, engine, c, order, framed, &mut waits)?;
+                        }
                     }
-                    if c.pending.borrow().is_empty() {
-                        framed.rest();
+                    Turn::End => return Ok(()),
+                    Turn::Broken(e) => return Err(e),
+                    Turn::Heard(answer) => {
+                        partial = 0;
+                        c.heard.set(unix_ms());
+                        self.answer(hub, c, &answer, framed)?;
                     }
-                }
-                order = inbox.recv() => {
+                },
+                order = inbox.recv(), if framed.written() && waits.is_none() => {
                     let Some(order) = order else { return Ok(()) };
-                    gets += self.order(hub, engine, c, order, framed).await?;
-                    while let Ok(order) = inbox.try_recv() {
-                        gets += self.order(hub, engine, c, order, framed).await?;
+                    gets += self.order(hub, engine, c, order, framed, &mut waits)?;
+                }
+                // After that the runtime has heard of all that the machine has unread, and the turn above came first.
+                () = tokio::task::yield_now(), if matches!(waits, Some((_, For::Reading))) => {
+                    if let Some((order, _)) = waits.take() {
+                        gets += self.order(hub, engine, c, order, framed, &mut waits)?;
                     }
-                    self.flush(framed).await?;
-                    // Only now is the last byte of each written.
-                    hub.upgrade().into_iter().for_each(|hub| hub.written(gets));
                 }
-                _ = check.tick(), if !c.pending.borrow().is_empty() => {
+                () = tokio::time::sleep(unwanted.unwrap_or_default()), if unwanted.is_some() => {
+                    return Err(RespError::Stalled);
+                }
+                () = c.look.notified() => {}
+                _ = check.tick(), if !none || !framed.written() => {
                     partial = if framed.read_buffer().is_empty() { 0 } else { partial + 1 };
                     let now = unix_ms();
-                    if partial > 5 || c.stalled(now) || c.dead(now, self.sockets.notes) {
+                    if partial > 5 || c.stalled(now) || c.dead(now, self.sockets.notes) || framed.stuck(WRITE) {
                         return Err(RespError::Stalled);
                     }
                 }
-                () = tokio::time::sleep(idle), if c.pending.borrow().is_empty() => {
+                () = tokio::time::sleep(idle), if none => {
                     c.closing.set(true);
-                    return Ok(());
                 }
             }
         }
     }
 
-    async fn flush(&self, framed: &mut Wire) -> Result<(), RespError> {
-        let flush = SinkExt::<&[&[u8]]>::flush(&mut **framed);
-        tokio::time::timeout(WRITE, flush).await.map_err(io::Error::from)?
-    }
-
-    async fn feed(&self, framed: &mut Wire, words: &[&[u8]]) -> Result<(), RespError> {
-        framed.wake();
-        tokio::time::timeout(WRITE, framed.feed(words)).await.map_err(io::Error::from)?
-    }
-
-    /// Writes an order into the connection's buffer; 1 if that is an attempt.
-    async fn order(
+    /// Writes an order where nothing is left to be written; 1 if that is an attempt. What the machine takes no byte of is
+    /// left in `waits`, and looked at anew before it is written: by then its client may have left, its time be over or
+    /// its engine drain.
+    fn order(
         &self,
         hub: &Weak<Hub<RespLeg>>,
         engine: &str,
         c: &Connection,
         order: Do,
         framed: &mut Wire,
+        waits: &mut Option<(Do, For)>,
     ) -> Result<usize, RespError> {
         let txn = match order {
-            Do::Drop(txn) => return self.feed(framed, &[b"DROP", txn.as_bytes()]).await.map(|()| 0),
+            Do::Drop(txn) => return framed.put(&[b"DROP", txn.as_bytes()][..]).map(|()| 0),
             Do::Get(txn) => txn,
         };
         let Some(hub) = hub.upgrade() else { return Ok(0) };
-        let (start, work) = {
-            let mut pending = c.pending.borrow_mut();
-            // Given up before a byte of it was written.
-            let Some(p) = pending.get_mut(&txn) else { return Ok(0) };
-            // From here on it counts as reached, even if the write breaks off half way.
-            match std::mem::replace(&mut p.stage, Stage::Written) {
-                Stage::Waiting(start, work) => (start, work),
-                other => {
-                    p.stage = other;
-                    return Ok(0);
-                }
-            }
-        };
+        let mut pending = c.pending.borrow_mut();
+        // Given up before a byte of it was written.
+        let Some(p) = pending.get_mut(&txn) else { return Ok(0) };
+        let Stage::Waiting { start, work, looked } = &mut p.stage else { return Ok(0) };
         let left = start.until - unix_ms();
         // The connection took its time: the engine may drain by now, or the time be over. It never ran.
         if left < 1.0 || !hub.in_service(engine) {
-            self.forget(c, &txn, start.attempt);
+            let attempt = start.attempt;
+            drop(pending);
+            self.forget(c, &txn, attempt);
             let outcome = if left < 1.0 { Outcome::Moot } else { Outcome::Unreachable };
-            hub.ended(start.attempt, outcome, vec![]);
+            hub.ended(attempt, outcome, vec![]);
+            return Ok(0);
+        }
+        // The engine may have closed it in this very turn: the machine is asked, and what is unread is read first.
+        if !std::mem::replace(looked, true) && pool::unread(framed.get_ref()) != Unread::Nothing {
+            *waits = Some((Do::Get(txn), For::Reading));
             return Ok(0);
         }
         let mut fields = format!("cls={},limit={}", work.class, left as u64);
         if start.memory_mb >= 1.0 {
             fields.push_str(&format!(",pool={}", start.memory_mb.round() as u64));
         }
-        self.feed(framed, &[b"GET", txn.as_bytes(), fields.as_bytes(), &work.statement]).await.map(|()| 1)
+        let begun = framed.begin(&[b"GET", txn.as_bytes(), fields.as_bytes(), &work.statement][..]);
+        if !begun? {
+            *looked = false;
+            *waits = Some((Do::Get(txn), For::Room));
+            return Ok(0);
+        }
+        // From here on it counts as reached, even if the write breaks off half way.
+        p.stage = Stage::Written;
+        if !framed.written() {
+            *c.half.borrow_mut() = Some(txn);
+        }
+        Ok(1)
     }
 
     fn forget(&self, c: &Connection, txn: &str, attempt: AttemptId) {
-        c.pending.borrow_mut().remove(txn);
+        if let Some(Pending { stage: Stage::Written | Stage::Paging { .. }, .. }) =
+            c.pending.borrow_mut().remove(txn)
+        {
+            c.give_up(txn, unix_ms() + ANSWERED);
+        }
         self.attempts.borrow_mut().remove(&attempt);
     }
 
-    /// Takes an engine's answer; true if something was written in return.
-    async fn answer(
+    /// Takes an engine's answer.
+    fn answer(
         &self,
         hub: &Weak<Hub<RespLeg>>,
         c: &Connection,
         words: &[Bytes],
         framed: &mut Wire,
-    ) -> Result<bool, RespError> {
-        let Some(hub) = hub.upgrade() else { return Ok(false) };
+    ) -> Result<(), RespError> {
+        let Some(hub) = hub.upgrade() else { return Ok(()) };
         let [id, word, rest @ ..] = words else { return Err(RespError::Form) };
         let (Ok(txn), Ok(word)) = (std::str::from_utf8(id), std::str::from_utf8(word)) else {
             return Err(RespError::Form);
@@ -578,43 +638,40 @@
         let fields = rest.first().map(|f| String::from_utf8_lossy(f)).unwrap_or_default();
         let body = rest.get(1).cloned().unwrap_or_default();
         // Late: nobody waits for it any more.
-        let Some(attempt) = c.pending.borrow().get(txn).map(|p| p.attempt) else { return Ok(false) };
+        let Some(attempt) = c.pending.borrow().get(txn).map(|p| p.attempt) else { return Ok(()) };
         let told = || report(&fields, &self.report_fields);
         let outcome = match word {
             "EVENT" => {
                 if let Some(note) = note(&fields) {
                     hub.note(attempt, note);
                 }
-                return Ok(false);
+                return Ok(());
             }
             "ACK" | "BLOCK" => {
-                let wrote = match self.part(c, id, word, &fields, body, framed).await {
-                    Ok(wrote) => wrote,
-                    Err(e) => {
-                        // It has run, and its result is spoilt.
-                        self.forget(c, txn, attempt);
-                        hub.ended(attempt, Outcome::Error, vec![]);
-                        return Err(e);
-                    }
-                };
+                if let Err(e) = self.part(c, id, word, &fields, body, framed) {
+                    // It has run, and its result is spoilt.
+                    self.forget(c, txn, attempt);
+                    hub.ended(attempt, Outcome::Error, vec![]);
+                    return Err(e);
+                }
                 hub.answering(attempt);
                 self.whole(&hub, c, txn, attempt);
-                return Ok(wrote);
+                return Ok(());
             }
             "AGAIN" => Outcome::Full,
             "STALE" => Outcome::Moot,
             "EIO" => Outcome::Error,
-            "READY" => return Ok(false),
+            "READY" => return Ok(()),
             // After what can't be read, nothing else on this connection can be trusted.
             _ => return Err(RespError::Form),
         };
         self.forget(c, txn, attempt);
         hub.ended(attempt, outcome, told());
-        Ok(false)
+        Ok(())
     }
 
-    /// Takes a part of a result; true if further pages were asked for. A second copy changes nothing.
-    async fn part(
+    /// Takes a part of a result, and asks for further pages. A second copy changes nothing.
+    fn part(
         &self,
         c: &Connection,
         id: &[u8],
@@ -622,7 +679,7 @@
         fields: &str,
         body: Bytes,
         framed: &mut Wire,
-    ) -> Result<bool, RespError> {
+    ) -> Result<(), RespError> {
         let number = |name: &str| field(fields, name).and_then(|t| t.parse::<usize>().ok());
         let txn = std::str::from_utf8(id).map_err(|_| RespError::Form)?;
         let (now, first) = (unix_ms(), word == "ACK");
@@ -659,13 +716,13 @@
                 }
             }
             // A page before the first, or an answer to what was not written yet.
-            Some(Stage::Waiting(..) | Stage::Written) => return Err(RespError::Form),
+            Some(Stage::Waiting { .. } | Stage::Written) => return Err(RespError::Form),
             Some(Stage::Paging { .. }) | None => {}
         }
         for n in 1..=wanted {
-            self.feed(framed, &[b"PAGE", id, n.to_string().as_bytes()]).await?;
+            framed.put(&[b"PAGE", id, n.to_string().as_bytes()][..])?;
         }
-        Ok(wanted > 0)
+        Ok(())
     }
 
     /// Once all pages are here, the result goes on in one piece.
@@ -675,6 +732,7 @@
             return;
         }
         let pending = c.pending.borrow_mut().remove(txn);
+        c.give_up(txn, unix_ms() + ANSWERED);
         self.attempts.borrow_mut().remove(&attempt);
         if let Some(Pending { stage: Stage::Paging { pages, report, .. }, .. }) = pending {
             let mut result = self.pool.take();
@@ -697,8 +755,8 @@
         for p in pending.into_values() {
             self.attempts.borrow_mut().remove(&p.attempt);
             let outcome = match p.stage {
-                Stage::Waiting(..) if connected => Outcome::Moot,
-                Stage::Waiting(..) => Outcome::Unreachable,
+                Stage::Waiting { .. } if connected => Outcome::Moot,
+                Stage::Waiting { .. } => Outcome::Unreachable,
                 _ if !std::mem::replace(&mut told, true) => Outcome::Reset,
                 _ => Outcome::Cancelled,
             };
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,5 +1,6 @@
 //! A client's connection, in the clear or in TLS.
 
+use super::pool::{self, Unread};
 use bytes::BytesMut;
 use std::io;
 use std::pin::Pin;
@@ -61,12 +62,12 @@
         tls.get_ref().1.peer_certificates()?.first().map(|c| c.as_ref())
     }
 
-    /// Looks at what the peer has sent, in the clear or not: 0 bytes tell that it has gone.
-    pub async fn peek(&self, buffer: &mut [u8]) -> io::Result<usize> {
+    /// What the machine holds unread of the peer, in the clear or not.
+    pub fn unread(&self) -> Unread {
         match self {
-            Stream::Plain(tcp) => tcp.peek(buffer).await,
-            Stream::Tls(tls) => tls.get_ref().0.tcp.peek(buffer).await,
-            Stream::Gone => Ok(0),
+            Stream::Plain(tcp) => pool::unread(tcp),
+            Stream::Tls(tls) => pool::unread(&tls.get_ref().0.tcp),
+            Stream::Gone => Unread::End,
         }
     }
 }
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,664 @@
+//! Two events that cross: each test forces the bad order on real connections, by holding a read, writing half a frame, or
+//! letting both happen before the runtime hears of either. `docs/CROSSINGS.md` has the list.
+
+mod scenario;
+
+use bytes::Bytes;
+use hitchwinch::config::{Machine, Sockets};
+use hitchwinch::core::NewRequest;
+use hitchwinch::net::frames::{Front, Work};
+use hitchwinch::net::hub::{Hub, Reply};
+use hitchwinch::net::pool::Pool;
+use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::unix_ms;
+use scenario::{change, core, on_one_thread};
+use socket2::SockRef;
+use std::cell::RefCell;
+use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::spawn_local;
+
+/// Past it, nothing is sent on for a client that has left.
+const TERM: Duration = Duration::from_millis(300);
+/// An engine's socket keeps so little unread, and the dispatcher's so little unsent, that large requests stand.
+const SMALL: usize = 4096;
+
+struct Stand {
+    hub: Rc<Hub<RespLeg>>,
+    front: Rc<Front<RespLeg>>,
+    at: SocketAddr,
+    engine: TcpListener,
+    engines: Vec<SocketAddr>,
+}
+
+/// A dispatcher before one engine that this test plays itself.
+async fn stand(engine: TcpListener, tweak: impl FnOnce(&mut Sockets)) -> Stand {
+    let (core, names, mut sockets) = core();
+    tweak(&mut sockets);
+    let pool = Pool::default();
+    let hub = Hub::new(core, names, RespLeg::new(sockets, vec![], pool.clone()));
+    let engines = vec![engine.local_addr().unwrap()];
+    hub.change(&change(&engines, None));
+    spawn_local(hub.clone().clock());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    SockRef::from(&listener).set_send_buffer_size(SMALL).unwrap();
+    let at = listener.local_addr().unwrap();
+    let front = Front::new(hub.clone(), pool, &Machine { memory_mb: 64, sockets: 64 });
+    spawn_local(front.clone().accept(listener));
+    Stand { hub, front, at, engine, engines }
+}
+
+async fn plain() -> Stand {
+    stand(TcpListener::bind("127.0.0.1:0").await.unwrap(), |_| {}).await
+}
+
+/// An engine that keeps little of what it does not read.
+async fn narrow() -> Stand {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SMALL as u32).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    stand(socket.listen(16).unwrap(), |_| {}).await
+}
+
+impl Stand {
+    /// All that comes in waits from now on: the engine drains.
+    fn holds(&self) {
+        self.hub.change(&change(&self.engines, Some((0, "drain"))));
+    }
+
+    /// What waits is let go.
+    fn lets_go(&self) {
+        self.hub.change(&change(&self.engines, None));
+    }
+
+    async fn owes(&self, n: usize) {
+        until("what is owed", || self.hub.owed() == n).await;
+    }
+
+    /// The engine's next connection.
+    async fn dialled(&self) -> TcpStream {
+        within("a connection", self.engine.accept()).await.unwrap().0
+    }
+
+    /// A request that nobody else has sent reaches the engine next: what waited before it never comes.
+    async fn nothing_but(&self, txn: u64) {
+        let mut client = Client::new(self.at).await;
+        client.say(&request(1, txn, "lookup", "")).await;
+        let mut engine = self.dialled().await;
+        assert_eq!(get(&mut engine).await, name(txn));
+    }
+}
+
+async fn within<T>(what: &str, f: impl Future<Output = T>) -> T {
+    tokio::time::timeout(Duration::from_secs(6), f).await.unwrap_or_else(|_| panic!("no {what}"))
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    within(what, async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+}
+
+fn name(txn: u64) -> String {
+    format!("{txn:016x}")
+}
+
+fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = (payload.len() as u32 + 5).to_be_bytes();
+    [&length[..], &[kind], &stream.to_be_bytes(), payload].concat()
+}
+
+fn request(stream: u32, txn: u64, class: &str, more: &str) -> Vec<u8> {
+    let mut p = vec![4];
+    for (n, v) in [("verb", class), ("txn", &name(txn)), ("limit", "5000"), ("team", "acme")] {
+        p.extend([&[n.len() as u8], n.as_bytes(), &(v.len() as u16).to_be_bytes(), v.as_bytes()].concat());
+    }
+    p.extend(format!("select a from t where b = '{more}'").bytes());
+    frame(2, stream, &p)
+}
+
+/// Requests of no class, which are failed one by one, and their client made to wait.
+fn useless(from: u32, n: u32) -> Vec<u8> {
+    (from..from + n).flat_map(|s| request(s, s.into(), "nonsense", "")).collect()
+}
+
+struct Client(TcpStream);
+
+impl Client {
+    async fn new(at: SocketAddr) -> Self {
+        Client(TcpStream::connect(at).await.unwrap())
+    }
+
+    /// One whose machine keeps little of what it does not read.
+    async fn narrow(at: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(SMALL as u32).unwrap();
+        Client(socket.connect(at).await.unwrap())
+    }
+
+    async fn say(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).await.unwrap();
+    }
+
+    /// Type, stream and payload of the next frame; none at the end.
+    async fn hear(&mut self) -> Option<(u8, u32, Vec<u8>)> {
+        let read = async {
+            let n = self.0.read_u32().await.ok()?;
+            let mut f = vec![0; n as usize];
+            self.0.read_exact(&mut f).await.ok()?;
+            Some((f[0], u32::from_be_bytes(f[1..5].try_into().unwrap()), f[5..].to_vec()))
+        };
+        within("frame", read).await
+    }
+
+    /// Its connection is reset.
+    fn resets(self) {
+        SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
+/// The next command's words; none at the connection's end.
+async fn command(engine: &mut TcpStream) -> Option<Vec<String>> {
+    async fn number(engine: &mut TcpStream) -> Option<usize> {
+        let mut line = String::new();
+        while !line.ends_with('\n') {
+            line.push(engine.read_u8().await.ok()?.into());
+        }
+        line[1..].trim().parse().ok()
+    }
+    let read = async {
+        let mut words = vec![];
+        for _ in 0..number(engine).await? {
+            let mut word = vec![0; number(engine).await? + 2];
+            engine.read_exact(&mut word).await.ok()?;
+            words.push(String::from_utf8_lossy(&word[..word.len() - 2]).into_owned());
+        }
+        Some(words)
+    };
+    within("command", read).await
+}
+
+/// The id of the next request.
+async fn get(engine: &mut TcpStream) -> String {
+    let words = command(engine).await.expect("a command");
+    assert_eq!(words[0], "GET", "{words:?}");
+    words[1].clone()
+}
+
+async fn reply(engine: &mut TcpStream, words: [&str; 4]) {
+    let bulk: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    engine.write_all(format!("*4\r\n{bulk}").as_bytes()).await.unwrap();
+}
+
+/// A result of as many full pages.
+async fn serve(engine: &mut TcpStream, txn: &str, pages: usize) {
+    let page = format!("{}\tb\tc\n", "a".repeat(5000));
+    reply(engine, [txn, "ACK", &format!("total={pages}"), &page]).await;
+    for _ in 1..pages {
+        let asked = command(engine).await.expect("a page is asked for");
+        assert_eq!(asked[0], "PAGE");
+        reply(engine, [txn, "BLOCK", &format!("index={}", asked[2]), &page]).await;
+    }
+}
+
+/// A request straight at the hub, in the same turn as what the test does before; its answer is pushed there.
+fn ask(s: &Stand, txn: u64, class: usize, answers: &Rc<RefCell<Vec<&'static str>>>) {
+    let new = NewRequest {
+        class,
+        tenant: Some(0),
+        group: None,
+        deadline: unix_ms() + 5000.0,
+        work: None,
+        memory_mb: None,
+    };
+    let work = Work::free(&name(txn), ["lookup", "load"][class], Bytes::from_static(b"select 1"));
+    let answers = answers.clone();
+    let told = move |reply| {
+        answers.borrow_mut().push(match reply {
+            Reply::Served(_) => "served",
+            Reply::Refused { .. } => "refused",
+            Reply::Failed { .. } => "failed",
+            Reply::TimedOut { .. } => "late",
+        })
+    };
+    s.hub.open(new, work, Box::new(told));
+}
+
+// ---- a client that leaves, against its request that waits
+
+/// A request waits, its client leaves in this way, and the term later it would be let go.
+async fn left_while_it_waits(
+    before: impl AsyncFnOnce(&mut Client),
+    open: usize,
+    leaves: impl AsyncFnOnce(Client) -> Option<Client>,
+) {
+    let s = plain().await;
+    s.holds();
+    let mut client = Client::narrow(s.at).await;
+    for n in 1..=open {
+        client.say(&request(n as u32, n as u64, "lookup", "")).await;
+    }
+    s.owes(open).await;
+    before(&mut client).await;
+    let kept = leaves(client).await;
+    tokio::time::sleep(TERM).await;
+    assert_eq!(s.hub.owed(), 0, "it is left by now, and what it held is free");
+    s.lets_go();
+    s.nothing_but(1).await;
+    drop(kept);
+}
+
+async fn by_type_8(mut c: Client) -> Option<Client> {
+    c.say(&frame(8, 1, &[])).await;
+    Some(c)
+}
+
+async fn by_closing(c: Client) -> Option<Client> {
+    drop(c);
+    None
+}
+
+async fn by_reset(c: Client) -> Option<Client> {
+    c.resets();
+    None
+}
+
+#[test]
+fn a_client_that_leaves_by_type_8_a_close_or_a_reset_is_not_sent_on() {
+    on_one_thread(async {
+        left_while_it_waits(async |_| {}, 1, by_type_8).await;
+        left_while_it_waits(async |_| {}, 1, by_closing).await;
+        left_while_it_waits(async |_| {}, 1, by_reset).await;
+        left_while_it_waits(async |_| {}, 32, by_closing).await;
+    });
+}
+
+/// Fourteen useless frames hold the next back for some two seconds.
+#[test]
+fn a_leave_behind_useless_frames_is_heeded_though_the_client_is_made_to_wait() {
+    on_one_thread(async {
+        let junk = async |c: &mut Client| c.say(&useless(100, 14)).await;
+        left_while_it_waits(junk, 1, by_type_8).await;
+        left_while_it_waits(junk, 1, by_closing).await;
+        left_while_it_waits(junk, 1, by_reset).await;
+    });
+}
+
+/// What was read ahead and not taken up is never sent either.
+#[test]
+fn a_request_behind_useless_frames_goes_with_its_client() {
+    on_one_thread(async {
+        let s = plain().await;
+        for leave in [true, false] {
+            let mut client = Client::new(s.at).await;
+            let mut all = [useless(100, 10), request(1, 7, "lookup", "")].concat();
+            if leave {
+                all.extend(frame(8, 1, &[]));
+            }
+            client.say(&all).await;
+            let kept = leave.then_some(client);
+            // Ten useless frames hold it back for a second.
+            let come = tokio::time::timeout(Duration::from_millis(1500), s.engine.accept()).await;
+            if let Ok(come) = come {
+                let mut engine = come.unwrap().0;
+                panic!("{:?}", command(&mut engine).await);
+            }
+            drop(kept);
+        }
+        s.nothing_but(8).await;
+    });
+}
+
+#[test]
+fn a_leave_is_heeded_while_an_answer_is_written_that_the_client_does_not_take() {
+    on_one_thread(async {
+        for leaves in [true, false] {
+            let s = plain().await;
+            let mut client = Client::narrow(s.at).await;
+            client.say(&request(1, 1, "lookup", "")).await;
+            let mut engine = s.dialled().await;
+            let id = get(&mut engine).await;
+            s.holds();
+            client.say(&request(2, 2, "lookup", "")).await;
+            s.owes(2).await;
+            serve(&mut engine, &id, 9).await;
+            // The answer is given, and stands before a client that reads none of it.
+            s.owes(1).await;
+            let kept = match leaves {
+                true => {
+                    client.say(&frame(8, 2, &[])).await;
+                    Some(client)
+                }
+                false => by_closing(client).await,
+            };
+            tokio::time::sleep(TERM).await;
+            assert_eq!(s.hub.owed(), 0);
+            s.lets_go();
+            let mut other = Client::new(s.at).await;
+            other.say(&request(1, 3, "lookup", "")).await;
+            assert_eq!(get(&mut engine).await, name(3));
+            drop(kept);
+        }
+    });
+}
+
+#[test]
+fn the_end_of_a_client_is_seen_after_a_fault_on_its_connection() {
+    on_one_thread(async {
+        let fault = async |c: &mut Client| c.say(&[&frame(99, 1, &[])[..], &[7; 100_000]].concat()).await;
+        left_while_it_waits(fault, 1, by_closing).await;
+        left_while_it_waits(fault, 1, by_reset).await;
+    });
+}
+
+/// Its connection to the engine is not up yet: the engine's queue is full.
+#[test]
+fn a_late_connection_carries_nothing_for_a_client_that_has_left() {
+    on_one_thread(async {
+        let engine = tight();
+        let filler = TcpStream::connect(engine.local_addr().unwrap()).await.unwrap();
+        let s = stand(engine, |sockets| sockets.connect_timeout = 4000.0).await;
+        let mut client = Client::new(s.at).await;
+        client.say(&request(1, 1, "lookup", "")).await;
+        s.owes(1).await;
+        client.say(&frame(8, 1, &[])).await;
+        s.owes(0).await;
+        drop((s.dialled().await, filler));
+        let mut late = s.dialled().await;
+        let mut other = Client::new(s.at).await;
+        other.say(&request(1, 2, "lookup", "")).await;
+        assert_eq!(get(&mut late).await, name(2), "it is up, and the first that it carries is another's");
+    });
+}
+
+/// A request is half on the wire when its client leaves: it never comes whole.
+#[test]
+fn a_request_half_on_the_wire_never_comes_whole_once_its_client_has_left() {
+    on_one_thread(async {
+        let s = narrow().await;
+        let mut client = Client::new(s.at).await;
+        client.say(&request(1, 1, "lookup", &"x".repeat(250_000))).await;
+        let mut engine = s.dialled().await;
+        let mut first = [0; 1];
+        within("a byte", engine.read_exact(&mut first)).await.unwrap();
+        SockRef::from(&engine).set_recv_buffer_size(SMALL).unwrap();
+        client.say(&frame(8, 1, &[])).await;
+        s.owes(0).await;
+        tokio::time::sleep(TERM).await;
+        let mut all = vec![];
+        let end = within("an end", engine.read_to_end(&mut all)).await;
+        assert!(end.is_err() || all.len() < 250_000, "{} bytes came", all.len());
+    });
+}
+
+/// One large request stands half written; behind it, in the same turn, one whose client then leaves, or whose engine
+/// then drains.
+async fn behind_a_stalled_write(crosses: impl AsyncFnOnce(&Stand, &mut Client)) {
+    let s = narrow().await;
+    let mut client = Client::new(s.at).await;
+    let mut large = request(1, 1, "lookup", &"x".repeat(250_000));
+    large.extend(request(2, 2, "lookup", ""));
+    large.extend(request(3, 3, "lookup", ""));
+    client.say(&large).await;
+    s.owes(3).await;
+    let mut engine = s.dialled().await;
+    within("a byte", engine.peek(&mut [0])).await.unwrap();
+    crosses(&s, &mut client).await;
+    tokio::time::sleep(TERM).await;
+    assert_eq!(get(&mut engine).await, name(1), "it was begun before");
+    client.say(&frame(8, 1, &[])).await;
+    assert_eq!(command(&mut engine).await.unwrap(), ["DROP", &name(1)], "nothing but its end");
+}
+
+#[test]
+fn what_stands_behind_a_stalled_write_is_called_back_when_its_client_leaves() {
+    on_one_thread(behind_a_stalled_write(async |s, client| {
+        client.say(&[frame(8, 2, &[]), frame(8, 3, &[])].concat()).await;
+        s.owes(1).await;
+    }));
+}
+
+#[test]
+fn what_stands_behind_a_stalled_write_is_not_sent_to_an_engine_that_drains() {
+    on_one_thread(behind_a_stalled_write(async |s, _| s.holds()));
+}
+
+/// In one turn, before the runtime hears of either: the request is let go, and its client leaves.
+#[test]
+fn a_leave_in_the_turn_of_the_release_is_not_sent_on() {
+    on_one_thread(async {
+        let s = plain().await;
+        let answers = Rc::default();
+        s.holds();
+        ask(&s, 1, 0, &answers);
+        s.lets_go();
+        s.hub.leave(1);
+        s.nothing_but(2).await;
+        assert!(answers.borrow().is_empty(), "and it is owed nothing");
+    });
+}
+
+/// A listener whose queue has room for one.
+fn tight() -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket.listen(0).unwrap()
+}
+
+/// Its connection broke, and the retry waits for another to come up: its client leaves.
+#[test]
+fn a_retry_that_waits_goes_with_its_client() {
+    on_one_thread(async {
+        let s = stand(tight(), |sockets| sockets.connect_timeout = 4000.0).await;
+        let mut client = Client::new(s.at).await;
+        client.say(&request(1, 1, "lookup", "")).await;
+        let mut engine = s.dialled().await;
+        get(&mut engine).await;
+        let filler = TcpStream::connect(s.engines[0]).await.unwrap();
+        drop(engine);
+        // The dispatcher has seen the break once it has answered what came after it.
+        client.say(&frame(16, 9, &[0])).await;
+        assert_eq!(client.hear().await.unwrap().0, 32);
+        assert_eq!(s.hub.owed(), 1, "it is tried again");
+        drop(client);
+        s.owes(0).await;
+        drop((s.dialled().await, filler));
+        let mut other = Client::new(s.at).await;
+        other.say(&request(1, 2, "lookup", "")).await;
+        let mut late = s.dialled().await;
+        assert_eq!(get(&mut late).await, name(2));
+    });
+}
+
+// ---- connections, against requests
+
+/// The engine closes a connection at rest, and a request is given to it before the runtime has heard of that.
+#[test]
+fn a_load_given_to_a_connection_that_its_engine_has_just_closed_never_ran_there() {
+    on_one_thread(async {
+        let s = plain().await;
+        let answers = Rc::default();
+        ask(&s, 1, 0, &answers);
+        let mut engine = s.dialled().await;
+        let id = get(&mut engine).await;
+        serve(&mut engine, &id, 1).await;
+        s.owes(0).await;
+        drop(engine);
+        ask(&s, 2, 1, &answers);
+        let mut engine = s.dialled().await;
+        let id = get(&mut engine).await;
+        serve(&mut engine, &id, 1).await;
+        s.owes(0).await;
+        assert_eq!(*answers.borrow(), ["served", "served"]);
+    });
+}
+
+/// A client asks on its idle connection in the very turn in which that gives way to another.
+#[test]
+fn a_request_that_crosses_our_close_of_its_idle_connection_is_served() {
+    on_one_thread(async {
+        let s = plain().await;
+        let places = 64 * 2 / 5;
+        let mut idle = vec![];
+        for _ in 0..places {
+            let mut c = Client::new(s.at).await;
+            c.say(&frame(16, 1, &[0])).await;
+            assert_eq!(c.hear().await.unwrap().0, 32);
+            idle.push(c);
+        }
+        // Both before the runtime hears of either, the newcomer first.
+        let newcomer = std::net::TcpStream::connect(s.at).unwrap();
+        let asked = idle[0].0.try_write(&request(2, 1, "lookup", "")).unwrap();
+        assert!(asked > 0);
+        let mut engine = s.dialled().await;
+        let id = get(&mut engine).await;
+        serve(&mut engine, &id, 1).await;
+        let (kind, stream, payload) = idle[0].hear().await.expect("its answer");
+        assert_eq!((kind, stream, payload[0]), (4, 2, 0));
+        assert!(idle[0].hear().await.is_none(), "and then it has given way");
+        drop(newcomer);
+    });
+}
+
+/// An id is used again while a second answer to its first request is still to come.
+#[test]
+fn a_second_answer_never_passes_for_that_of_a_later_request_of_its_id() {
+    on_one_thread(async {
+        let s = plain().await;
+        let answers = Rc::default();
+        for second in ["ACK", "EIO"] {
+            ask(&s, 1, 0, &answers);
+            let mut engine = s.dialled().await;
+            let id = get(&mut engine).await;
+            serve(&mut engine, &id, 1).await;
+            s.owes(0).await;
+            ask(&s, 1, 0, &answers);
+            let mut other = s.dialled().await;
+            assert_eq!(get(&mut other).await, id, "on another connection");
+            let fields = if second == "ACK" { "total=1" } else { "-" };
+            reply(&mut engine, [&id, second, fields, "x\ty\tz\n"]).await;
+            tokio::task::yield_now().await;
+            reply(&mut other, [&id, "EIO", "-", ""]).await;
+            drop((engine, other));
+            let mut third = s.dialled().await;
+            assert_eq!(get(&mut third).await, id, "the second answer was nobody's");
+            serve(&mut third, &id, 1).await;
+            s.owes(0).await;
+            drop(third);
+        }
+        assert_eq!(*answers.borrow(), ["served"; 4]);
+    });
+}
+
+/// Without notes, silence tells nothing: long queries on all connections, and a healthy engine takes another.
+#[test]
+fn an_engine_that_tells_no_notes_takes_more_while_long_queries_run() {
+    on_one_thread(async {
+        let s = plain().await;
+        let answers = Rc::default();
+        ask(&s, 1, 0, &answers);
+        let mut engine = s.dialled().await;
+        get(&mut engine).await;
+        tokio::time::sleep(Duration::from_millis(1100)).await;
+        ask(&s, 2, 0, &answers);
+        assert_eq!(get(&mut engine).await, name(2), "on the same connection");
+    });
+}
+
+/// A result that began breaks off, or an answer never ends, while others share the connection.
+#[test]
+fn what_breaks_a_shared_connection_costs_no_safe_request_its_answer() {
+    on_one_thread(async {
+        for how in ["reset", "endless", "spoilt"] {
+            let s = plain().await;
+            let answers = Rc::default();
+            (1..=3).for_each(|n| ask(&s, n, 0, &answers));
+            let mut engine = s.dialled().await;
+            let mut ids = vec![];
+            for _ in 0..3 {
+                ids.push(get(&mut engine).await);
+            }
+            reply(&mut engine, [&ids[0], "ACK", "total=3", "a\tb\tc\n"]).await;
+            command(&mut engine).await.expect("a page is asked for");
+            match how {
+                "reset" => SockRef::from(&engine).set_linger(Some(Duration::ZERO)).unwrap(),
+                "endless" => engine.write_all(b"*4\r\n$16\r\n00000000").await.unwrap(),
+                _ => reply(&mut engine, [&ids[0], "BLOCK", "index=1", "no rows"]).await,
+            }
+            let kept = (how == "endless").then_some(engine);
+            let mut again = s.dialled().await;
+            let mut served = 0;
+            while served < 3 {
+                let Some(words) = command(&mut again).await else {
+                    again = s.dialled().await;
+                    continue;
+                };
+                if words[0] == "GET" {
+                    serve(&mut again, &words[1], 1).await;
+                    served += 1;
+                }
+            }
+            s.owes(0).await;
+            assert_eq!(*answers.borrow(), ["served"; 3], "{how}");
+            drop(kept);
+        }
+    });
+}
+
+// ---- the end, against what is in the pipes
+
+/// A connection that the machine has accepted, with its request written, and the goodbye in the same turn.
+#[test]
+fn what_the_machine_has_accepted_is_served_though_the_end_has_begun() {
+    on_one_thread(async {
+        let s = plain().await;
+        tokio::task::yield_now().await;
+        let mut client = std::net::TcpStream::connect(s.at).unwrap();
+        client.write_all(&request(1, 1, "lookup", "")).unwrap();
+        s.front.goodbye(false);
+        client.set_nonblocking(true).unwrap();
+        let mut client = Client(TcpStream::from_std(client).unwrap());
+        assert_eq!(client.hear().await.unwrap().0, 64, "it is told");
+        let mut engine = s.dialled().await;
+        let id = get(&mut engine).await;
+        serve(&mut engine, &id, 1).await;
+        assert_eq!(client.hear().await.map(|f| (f.0, f.1, f.2[0])), Some((4, 1, 0)), "and served");
+        let refused = TcpStream::connect(s.at).await.map_err(|e| e.kind());
+        assert!(matches!(refused, Err(ErrorKind::ConnectionRefused)), "later ones go elsewhere");
+    });
+}
+
+/// Half a frame is here when connections are to end, then its rest; and a client that takes its answer late.
+#[test]
+fn connections_end_only_once_what_was_asked_is_answered_and_taken_whole() {
+    on_one_thread(async {
+        let s = plain().await;
+        let mut client = Client::narrow(s.at).await;
+        let asks = request(1, 1, "lookup", "");
+        client.say(&asks[..asks.len() / 2]).await;
+        let mut idle = Client::new(s.at).await;
+        until("both", || s.front.connections() == 2).await;
+        s.front.goodbye(true);
+        s.front.end();
+        assert_eq!(idle.hear().await.unwrap().0, 64);
+        assert!(idle.hear().await.is_none(), "nothing is owed on it");
+        client.say(&asks[asks.len() / 2..]).await;
+        let mut engine = s.dialled().await;
+        let id = get(&mut engine).await;
+        serve(&mut engine, &id, 9).await;
+        s.owes(0).await;
+        assert_eq!(s.front.connections(), 1, "the answer is given, and not taken");
+        assert_eq!(client.hear().await.unwrap().0, 64);
+        let (kind, stream, payload) = client.hear().await.unwrap();
+        assert_eq!((kind, stream, payload.len()), (4, 1, 2 + 9 * 5005));
+        assert!(client.hear().await.is_none());
+        until("none", || s.front.connections() == 0).await;
+    });
+}
