--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -448,6 +448,45 @@
         });
     }
 
+    /// A head that never comes, a stream that falls silent, silent again right after, and one that trickles bytes and
+    /// never a line: each is given up within the span, and the drain is told by the next that speaks.
+    #[test]
+    fn a_stream_without_lines_is_silent_however_it_comes() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (_at, address) = watch::channel(listener.local_addr().unwrap());
+            let mut journal = Journal::new(address, serde_json::Value::Null, 1).unwrap();
+            journal.silence = Duration::from_millis(60);
+            let told = Rc::new(RefCell::new(vec![]));
+            let tell = told.clone();
+            let sink: Sink = Box::new(move |c| tell.borrow_mut().extend(c.engines.into_iter().map(|e| e.state)));
+            let service = async {
+                let mut kept = vec![];
+                for text in ["", PLAIN, PLAIN] {
+                    let (mut tcp, _) = listener.accept().await.unwrap();
+                    tcp.write_all(text.as_bytes()).await.unwrap();
+                    kept.push(tcp);
+                }
+                let (mut trickles, _) = listener.accept().await.unwrap();
+                trickles.write_all(PLAIN.as_bytes()).await.unwrap();
+                let (mut speaks, _) = loop {
+                    tokio::select! {
+                        next = listener.accept() => break next.unwrap(),
+                        () = tokio::time::sleep(Duration::from_millis(10)) => drop(trickles.write_all(b":").await),
+                    }
+                };
+                speaks.write_all(format!("{PLAIN}{}", event(1, "a", "terminating")).as_bytes()).await.unwrap();
+                while told.borrow().is_empty() {
+                    tokio::task::yield_now().await;
+                }
+            };
+            let all = async { tokio::select! { () = service => {}, () = journal.run(sink) => {} } };
+            tokio::time::timeout(Duration::from_secs(4), all).await.expect("none is waited for");
+            assert_eq!(told.take(), [EngineState::Draining]);
+        });
+    }
+
     /// All start in the same moment and the service, which starts as well, ends each stream at once.
     #[test]
     fn dispatchers_that_restart_at_once_call_the_service_one_after_the_other() {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -662,3 +662,60 @@
         until("none", || s.front.connections() == 0).await;
     });
 }
+
+/// SIGTERM's order comes while one load is out and one waits: the first may have run, the second never did.
+#[test]
+fn at_the_end_a_load_that_was_written_is_failed_and_one_that_waits_is_refused() {
+    on_one_thread(async {
+        let s = plain().await;
+        let answers = Rc::default();
+        ask(&s, 1, 1, &answers);
+        let mut engine = s.dialled().await;
+        get(&mut engine).await;
+        s.holds();
+        ask(&s, 2, 1, &answers);
+        s.hub.stop(unix_ms() + 100.0);
+        s.lets_go();
+        let mut told = vec![];
+        while s.hub.owed() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        told.extend(answers.borrow().iter().copied());
+        told.sort_unstable();
+        assert!(
+            told == ["failed", "late"] || told == ["failed", "refused"] || told == ["late", "late"],
+            "{told:?}"
+        );
+        let next = command(&mut engine).await.unwrap();
+        assert_eq!(next, ["DROP", &name(1)], "and neither is sent again");
+    });
+}
+
+/// Clients that send much at once and go: nothing of theirs is sent on, and others are served beside them.
+#[test]
+fn a_crowd_that_sends_much_and_goes_costs_the_others_nothing() {
+    on_one_thread(async {
+        let s = plain().await;
+        let mut crowd = vec![];
+        for n in 0..20 {
+            let mut c = Client::new(s.at).await;
+            let mine = (1..=5).flat_map(|k| request(1000 + k, u64::from(1000 * (n + 1) + k), "lookup", ""));
+            c.say(&[useless(1, 40), mine.collect()].concat()).await;
+            crowd.push(c);
+        }
+        drop(crowd);
+        let mut client = Client::new(s.at).await;
+        let began = std::time::Instant::now();
+        client.say(&request(1, 7, "lookup", "")).await;
+        let mut engine = s.dialled().await;
+        assert_eq!(get(&mut engine).await, name(7));
+        serve(&mut engine, &name(7), 1).await;
+        assert_eq!(client.hear().await.unwrap().2[0], 0);
+        assert!(began.elapsed() < Duration::from_secs(1));
+        // As long as forty useless frames of each would have held the rest back.
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        client.say(&request(2, 8, "lookup", "")).await;
+        assert_eq!(get(&mut engine).await, name(8), "nothing of the crowd's");
+        until("they are gone", || s.front.connections() == 1).await;
+    });
+}
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use futures_util::SinkExt;
+use hitchwinch::ListUpdate;
+use hitchwinch::net::discovery::Change;
 use hitchwinch::net::hub::Hub;
 use hitchwinch::net::mysql::front::Front;
 use hitchwinch::net::mysql::leg::MysqlLeg;
@@ -15,6 +17,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -256,7 +259,19 @@
     }
 }
 
-async fn set_up() -> (Rc<Hub<MysqlLeg>>, MysqlClient, Vec<SocketAddr>, mpsc::UnboundedReceiver<Seen>) {
+type Seens = mpsc::UnboundedReceiver<Seen>;
+
+async fn set_up() -> (Rc<Hub<MysqlLeg>>, MysqlClient, Vec<SocketAddr>, Seens) {
+    let (hub, _, client, addresses, seen) = set_up_all().await;
+    (hub, client, addresses, seen)
+}
+
+async fn set_up_front() -> (Rc<Hub<MysqlLeg>>, Rc<Front<MysqlLeg>>, MysqlClient, Seens) {
+    let (hub, front, client, _, seen) = set_up_all().await;
+    (hub, front, client, seen)
+}
+
+async fn set_up_all() -> (Rc<Hub<MysqlLeg>>, Rc<Front<MysqlLeg>>, MysqlClient, Vec<SocketAddr>, Seens) {
     let (addresses, seen) = engines(engine).await;
     let (core, names, sockets) = core();
     let pool = Pool::default();
@@ -267,8 +282,9 @@
     spawn_local(hub.clone().clock());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    spawn_local(Front::new(hub.clone(), pool, mysql_front(), spools).accept(listener));
-    (hub, MysqlClient { address, wire: None, prepared: HashMap::new() }, addresses, seen)
+    let front = Front::new(hub.clone(), pool, mysql_front(), spools);
+    spawn_local(front.clone().accept(listener));
+    (hub, front, MysqlClient { address, wire: None, prepared: HashMap::new() }, addresses, seen)
 }
 
 #[test]
@@ -358,3 +374,90 @@
         assert!(w.next().await.is_none(), "and the session ends");
     });
 }
+
+/// A statement waits, and its client goes: by its last word, behind a command sent early, by a close, by a reset. The term
+/// later it would be let go, and another's is the first that an engine sees.
+#[test]
+fn a_session_that_goes_while_its_statement_waits_is_not_sent_on() {
+    on_one_thread(async {
+        for how in ["quit", "early and closed", "closed", "reset"] {
+            let (hub, client, addresses, mut seen) = set_up().await;
+            let mut w = log_in(client.address, "ann", "secret").await.unwrap();
+            hub.change(&Change { update: ListUpdate::Whole, engines: vec![] });
+            command(&mut w, QUERY, &[b"insert into sales_17.orders values (1)"]).await;
+            while hub.owed() == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let kept = match how {
+                "quit" => {
+                    command(&mut w, QUIT, &[]).await;
+                    Some(w)
+                }
+                "early and closed" => {
+                    command(&mut w, PING, &[]).await;
+                    drop(w);
+                    None
+                }
+                "reset" => {
+                    socket2::SockRef::from(w.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+                    drop(w);
+                    None
+                }
+                _ => {
+                    drop(w);
+                    None
+                }
+            };
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            assert_eq!(hub.owed(), 0, "{how}: it is left, and what it held is free");
+            hub.change(&change(&addresses, None));
+            let mut other = log_in(client.address, "ann", "secret").await.unwrap();
+            command(&mut other, QUERY, &[b"select n from sales_17.orders"]).await;
+            assert_eq!(seen.recv().await.unwrap().class, "lookup", "{how}");
+            drop(kept);
+        }
+    });
+}
+
+/// A command sent early is no leave: both are answered.
+#[test]
+fn a_command_sent_before_the_answer_to_the_last_is_answered_after_it() {
+    on_one_thread(async {
+        let (_hub, client, _, mut seen) = set_up().await;
+        let mut w = log_in(client.address, "ann", "secret").await.unwrap();
+        command(&mut w, QUERY, &[b"select n from sales_17.orders"]).await;
+        let first = seen.recv().await.unwrap();
+        command(&mut w, PING, &[]).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        first.orders.send("rows").unwrap();
+        w.codec_mut().sequence = 1;
+        assert!(result(&mut w).await.is_ok());
+        w.codec_mut().sequence = 1;
+        assert!(result(&mut w).await.is_ok(), "the ping");
+    });
+}
+
+/// A client in the machine's queue, one between commands and one whose command is unread, at the stop.
+#[test]
+fn at_the_stop_what_was_asked_is_answered_and_all_others_are_told() {
+    on_one_thread(async {
+        let (_hub, front, client, mut seen) = set_up_front().await;
+        let mut asked = log_in(client.address, "ann", "secret").await.unwrap();
+        let mut idle = log_in(client.address, "ann", "secret").await.unwrap();
+        // All before the runtime hears of any.
+        let queued = std::net::TcpStream::connect(client.address).unwrap();
+        let sql = [&[30, 0, 0, 0, QUERY][..], b"select n from sales_17.orders"].concat();
+        assert_eq!(asked.get_ref().try_write(&sql).unwrap(), sql.len());
+        front.stop(false);
+        seen.recv().await.unwrap().orders.send("rows").unwrap();
+        asked.codec_mut().sequence = 1;
+        assert!(result(&mut asked).await.is_ok());
+        for w in [&mut asked, &mut idle] {
+            w.codec_mut().sequence = 0;
+            assert_eq!(read_err(&packet(w).await).code, 1053);
+        }
+        queued.set_nonblocking(true).unwrap();
+        let mut queued = wire(TcpStream::from_std(queued).unwrap());
+        assert_eq!(read_err(&packet(&mut queued).await).code, 1053);
+    });
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -1,5 +1,6 @@
 //! The program itself on the platform's terms: started, asked whether it is ready, told to stop.
 
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
@@ -334,3 +335,118 @@
     assert!(greets("9.9.9"));
     program.ends_well();
 }
+
+/// The same with another longest deadline.
+fn waits(config: &str, ms: u32) -> String {
+    config.replace("\"hard_limit\":400.0", &format!("\"hard_limit\":{ms}.0"))
+}
+
+/// The process stands still while the end of accepting passes: a connection that the machine accepts meanwhile, with a
+/// request written on it, is served for all that.
+#[test]
+fn a_connection_in_the_machines_queue_at_the_end_of_accepting_is_answered() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap(); // takes connections and says nothing
+    let program = Program::run("queue", &waits(&config(Some(&engine), "127.0.0.1:1"), 1000), &[]);
+    assert!(ready(&mut connect(&program.address)));
+    program.signal("-TERM");
+    program.says("SIGTERM");
+    program.signal("-STOP");
+    let mut client = connect(&program.address);
+    send(&mut client, 2, 1, &lookup("60000"));
+    std::thread::sleep(Duration::from_millis(700));
+    program.signal("-CONT");
+    assert_eq!(expect(&mut client).0, 64, "goodbye");
+    let (kind, stream, payload) = expect(&mut client);
+    assert_eq!((kind, stream, payload[0]), (4, 1, 14), "refused in time");
+    program.ends_well();
+}
+
+/// Nothing is owed when the last wait passes, and a request stands unread.
+#[test]
+fn a_request_that_is_unread_when_nothing_is_owed_is_answered_before_the_end() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let program = Program::run("unread", &waits(&config(Some(&engine), "127.0.0.1:1"), 1000), &[]);
+    let mut client = connect(&program.address);
+    assert!(ready(&mut client));
+    program.signal("-TERM");
+    assert_eq!(expect(&mut client).0, 64, "goodbye");
+    program.signal("-STOP");
+    send(&mut client, 2, 1, &lookup("60000"));
+    std::thread::sleep(Duration::from_millis(400));
+    program.signal("-CONT");
+    let (kind, stream, payload) = expect(&mut client);
+    assert_eq!((kind, stream, payload[0]), (4, 1, 14), "refused in time");
+    program.ends_well();
+}
+
+/// Twice, with a new configuration between, and again while answers are owed.
+#[test]
+fn sigterm_beside_sighup_and_another_sigterm_still_answers_what_it_has_taken() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let program = start("signals", Some(&engine));
+    let mut client = connect(&program.address);
+    assert!(ready(&mut client));
+    send(&mut client, 2, 1, &lookup("60000"));
+    assert!(ready(&mut client));
+    program.signal("-TERM");
+    program.configure(&config(None, "127.0.0.1:2"));
+    program.signal("-TERM");
+    program.says("SIGHUP");
+    let mut answers = vec![];
+    while answers.len() < 2 {
+        answers.push(expect(&mut client));
+    }
+    assert_eq!((answers[0].0, answers[1].0, answers[1].2[0]), (64, 4, 14));
+    program.ends_well();
+}
+
+/// Before it has a list, it ends at once and well.
+#[test]
+fn sigterm_before_it_is_ready_ends_it_well() {
+    let program = start("early", None);
+    program.signal("-TERM");
+    program.ends_well();
+}
+
+/// A client takes its last answer late: the process ends only once it has it whole.
+#[test]
+fn a_slow_reader_gets_its_last_answer_whole_before_the_end() {
+    let folder = std::env::temp_dir().join(format!("hitchwinch-{}-slow", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    // Accepted connections take this on: the machine holds next to nothing of an answer.
+    SockRef::from(&socket).set_send_buffer_size(4096).unwrap();
+    let config = waits(&config(Some(&engine), "127.0.0.1:1"), 2000);
+    let program = Program::beside("slow", &config, &[], &folder, &socket);
+    let client = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    client.set_recv_buffer_size(4096).unwrap();
+    client.connect(&socket.local_addr().unwrap().into()).unwrap();
+    let mut client = TcpStream::from(client);
+    send(&mut client, 2, 1, &lookup("2000"));
+    let (mut on, _) = engine.accept().unwrap();
+    let mut asked = [0; 4096];
+    assert!(on.read(&mut asked).unwrap() > 0);
+    let row = format!("{}\tb\tc\n", "a".repeat(5000));
+    let mut answer = |word: &str, fields: &str| {
+        let words: String = ["0123456789abcdef", word, fields, &row]
+            .iter()
+            .map(|w| format!("${}\r\n{w}\r\n", w.len()))
+            .collect();
+        on.write_all(format!("*4\r\n{words}").as_bytes()).unwrap();
+    };
+    answer("ACK", "total=9");
+    (1..9).for_each(|n| answer("BLOCK", &format!("index={n}")));
+    program.signal("-TERM");
+    program.says("SIGTERM");
+    std::thread::sleep(Duration::from_millis(1400));
+    client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut whole = vec![];
+    while whole.len() < 2 {
+        whole.push(expect(&mut client));
+    }
+    let answer = whole.iter().find(|f| f.0 == 4).unwrap();
+    assert_eq!((answer.1, answer.2[0], answer.2.len()), (1, 0, 2 + 9 * 5005));
+    program.ends_well();
+    std::fs::remove_dir_all(folder).unwrap();
+}
