--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,11 @@
 
 try: build
 	target/release/hitchwinch --mysql examples/toy/toy.toml
+
+.PHONY: sites
+
+# Lays what the bench wants beside the variants in deploy/sites: names on the sockets and what is unlocked, from the
+# operators' kit. None of it is committed.
+KIT_SITES ?= ../given/kit/sites
+sites:
+	cp -f $(KIT_SITES)/real.json $(KIT_SITES)/wire.json $(KIT_SITES)/unlock.txt deploy/sites/
