Heed a client's leave behind any number of frames, and look at its socket before an attempt

In src/net/frames/talk.rs, converse stopped reading past 64 frames or 64 KB that wait for the pause after useless ones, and after any fault read bytes away without their leaves; in src/net/resp.rs, order looked at the engine's socket and at the core's books, which are as old as the last turn of the client's task; HALF let a request that nobody wants come whole for 150 ms.

Change: while its client has to wait, a request beyond what may be kept is refused unread ('too much is open'), so that reading never stops; 8,192 of those may be owed, then the client is cut off. A leave is heeded after a fault too, wherever frames can still be told apart. Before the first byte of an attempt the machine is asked about the client's own socket (src/net/client.rs): what is unread is read first, and nothing begins for one that has closed. HALF is 50 ms. What is of no use is read at 256 KB a millisecond, a frame counting for 1 KB. A request's time runs from its arrival, not from the end of the pause.

Checked and ruled out: a retry, a move and a copy start nothing for an answered request (src/core/requests.rs, run); hundreds that leave in one turn, an engine's reset in the same turn, megabytes behind a fault: guards, green before as well.

--- a/src/net/frames/request.rs
+++ b/src/net/frames/request.rs
@@ -1,11 +1,13 @@
 //! Requests as clients' frames bring them, and what they hold while they are open.
 
-use super::codec::{FrameError, fields};
+use super::codec::{Frame, FrameError, fields};
 use crate::config::find;
 use crate::core::NewRequest;
-use crate::interface::ClassId;
+use crate::interface::{ClassId, Millis};
+use crate::net::client::Watch;
 use crate::net::hub::{Hub, Leg};
-use crate::net::{MOST_MB, MOST_MS, statement, unix_ms};
+use crate::net::pool::Unread;
+use crate::net::{MOST_MB, MOST_MS, statement};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -19,6 +21,7 @@
     pub statement: Bytes,
     held: Held,
     named: Named,
+    client: Option<Watch>,
 }
 
 /// Bytes of statements held in all; more are refused, or a few connections could fill the memory.
@@ -85,22 +88,35 @@
     /// Work that counts towards no budget.
     pub fn free(txn: &str, class: &str, statement: Bytes) -> Self {
         let (held, named) = (Held::default(), Named::default());
-        Work { txn: txn.into(), class: class.into(), statement, held, named }
+        Work { txn: txn.into(), class: class.into(), statement, held, named, client: None }
     }
 
-    /// It holds its bytes and its id for as long as it lives.
-    pub(super) fn hold(&mut self, held: Held, named: Named) {
-        (self.held, self.named) = (held, named);
+    /// It holds its bytes and its id for as long as it lives, and is its client's.
+    pub(super) fn hold(&mut self, held: Held, named: Named, client: Watch) {
+        (self.held, self.named, self.client) = (held, named, Some(client));
+    }
+
+    /// What the machine holds unread of its client: asked before an attempt begins, for the client may have gone.
+    pub fn client(&self) -> Unread {
+        self.client.as_ref().map_or(Unread::Nothing, Watch::unread)
     }
 }
 
 /// Why a request is failed at the door, and the class that it named, if any.
 pub(super) type AtTheDoor = (Option<ClassId>, String);
 
-/// Reads a request; the error is the message of a `failed`.
+/// The class that a request names.
+pub(super) fn class<L: Leg>(hub: &Hub<L>, frame: Frame) -> Option<ClassId> {
+    let (fields, _) = fields(frame.payload).ok()?;
+    let named = fields.iter().find(|f| f.0 == "verb")?;
+    find(&hub.names().classes, &named.1)
+}
+
+/// Reads a request that arrived at this Unix time; the error is the message of a `failed`.
 pub(super) fn request<L: Leg>(
     hub: &Hub<L>,
     payload: Bytes,
+    arrived: Millis,
 ) -> Result<Result<(NewRequest, Work), AtTheDoor>, FrameError> {
     let named = Cell::new(None);
     let (fields, statement) = fields(payload)?;
@@ -135,7 +151,7 @@
             class: index,
             tenant,
             group: statement::group(&statement),
-            deadline: unix_ms() + ms,
+            deadline: arrived + ms,
             work: number("cpu", MOST_MS)?.filter(|v| *v > 0.0),
             memory_mb: number("mem", MOST_MB)?.filter(|v| *v > 0.0),
         };
--- a/src/net/frames/talk.rs
+++ b/src/net/frames/talk.rs
@@ -1,14 +1,17 @@
 //! One client's connection. Its two halves wait for nothing but the socket: what the client says is read whether or not
 //! it takes what is written, is made to wait for useless frames, or has sent what cannot be read; so that its leave, its
-//! close and its reset are seen at once, and what it waits for is not sent on after them.
+//! close and its reset are seen at once, behind any number of frames, and what it waits for is not sent on after them.
 
 use super::codec::{Frame, FrameCodec, FrameError, Send};
-use super::request::{Work, request};
+use super::request::{Work, class, request};
 use super::{ANSWER, ASK, FAILED, Front, GOODBYE, LEAVE, Phase, REFUSED, REQUEST, SERVED, STATE};
 use crate::core::{End, RequestId};
+use crate::interface::Millis;
+use crate::net::client::{ClientSocket, Watch};
 use crate::net::hub::{Leg, Reply};
 use crate::net::places::{Place, Use};
-use crate::net::pool::{self, Buffer, Reads, Turn, Unread};
+use crate::net::pool::{self, Buffer, Reads, Socket, Turn, Unread};
+use crate::net::unix_ms;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -32,17 +35,26 @@
 /// times: repeats at full speed must not take the others' share. Its answers are never held back, and what it says is
 /// read ahead.
 const PAUSE: Duration = Duration::from_millis(4);
-/// Frames, and bytes in them, that are read ahead: all that may be open, twice. Beyond, the client is read no further
-/// until some are taken up.
+/// Frames, and bytes in them, that are read ahead: all that may be open, twice. While the client has to wait, requests
+/// beyond are refused unread, and so are no reason to stop reading.
 const AHEAD: usize = 2 * STREAMS;
 const AHEAD_BYTES: usize = 4 * pool::SIZE;
+/// Frames that are turned away so and not answered yet. A client that sends more, and takes no answers, is cut off: by that
+/// it has left as well.
+const TURNED_AWAY: usize = 8192;
+/// What a client is told that has more open than it may.
+const TOO_MUCH: &str = "too much is open";
+const LATER: Millis = 100.0;
 /// Frames read in a row before all else on the connection has its turn.
 const BURST: usize = 64;
-/// What a client still sends after a fault is read away, so that its end is seen; this much a millisecond, at which all
-/// that the machine holds unread for a connection (some megabytes) is through before 0.3 s.
-const AWAY: usize = 16 * pool::SIZE;
+/// What is of no use (behind more than may be read ahead, or after a fault) is read for its leaves and its end alone, so
+/// many bytes a millisecond, where a frame counts for `FRAME` at least. At that pace all that the machine holds unread
+/// for a connection (6 MB), and all that may be turned away, is through in half of the 0.1 s after which nothing may
+/// begin for a client that has gone; and others have their share of the processor.
+const PACE: usize = 16 * pool::SIZE;
+const FRAME: usize = 1024;
 
-pub(super) type Wire = pool::Wire<FrameCodec>;
+pub(super) type Wire = pool::Wire<FrameCodec, ClientSocket>;
 
 type Open = Rc<RefCell<HashMap<u32, RequestId>>>;
 
@@ -91,7 +103,7 @@
     tcp: TcpStream,
 ) -> Result<(), FrameError> {
     tcp.set_nodelay(true)?;
-    converse(front, place, &mut Wire::new(&front.pool, tcp, FrameCodec)).await
+    converse(front, place, &mut Wire::new(&front.pool, tcp.into(), FrameCodec)).await
 }
 
 /// What one connection has told of its client.
@@ -100,9 +112,12 @@
     place: &'a Place,
     open: Open,
     streams: Streams,
-    /// Read, and not taken up yet; and the bytes in them.
-    ahead: VecDeque<Frame>,
+    socket: Watch,
+    /// Read, and not taken up yet; when; and the bytes in them.
+    ahead: VecDeque<(Frame, Millis)>,
     bytes: usize,
+    /// Kind and stream of what came beyond that, not answered yet.
+    turned_away: VecDeque<(u8, u32)>,
     /// Frames of late that could not be used.
     useless: u32,
     /// Nothing is taken up before.
@@ -125,8 +140,10 @@
         place,
         open: open.clone(),
         streams: Streams::default(),
+        socket: wire.get_ref().watch(),
         ahead: VecDeque::new(),
         bytes: 0,
+        turned_away: VecDeque::new(),
         useless: 0,
         pause: Instant::now(),
         answers: tx,
@@ -139,7 +156,7 @@
     // It ends as soon as nothing is owed and nothing unread.
     let mut closing = false;
     let mut fault: Option<FrameError> = None;
-    let (mut away, mut away_from) = (0, Instant::now());
+    let (mut useless, mut useless_from) = (0, Instant::now());
     loop {
         if client.owes_nothing() && wire.written() {
             if fault.is_some() {
@@ -150,15 +167,18 @@
                 place.uses(Use::Idle, Instant::now());
             }
             wire.rest();
-            if closing && wire.read_buffer().is_empty() && pool::unread(wire.get_ref()) != Unread::Bytes {
+            if closing && wire.read_buffer().is_empty() && pool::unread(wire.get_ref().tcp()) != Unread::Bytes
+            {
                 return Ok(());
             }
         }
         let room = wire.write_buffer().len() < pool::SIZE;
-        let reads = match () {
-            () if fault.is_some() && away < AWAY => Reads::Away,
-            () if fault.is_some() || burst >= BURST || client.full() => Reads::Nothing,
-            () => Reads::Items,
+        let takes_up = room && !client.ahead.is_empty() && client.pause <= Instant::now();
+        let reads = match &fault {
+            _ if useless >= PACE || burst >= BURST || client.full() && takes_up => Reads::Nothing,
+            // Without its length, nothing tells where the next frame begins.
+            Some(FrameError::Length(_)) => Reads::Away,
+            _ => Reads::Items,
         };
         tokio::select! {
             biased;
@@ -170,15 +190,22 @@
             }
             turn = wire.turn(reads, false) => match turn {
                 Turn::Written | Turn::Room => {}
-                Turn::Away(n) => away += n,
+                Turn::Away(n) => useless += n,
                 Turn::End => return fault.map_or(Ok(()), Err),
                 Turn::Broken(FrameError::Io(e)) if e.kind() == io::ErrorKind::ConnectionReset => return Ok(()),
                 Turn::Broken(FrameError::Io(e)) => return Err(e.into()),
                 Turn::Broken(e) => fail(wire, &mut fault, e)?,
                 Turn::Heard(frame) => {
                     (partial, burst) = (Duration::ZERO, burst + 1);
-                    if let Err(e) = client.arrived(frame) {
-                        fail(wire, &mut fault, e)?;
+                    if fault.is_some() || client.full() {
+                        useless += FRAME.max(frame.payload.len());
+                    }
+                    if fault.is_none() {
+                        if let Err(e) = client.arrived(frame) {
+                            fail(wire, &mut fault, e)?;
+                        }
+                    } else if frame.kind == LEAVE {
+                        client.leaves(frame.stream);
                     }
                 }
             },
@@ -196,14 +223,15 @@
                     fail(wire, &mut fault, e)?;
                 }
             }
-            () = tokio::time::sleep_until((away_from + Duration::from_millis(1)).into()), if away >= AWAY => {
-                (away, away_from) = (0, Instant::now());
+            () = std::future::ready(()), if room && !client.turned_away.is_empty() => client.turn_away(wire)?,
+            () = tokio::time::sleep_until((useless_from + Duration::from_millis(1)).into()), if useless >= PACE => {
+                (useless, useless_from) = (0, Instant::now());
             }
             _ = check.tick() => {
                 if wire.stuck(WRITE) {
                     return Err(io::Error::from(io::ErrorKind::TimedOut).into());
                 }
-                let waits = !wire.read_buffer().is_empty() && fault.is_none() && !client.full();
+                let waits = !wire.read_buffer().is_empty() && fault.is_none();
                 partial = if waits { partial + CHECK } else { Duration::ZERO };
                 let (state, since) = place.state();
                 if fault.is_none() && (partial > WHOLE || waits && state == Use::Silent && since.elapsed() > WHOLE) {
@@ -217,12 +245,17 @@
     }
 }
 
-/// After such a frame nothing more is read; what is open is still answered.
+/// After such a frame nothing is heeded but leaves and the end; what is open is still answered.
 fn fail(wire: &mut Wire, fault: &mut Option<FrameError>, e: FrameError) -> Result<(), FrameError> {
     if let FrameError::Io(e) = e {
         return Err(e.into());
     }
-    if fault.is_none() {
+    if fault.is_some() {
+        // Past it nothing tells any more where a frame begins.
+        if matches!(e, FrameError::Length(_)) {
+            *fault = Some(e);
+        }
+    } else {
         let why = e.to_string();
         wire.put(Send { kind: ANSWER, stream: 0, code: Some(FAILED), fields: &[], body: why.as_bytes() })?;
         *fault = Some(e);
@@ -253,10 +286,10 @@
 
 impl<L: Leg<Work = Work, Output = Buffer>> Client<'_, L> {
     fn owes_nothing(&self) -> bool {
-        self.open.borrow().is_empty() && self.ahead.is_empty()
+        self.open.borrow().is_empty() && self.ahead.is_empty() && self.turned_away.is_empty()
     }
 
-    /// No more is read ahead.
+    /// No more is kept for later.
     fn full(&self) -> bool {
         self.ahead.len() >= AHEAD || self.bytes >= AHEAD_BYTES
     }
@@ -276,34 +309,62 @@
         }
         match frame.kind {
             REQUEST if !self.streams.take(frame.stream) => return Err(FrameError::Stream(frame.stream)),
-            LEAVE => {
-                let left = self.open.borrow_mut().remove(&frame.stream);
-                match left {
-                    Some(id) => self.front.hub.leave(id),
-                    // Not taken up yet: then it never is.
-                    None => self.ahead.retain(|f| f.kind != REQUEST || f.stream != frame.stream),
+            LEAVE => self.leaves(frame.stream),
+            _ if self.full() => {
+                if self.turned_away.len() >= TURNED_AWAY {
+                    return Err(io::Error::other("more is asked at once than can be answered").into());
+                }
+                self.turned_away.push_back((frame.kind, frame.stream));
+                // One that cannot be read names no class, and is turned away all the same.
+                if let Some(class) = class(&self.front.hub, frame) {
+                    self.front.hub.turned_away(class, End::Overload);
                 }
-                self.bytes = self.ahead.iter().map(|f| f.payload.len()).sum();
             }
             _ => {
                 self.bytes += frame.payload.len();
-                self.ahead.push_back(frame);
+                self.ahead.push_back((frame, unix_ms()));
             }
         }
         Ok(())
     }
 
+    /// Nobody waits for this stream any more: what is open on it is left, and what is not taken up yet never is.
+    fn leaves(&mut self, stream: u32) {
+        let left = self.open.borrow_mut().remove(&stream);
+        match left {
+            Some(id) => self.front.hub.leave(id),
+            None => {
+                self.ahead.retain(|(f, _)| f.kind != REQUEST || f.stream != stream);
+                self.bytes = self.ahead.iter().map(|(f, _)| f.payload.len()).sum();
+            }
+        }
+    }
+
+    /// Whether the dispatcher is ready, for a client that asks.
+    fn state(&self, wire: &mut Wire, stream: u32) -> Result<(), FrameError> {
+        // Asked is whether the dispatcher is ready, and that it is with any process.
+        let code = if self.front.hub.ready() || self.front.handed_over.get() { SERVED } else { REFUSED };
+        wire.put(Send { kind: STATE, stream, code: Some(code), fields: &[], body: &[] })
+    }
+
+    /// Answers the first of what was turned away.
+    fn turn_away(&mut self, wire: &mut Wire) -> Result<(), FrameError> {
+        match self.turned_away.pop_front() {
+            Some((ASK, stream)) => self.state(wire, stream),
+            Some((_, stream)) => answer(wire, stream, Reply::Refused { later: Some(LATER), why: TOO_MUCH }),
+            None => Ok(()),
+        }
+    }
+
     /// Takes the first of what was read up.
     fn take_up(&mut self, wire: &mut Wire) -> Result<(), FrameError> {
-        let Some(frame) = self.ahead.pop_front() else { return Ok(()) };
+        let Some((frame, arrived)) = self.ahead.pop_front() else { return Ok(()) };
         self.bytes -= frame.payload.len();
         let (front, stream) = (self.front, frame.stream);
         if frame.kind == ASK {
-            // Asked is whether the dispatcher is ready, and that it is with any process.
-            let code = if front.hub.ready() || front.handed_over.get() { SERVED } else { REFUSED };
-            return wire.put(Send { kind: STATE, stream, code: Some(code), fields: &[], body: &[] });
+            return self.state(wire, stream);
         }
-        let read = request(&front.hub, frame.payload)?.and_then(|(new, work)| {
+        let read = request(&front.hub, frame.payload, arrived)?.and_then(|(new, work)| {
             // Two under one id would be one to an engine, and the first may be another client's.
             let open = || (Some(new.class), "txn: a request of this id is open".to_string());
             let named = front.ids.take(&work.txn).ok_or_else(open)?;
@@ -322,9 +383,9 @@
         let Some(held) = held.filter(|_| self.open.borrow().len() < STREAMS) else {
             self.useless();
             front.hub.turned_away(new.class, End::Overload);
-            return answer(wire, stream, Reply::Refused { later: Some(100.0), why: "too much is open" });
+            return answer(wire, stream, Reply::Refused { later: Some(LATER), why: TOO_MUCH });
         };
-        work.hold(held, named);
+        work.hold(held, named, self.socket.clone());
         self.useless = 0;
         self.place.uses(Use::Busy, Instant::now());
         // The answer may come before the id is known, so its place is taken first.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The adapters: fronts, engine legs and discovery, on tokio, round the core. All run on one thread.
 
 pub mod admin;
+pub mod client;
 pub mod discovery;
 pub mod frames;
 pub mod hub;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -16,8 +16,8 @@
 /// Holds two pages of a result with their frames; a larger result grows its buffer, which is then not kept. At
 /// the size of the largest (48,000 bytes) the buffers in use filled memory through the whole of a long day.
 pub const SIZE: usize = 16 * 1024;
-/// Bytes that are read away at a time.
-const AWAY: usize = 4 * 1024;
+/// Bytes that are read away, or ahead, at a time.
+const AWAY: usize = 16 * 1024;
 /// Idle buffers kept; more are given back to the machine.
 const KEPT: usize = 64;
 
@@ -65,6 +65,17 @@
     }
 }
 
+/// What a connection is made on.
+pub trait Socket: AsyncRead + AsyncWrite + Unpin {
+    fn tcp(&self) -> &TcpStream;
+}
+
+impl Socket for TcpStream {
+    fn tcp(&self) -> &TcpStream {
+        self
+    }
+}
+
 /// A connection whose two buffers are on loan from the pool, while there is something to read or write.
 pub struct Wire<C, S = TcpStream> {
     framed: Option<Framed<S, C>>,
@@ -205,7 +216,7 @@
     }
 }
 
-impl<C> Wire<C> {
+impl<C, S: Socket> Wire<C, S> {
     /// Puts something where nothing is left to be written, and writes what the machine takes at once. False if that is not
     /// a byte: then nothing of it stays here.
     pub fn begin<I>(&mut self, item: I) -> Result<bool, <C as Encoder<I>>::Error>
@@ -216,7 +227,7 @@
             self.write_buffer_mut().clear();
             return Err(e);
         }
-        match self.get_ref().try_write(self.write_buffer()) {
+        match self.get_ref().tcp().try_write(self.write_buffer()) {
             Ok(n) => {
                 self.write_buffer_mut().advance(n);
                 self.took(n);
@@ -236,7 +247,7 @@
     {
         if self.resting {
             // An error here is met again by the read.
-            drop(ready!(self.get_ref().poll_read_ready(cx)));
+            drop(ready!(self.get_ref().tcp().poll_read_ready(cx)));
             self.wake();
         }
         futures_util::Stream::poll_next(Pin::new(&mut **self), cx)
@@ -284,7 +295,7 @@
                 }),
             };
             match read {
-                Poll::Pending if room => self.get_ref().poll_write_ready(cx).map(|_| Turn::Room),
+                Poll::Pending if room => self.get_ref().tcp().poll_write_ready(cx).map(|_| Turn::Room),
                 read => read,
             }
         })
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -40,9 +40,10 @@
 const SILENT: f64 = 2.0;
 /// An engine that takes no bytes for this long is cut off.
 const WRITE: Duration = Duration::from_secs(2);
-/// A request that nobody wants any more, and that is half on the wire, may come whole for this long: its client's leave
-/// has to have stopped it by 0.3 s. Then the connection is cut, by which it never comes whole.
-const HALF: Millis = 150.0;
+/// A request that nobody wants any more, and that is half on the wire, may come whole for this long: nothing may begin
+/// 0.1 s after its client's leave, and half of that is for the leave's way here and the engine's look at its socket. Then the
+/// connection is cut, by which it never comes whole.
+const HALF: Millis = 50.0;
 /// Ids given up on a connection that it remembers: what is late comes soon after or never.
 const REMEMBERED: usize = 512;
 /// An answered id is remembered for this long: a second answer to it comes some milliseconds after the first.
@@ -590,8 +591,12 @@
             hub.ended(attempt, outcome, vec![]);
             return Ok(0);
         }
-        // The engine may have closed it in this very turn: the machine is asked, and what is unread is read first.
-        if !std::mem::replace(looked, true) && pool::unread(framed.get_ref()) != Unread::Nothing {
+        // The engine may have closed it in this very turn, and its client may have gone or left since its task had its turn:
+        // the machine is asked, and what is unread is read first. Nothing begins for a client that has closed.
+        let client = work.client();
+        let first = !std::mem::replace(looked, true);
+        let unread = || client == Unread::Bytes || pool::unread(framed.get_ref()) != Unread::Nothing;
+        if client == Unread::End || first && unread() {
             *waits = Some((Do::Get(txn), For::Reading));
             return Ok(0);
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,14 +4,14 @@
 mod scenario;
 
 use bytes::Bytes;
-use hitchwinch::config::{Machine, Sockets};
-use hitchwinch::core::NewRequest;
+use hitchwinch::config::{Machine, Names, Sockets};
+use hitchwinch::core::{Core, NewRequest};
 use hitchwinch::net::frames::{Front, Work};
 use hitchwinch::net::hub::{Hub, Reply};
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
 use hitchwinch::net::unix_ms;
-use scenario::{change, core, on_one_thread};
+use scenario::{change, core, core_with, on_one_thread};
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::io::{ErrorKind, Write};
@@ -23,7 +23,7 @@
 use tokio::task::spawn_local;
 
 /// Past it, nothing is sent on for a client that has left.
-const TERM: Duration = Duration::from_millis(300);
+const TERM: Duration = Duration::from_millis(100);
 /// An engine's socket keeps so little unread, and the dispatcher's so little unsent, that large requests stand.
 const SMALL: usize = 4096;
 
@@ -37,7 +37,14 @@
 
 /// A dispatcher before one engine that this test plays itself.
 async fn stand(engine: TcpListener, tweak: impl FnOnce(&mut Sockets)) -> Stand {
-    let (core, names, mut sockets) = core();
+    stand_with(core(), engine, tweak).await
+}
+
+async fn stand_with(
+    (core, names, mut sockets): (Core, Names, Sockets),
+    engine: TcpListener,
+    tweak: impl FnOnce(&mut Sockets),
+) -> Stand {
     tweak(&mut sockets);
     let pool = Pool::default();
     let hub = Hub::new(core, names, RespLeg::new(sockets, vec![], pool.clone()));
@@ -52,6 +59,13 @@
     Stand { hub, front, at, engine, engines }
 }
 
+/// One with room for hundreds of clients.
+async fn large() -> Stand {
+    let s = stand_with(core_with(1000), TcpListener::bind("127.0.0.1:0").await.unwrap(), |_| {}).await;
+    s.front.limit(&Machine { memory_mb: 64, sockets: 1024 });
+    s
+}
+
 async fn plain() -> Stand {
     stand(TcpListener::bind("127.0.0.1:0").await.unwrap(), |_| {}).await
 }
@@ -291,6 +305,122 @@
     });
 }
 
+/// Behind any number of them: as many as are made to wait, as are turned away, and more than may be.
+#[test]
+fn a_leave_behind_any_number_of_useless_frames_is_heeded() {
+    on_one_thread(async {
+        for n in [65, 500, 4000] {
+            let junk = async |c: &mut Client| c.say(&useless(100, n)).await;
+            left_while_it_waits(junk, 1, by_type_8).await;
+            left_while_it_waits(junk, 1, by_closing).await;
+            left_while_it_waits(junk, 1, by_reset).await;
+        }
+        // What it sends it need not even be able to send: it is cut off, or has closed.
+        let flood = async |c: &mut Client| {
+            let _ = c.0.try_write(&useless(100, 40_000)).unwrap();
+        };
+        left_while_it_waits(flood, 1, by_closing).await;
+    });
+}
+
+/// Large useless frames, too, which fill what may be kept of them.
+#[test]
+fn a_leave_behind_large_useless_frames_is_heeded() {
+    on_one_thread(async {
+        let junk = async |c: &mut Client| {
+            let large = "x".repeat(60_000);
+            let all: Vec<u8> = (100..120).flat_map(|s| request(s, s.into(), "nonsense", &large)).collect();
+            c.say(&all).await;
+        };
+        left_while_it_waits(junk, 1, by_type_8).await;
+        left_while_it_waits(junk, 1, by_closing).await;
+    });
+}
+
+/// Each of its frames has an answer, the useless ones, those that were turned away and its question; and one that asks
+/// well after them is served.
+#[test]
+fn whatever_a_client_sends_at_once_every_frame_of_it_is_answered() {
+    on_one_thread(async {
+        let s = plain().await;
+        let mut client = Client::new(s.at).await;
+        // Four fill what may be kept; others are turned away meanwhile.
+        let large = "x".repeat(20_000);
+        let all: Vec<u8> = (1..=100).flat_map(|n| request(n, n.into(), "nonsense", &large)).collect();
+        client.say(&[all, frame(16, 101, &[0])].concat()).await;
+        let mut told = std::collections::BTreeMap::new();
+        while told.len() < 101 {
+            let (kind, stream, payload) = client.hear().await.expect("every answer");
+            assert!(told.insert(stream, (kind, payload[0])).is_none(), "one answer each");
+        }
+        assert_eq!(told.remove(&101), Some((32, 0)));
+        let failed = told.values().filter(|a| **a == (4, 2)).count();
+        let refused = told.values().filter(|a| **a == (4, 14)).count();
+        assert_eq!(failed + refused, 100);
+        assert!(failed >= 4 && refused > 50, "{failed} failed, {refused} refused");
+        client.say(&request(1000, 1, "lookup", "")).await;
+        let mut engine = s.dialled().await;
+        let id = get(&mut engine).await;
+        serve(&mut engine, &id, 1).await;
+        assert_eq!(client.hear().await.map(|f| (f.0, f.1, f.2[0])), Some((4, 1000, 0)));
+    });
+}
+
+/// It is cut off once more is owed to it than may be, and by that has left all that it asked.
+#[test]
+fn a_client_that_takes_no_answer_and_asks_on_without_end_is_cut_off() {
+    on_one_thread(async {
+        let s = plain().await;
+        s.holds();
+        let mut client = Client::narrow(s.at).await;
+        client.say(&request(1, 1, "lookup", "")).await;
+        s.owes(1).await;
+        let flood = useless(100, 60_000);
+        let sent = within("an end", client.0.write_all(&flood)).await;
+        assert!(sent.is_err(), "it has been closed");
+        s.owes(0).await;
+        s.lets_go();
+        s.nothing_but(2).await;
+    });
+}
+
+/// Hundreds of clients with requests that wait close in one turn: the last of them is heeded as well.
+#[test]
+fn hundreds_that_leave_in_one_turn_are_all_heeded() {
+    on_one_thread(async {
+        let s = large().await;
+        s.holds();
+        let mut crowd = vec![];
+        for n in 0..200u64 {
+            let mut c = Client::new(s.at).await;
+            c.say(&[request(1, 2 * n + 10, "lookup", ""), request(2, 2 * n + 11, "lookup", "")].concat())
+                .await;
+            crowd.push(c);
+        }
+        s.owes(400).await;
+        let mut ways = crowd.into_iter().enumerate();
+        let kept: Vec<_> = ways
+            .by_ref()
+            .filter_map(|(n, c)| match n % 3 {
+                0 => {
+                    c.0.try_write(&[frame(8, 1, &[]), frame(8, 2, &[])].concat()).unwrap();
+                    Some(c)
+                }
+                1 => {
+                    c.resets();
+                    None
+                }
+                _ => None,
+            })
+            .collect();
+        tokio::time::sleep(TERM).await;
+        assert_eq!(s.hub.owed(), 0);
+        s.lets_go();
+        s.nothing_but(1).await;
+        drop(kept);
+    });
+}
+
 /// What was read ahead and not taken up is never sent either.
 #[test]
 fn a_request_behind_useless_frames_goes_with_its_client() {
@@ -358,6 +488,114 @@
     });
 }
 
+/// After what cannot be used, where frames can still be told apart, a request that waits can still be left.
+#[test]
+fn a_leave_by_type_8_is_heeded_after_a_fault_on_its_connection() {
+    on_one_thread(async {
+        let unknown = async |c: &mut Client| c.say(&frame(99, 1, &[])).await;
+        left_while_it_waits(unknown, 1, by_type_8).await;
+        let twice = async |c: &mut Client| c.say(&request(1, 9, "lookup", "")).await;
+        left_while_it_waits(twice, 1, by_type_8).await;
+        let short = async |c: &mut Client| c.say(&frame(2, 9, &[4, 200])).await;
+        left_while_it_waits(short, 1, by_type_8).await;
+    });
+}
+
+/// All that the machine holds of a client after a fault is through in time, and its end seen.
+#[test]
+fn the_end_of_a_client_is_seen_behind_megabytes_after_a_fault() {
+    on_one_thread(async {
+        let flood = async |c: &mut Client| {
+            c.say(&[255; 8]).await;
+            let all = vec![7; 4 << 20];
+            let mut sent = 0;
+            while let Ok(n) = c.0.try_write(&all[sent..]) {
+                sent += n;
+            }
+            assert!(sent > 100_000, "the machine takes much: {sent}");
+        };
+        left_while_it_waits(flood, 1, by_closing).await;
+        left_while_it_waits(flood, 1, by_reset).await;
+    });
+}
+
+/// The dispatcher has had no turn since its client has gone, longer than the term: all that it hears at once is that the
+/// request may go, with its connection to the engine up.
+async fn gone_while_it_had_no_turn(leaves: impl AsyncFnOnce(Client) -> Option<Client>) {
+    let s = plain().await;
+    let mut other = Client::new(s.at).await;
+    other.say(&request(1, 1, "lookup", "")).await;
+    let mut engine = s.dialled().await;
+    let id = get(&mut engine).await;
+    serve(&mut engine, &id, 1).await;
+    s.owes(0).await;
+    s.holds();
+    let mut client = Client::new(s.at).await;
+    client.say(&request(1, 2, "lookup", "")).await;
+    s.owes(1).await;
+    let kept = leaves(client).await;
+    std::thread::sleep(TERM * 3 / 2);
+    s.lets_go();
+    other.say(&request(2, 3, "lookup", "")).await;
+    assert_eq!(get(&mut engine).await, name(3), "nothing of the one that has gone");
+    drop(kept);
+}
+
+#[test]
+fn nothing_begins_for_a_client_that_has_gone_while_the_dispatcher_had_no_turn() {
+    on_one_thread(async {
+        let by_type_8 = async |c: Client| {
+            c.0.try_write(&frame(8, 1, &[])).unwrap();
+            Some(c)
+        };
+        gone_while_it_had_no_turn(by_type_8).await;
+        gone_while_it_had_no_turn(by_closing).await;
+        gone_while_it_had_no_turn(by_reset).await;
+    });
+}
+
+/// In one turn, without one between: the engine's connection is reset and the client leaves. No second attempt begins.
+#[test]
+fn a_leave_in_the_turn_of_an_engines_reset_has_no_second_attempt() {
+    on_one_thread(async {
+        for client_first in [true, false] {
+            for by_reset in [true, false] {
+                let s = plain().await;
+                // A second connection, at rest: there a retry would be written at once.
+                let (mut one, mut two) = (Client::new(s.at).await, Client::new(s.at).await);
+                one.say(&request(1, 1, "load", "")).await;
+                let mut first = s.dialled().await;
+                let a = get(&mut first).await;
+                two.say(&request(1, 2, "load", "")).await;
+                let mut second = s.dialled().await;
+                let b = get(&mut second).await;
+                serve(&mut first, &a, 1).await;
+                serve(&mut second, &b, 1).await;
+                s.owes(0).await;
+                one.say(&request(2, 3, "lookup", "")).await;
+                let on_first = tokio::select! {
+                    read = async { first.peek(&mut [0]).await } => read.is_ok(),
+                    read = async { second.peek(&mut [0]).await } => read.is_err(),
+                };
+                let (mut busy, mut rests) = if on_first { (first, second) } else { (second, first) };
+                assert_eq!(get(&mut busy).await, name(3));
+                let leave = |c: Client| if by_reset { c.resets() } else { drop(c) };
+                if client_first {
+                    leave(one);
+                    Client(busy).resets();
+                } else {
+                    Client(busy).resets();
+                    leave(one);
+                }
+                std::thread::sleep(TERM * 3 / 2);
+                s.owes(0).await;
+                two.say(&request(2, 4, "lookup", "")).await;
+                assert_eq!(get(&mut rests).await, name(4), "nothing of the one that has gone");
+            }
+        }
+    });
+}
+
 /// Its connection to the engine is not up yet: the engine's queue is full.
 #[test]
 fn a_late_connection_carries_nothing_for_a_client_that_has_left() {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -69,6 +69,11 @@
 }
 
 pub fn core() -> (Core, Names, Sockets) {
+    core_with(100)
+}
+
+/// One that holds so many requests open.
+pub fn core_with(open: usize) -> (Core, Names, Sockets) {
     let names = Names {
         classes: vec!["lookup".into(), "load".into()],
         kinds: vec!["std".into()],
@@ -85,7 +90,7 @@
         most_open: 100,
         longest: 5000.0,
     };
-    let bounds = Bounds { open: 100, margin: 20.0, page_wait: 600.0 };
+    let bounds = Bounds { open, margin: 20.0, page_wait: 600.0 };
     (Core::new(settings(), 1, bounds).unwrap(), names, sockets)
 }
 
