Let the machine queue 1,024 new clients, not 128

Cause: the runtime's bind (src/net/listener.rs, listen_taking) asks for a queue of 128. With the process stopped, the 130th connect of a crowd hung; the machine lets such a client in at its next try, a second or more later. That is in the way of the question whether a restarted process is ready. Ruled out: net.core.somaxconn, which is 4,096 here.

Change: the socket is bound with a queue of 1,024, the platform's descriptors; the machine cuts it to its own limit.

Measured: a test makes 300 connections while none is accepted; all are up within their time.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -6,7 +6,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{OwnedFd, RawFd};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Connections that the machine accepts before the program does: as many as the platform's descriptors.
+const QUEUE: u32 = 1024;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ListenError {
@@ -36,6 +39,15 @@
     code == Some(Errno::NOSYS.raw_os_error()) || code == Some(Errno::PERM.raw_os_error())
 }
 
+/// Listens at this address with a queue for a whole crowd: a client that finds it full is only taken by the machine at
+/// its next try, a second later.
+fn bind(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(QUEUE)
+}
+
 /// Listens at this address, on the inherited descriptor if there is one. That one is never shut down: it is the
 /// other process's and the platform's as well.
 pub async fn listen(at: SocketAddr, inherited: Option<RawFd>) -> Result<TcpListener, ListenError> {
@@ -49,7 +61,7 @@
     take: impl Fn(RawFd) -> io::Result<OwnedFd>,
 ) -> Result<TcpListener, ListenError> {
     let Some(number) = inherited else {
-        return TcpListener::bind(at).await.map_err(|e| ListenError::Bind(at, e));
+        return bind(at).map_err(|e| ListenError::Bind(at, e));
     };
     let failed = |e: io::Error| ListenError::Descriptor(number, e);
     // By its number alone it could only be owned unsafely; asked for from ourselves it is a safe duplicate.
@@ -59,7 +71,7 @@
             // A system-call filter (such as the fleet bench's) or a kernel before 5.6: the address is bound
             // here instead, which works wherever the holder lets others bind it too.
             crate::say!("descriptor {number}: pidfd_getfd is refused ({e}); listening on {at} without it");
-            return TcpListener::bind(at).await.map_err(|b| ListenError::Fallback(number, e, at, b));
+            return bind(at).map_err(|b| ListenError::Fallback(number, e, at, b));
         }
         Err(e) => return Err(failed(e)),
     };
--- a/src/net/listener/tests.rs
+++ b/src/net/listener/tests.rs
@@ -51,3 +51,18 @@
     assert!(!refused(&code(rustix::io::Errno::BADF)), "a wrong number is the operator's to mend");
     assert!(!refused(&io::Error::other("no number")));
 }
+
+/// Each would otherwise be let in a second later, by its second try.
+#[test]
+fn a_crowd_finds_room_in_the_queue_before_any_is_accepted() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let listener = listen("127.0.0.1:0".parse().unwrap(), None).await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let most = std::fs::read_to_string("/proc/sys/net/core/somaxconn").unwrap();
+        let crowd = most.trim().parse().unwrap_or(QUEUE as usize).min(300);
+        let wait = std::time::Duration::from_millis(500);
+        let all: Vec<_> = (0..crowd).map(|_| std::net::TcpStream::connect_timeout(&at, wait)).collect();
+        assert!(all.iter().all(Result::is_ok), "{crowd} at once");
+    });
+}
