Bound the connections to all engines by the descriptors that the limits leave

Cause: the leg (src/net/resp.rs, connection) had a bound for each engine, 8, and none for all.

Change: src/net/descriptors divides the limit among its holders. A connection to an engine that finds the share taken waits, with its requests in its queue, until one that rests gives way; it ends with the last request that waits. A further connection to an engine opens only while a descriptor is left for each engine that has none. What is written is looked at as before, after the wait.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod client;
+pub mod descriptors;
 pub mod discovery;
 pub mod frames;
 pub mod hub;
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -3,6 +3,7 @@
 use crate::config::Sockets;
 use crate::core::AttemptId;
 use crate::interface::*;
+use crate::net::descriptors::Shares;
 use crate::net::discovery::Change;
 use crate::net::frames::Work;
 use crate::net::hub::{Hub, Leg, Start};
@@ -254,6 +255,14 @@
     next: Cell<u64>,
     /// Connections to one engine.
     most: Cell<usize>,
+    /// Descriptors for connections to all engines; and what they are a share of.
+    all: Cell<usize>,
+    descriptors: Cell<usize>,
+    processes: Cell<usize>,
+    /// Those in use, and connections that wait for one.
+    held: Cell<usize>,
+    waiting: Cell<usize>,
+    freed: tokio::sync::Notify,
 }
 
 pub struct RespLeg(Rc<Shared>);
@@ -268,9 +277,25 @@
             pool,
             next: Cell::new(0),
             most: Cell::new(CONNECTIONS),
+            all: Cell::new(usize::MAX),
+            descriptors: Cell::new(usize::MAX),
+            processes: Cell::new(1),
+            held: Cell::new(0),
+            waiting: Cell::new(0),
+            freed: tokio::sync::Notify::new(),
         }))
     }
 
+    /// The process may hold so many descriptors, of which connections to engines have their share.
+    pub fn within(&self, descriptors: usize) {
+        self.0.descriptors.set(descriptors);
+        let all = Shares::of(descriptors, self.0.processes.get()).engines;
+        self.0.all.set(all);
+        // What is beyond a lower bound gives way as it rests.
+        (all..self.0.held.get()).for_each(|_| self.0.give_way());
+        self.0.freed.notify_one();
+    }
+
     /// A connection to the engine with room for this id, or a new one. One that is to be alone gets one to
     /// itself while there may be more.
     fn connection(
@@ -301,9 +326,16 @@
         if let Some(c) = fitting.clone().find(free) {
             return Some(c.clone());
         }
-        if slot.connections.len() >= self.0.most.get() {
+        let has = slot.connections.len();
+        if has >= self.0.most.get() {
             return fitting.next().cloned();
         }
+        let fitting = fitting.next().cloned();
+        // A further one only if a descriptor is left for each engine that has none.
+        if has > 0 && self.0.short(&engines) {
+            return fitting;
+        }
+        let slot = engines.get_mut(engine)?;
         let (orders, inbox) = mpsc::channel(QUEUE);
         let number = self.0.next.get();
         self.0.next.set(number + 1);
@@ -360,6 +392,8 @@
     fn drop_attempt(&self, attempt: AttemptId) {
         let Some((c, txn)) = self.0.attempts.borrow_mut().remove(&attempt) else { return };
         let pending = c.pending.borrow_mut().remove(&txn);
+        // It may wait for a descriptor, which nobody needs any more.
+        c.look.notify_one();
         if let Some(Pending { stage: Stage::Written | Stage::Paging { .. }, .. }) = pending {
             c.give_up(&txn, f64::INFINITY);
             if c.half.borrow().as_ref() == Some(&txn) {
@@ -376,6 +410,8 @@
 
     fn share(&self, processes: usize) {
         self.0.most.set((CONNECTIONS / processes).max(2));
+        self.0.processes.set(processes);
+        self.within(self.0.descriptors.get());
     }
 
     /// An address may pass to another engine, or a process start again under its id: connections from before
@@ -460,7 +496,62 @@
 
 type Wire = pool::Wire<RespCodec>;
 
+/// A descriptor for a connection to an engine.
+struct Held<'a>(&'a Shared);
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.0.held.set(self.0.held.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
+
+/// Counts while a connection waits for one.
+struct Waits<'a>(&'a Cell<usize>);
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Shared {
+    /// All descriptors are in use, or kept for engines that have no connection.
+    fn short(&self, engines: &HashMap<String, Slot>) -> bool {
+        let (mut open, mut without) = (0, 0);
+        for slot in engines.values() {
+            open += slot.connections.len();
+            without += usize::from(slot.connections.is_empty() && slot.address.is_some());
+        }
+        open + without >= self.all.get()
+    }
+
+    /// The connection that rests for longest ends, if any does.
+    fn give_way(&self) {
+        let engines = self.engines.borrow();
+        let rests = engines.values().flat_map(|s| &s.connections);
+        let rests = rests.filter(|c| !c.closing.get() && c.pending.borrow().is_empty());
+        rests.min_by(|a, b| a.heard.get().total_cmp(&b.heard.get())).inspect(|c| c.end());
+    }
+
+    /// A descriptor, once there is one: one that rests gives way, now or as soon as it does. Its wait ends with the
+    /// requests that wait with it.
+    async fn descriptor(&self) -> Held<'_> {
+        self.waiting.set(self.waiting.get() + 1);
+        let _waits = Waits(&self.waiting);
+        if self.held.get() >= self.all.get() {
+            self.give_way();
+        }
+        while self.held.get() >= self.all.get() {
+            self.freed.notified().await;
+        }
+        self.held.set(self.held.get() + 1);
+        if self.held.get() < self.all.get() {
+            self.freed.notify_one();
+        }
+        Held(self)
+    }
+
     async fn run(
         &self,
         hub: &Weak<Hub<RespLeg>>,
@@ -469,6 +560,14 @@
         mut inbox: mpsc::Receiver<Do>,
         connected: &mut bool,
     ) -> Result<(), RespError> {
+        let _held = loop {
+            tokio::select! {
+                biased;
+                () = c.cut.notified() => return Ok(()),
+                held = self.descriptor() => break held,
+                () = c.look.notified() => if c.pending.borrow().is_empty() { return Ok(()) },
+            }
+        };
         let connect = tokio::time::timeout(span(self.sockets.connect_timeout), TcpStream::connect(c.address));
         let tcp = tokio::select! {
             tcp = connect => tcp.map_err(io::Error::from)??,
@@ -508,6 +607,9 @@
             if c.closing.get() && none && framed.written() {
                 return Ok(());
             }
+            if none && framed.written() && self.waiting.get() > 0 {
+                return Ok(());
+            }
             if none && framed.written() {
                 framed.rest();
             }
