Keep clients and callers within a share of the descriptors, and count those that go

Cause, at a limit of 64 with discovery down, every place held by a resting client and a hundred more in the queue: - src/net/places.rs, give_way: one told to give way lost its place at once and kept its descriptor until its connection ended, which in the middle of a frame took 2 s. Each newcomer got a place for it: 135 to 166 descriptors were held at a limit of 64 of the program's own; where the machine's was 64, all were gone. Then, at worst, discovery was not called within 4 s of its return, SIGHUP's file was not read, and operators and clients that asked had no answer for 5 s. - src/main.rs: the machine's limit was not asked, so that under a lower one (src/net/frames/mod.rs, bound) two fifths of 1,024 were let in. - src/net/admin.rs: 24 callers at any limit. src/net/mysql/front/mod.rs: max_clients (256) at any limit. Ruled out: a spin on EMFILE. accept waits 20 ms after one, under 10% of a core.

Change: src/net/descriptors gives each holder its bound from the lesser limit, without what the process was given at its start. One told to give way counts until it has gone; a newcomer waits at the door for that, and is served at the end. One that never asked anything whole goes at once; where another stays for 50 ms, the next is told too. Operators' callers come by the same door, and give way to nobody once their call is whole.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use hitchwinch::config::{ConfigError, EurekaSource, Mysql, Platform, Source};
 use hitchwinch::core::{Bounds, Core};
 use hitchwinch::net::admin::{Admin, Watched};
+use hitchwinch::net::descriptors::Shares;
 use hitchwinch::net::discovery::eureka::{self, lease::Lease, lease::Stand};
 use hitchwinch::net::discovery::{Discovery, fixed, journal::Journal};
 use hitchwinch::net::frames::{self, Front};
@@ -17,7 +18,7 @@
 use hitchwinch::net::spools::Spools;
 use hitchwinch::net::tls::Keys;
 use hitchwinch::net::unix_ms;
-use hitchwinch::net::{listener, mysql, vitals};
+use hitchwinch::net::{descriptors, listener, mysql, vitals};
 use hitchwinch::say;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -45,11 +46,12 @@
 fn main() {
     let run = || -> Result<(), Error> {
         let args: Vec<String> = std::env::args().skip(1).collect();
+        let given = descriptors::given();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = LocalSet::new();
         match &args[..] {
-            [] => local.block_on(&runtime, platform()),
-            [flag, file] if flag == "--mysql" => local.block_on(&runtime, serve_mysql(file)),
+            [] => local.block_on(&runtime, platform(given)),
+            [flag, file] if flag == "--mysql" => local.block_on(&runtime, serve_mysql(file, given)),
             _ => Err("usage: hitchwinch [--mysql FILE]".into()),
         }
     };
@@ -60,14 +62,17 @@
 }
 
 /// Serves the platform until SIGTERM and the last answer.
-async fn platform() -> Result<(), Error> {
+async fn platform(given: usize) -> Result<(), Error> {
     let (mut term, hup) = (Signals::new(SIGTERM)?, Signals::new(SIGHUP)?);
     let read = || Platform::from_env(|v| std::env::var(v).ok());
     let mut config = read()?;
+    // What the machine lets the process hold may be less than the settings say.
+    config.limits.sockets = descriptors::within(config.limits.sockets, given);
     let pool = Pool::default();
     let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
     let core = Core::new(config.settings.clone(), config.seed, bounds)?;
     let leg = RespLeg::new(config.sockets.clone(), config.names.report_fields.clone(), pool.clone());
+    leg.within(config.limits.sockets);
     let hub = Hub::new(core, config.names.clone(), leg);
     let (at, address) = watch::channel(config.journal);
     let journal =
@@ -77,7 +82,8 @@
     let front = Front::new(hub.clone(), pool.clone(), &config.limits);
     let sharing = front.clone();
     let shared = share(&hub, config.state.as_deref(), move |living| sharing.share(living))?;
-    operators(&hub, &pool, &shared, config.admin, Watched::default()).await?;
+    let callers = Shares::of(config.limits.sockets, 1).callers;
+    operators(&hub, &pool, &shared, config.admin, Watched::default(), callers).await?;
 
     let sink = hub.clone();
     if let Some(tier) = config.peers.clone() {
@@ -89,11 +95,13 @@
     let accepting = spawn_local(front.clone().accept(listener));
     say!("{} listens on {listen}", config.name);
     let (longest, handed_over) = (config.sockets.longest, config.inherited.is_some());
-    let reconfigured = front.clone();
-    spawn_local(reload(hup, read, move |new: Platform| {
+    let (reconfigured, relimited) = (front.clone(), hub.clone());
+    spawn_local(reload(hup, read, move |mut new: Platform| {
+        new.limits.sockets = descriptors::within(new.limits.sockets, given);
         let kept = config.needs_restart(&new);
         at.send_if_modified(|at| std::mem::replace(at, new.journal) != new.journal);
         reconfigured.limit(&new.limits);
+        relimited.leg().within(new.limits.sockets);
         Ok(kept)
     }));
 
@@ -107,7 +115,7 @@
 }
 
 /// Serves MySQL clients until SIGTERM and the last answer.
-async fn serve_mysql(file: &str) -> Result<(), Error> {
+async fn serve_mysql(file: &str, given: usize) -> Result<(), Error> {
     let (mut term, hup) = (Signals::new(SIGTERM)?, Signals::new(SIGHUP)?);
     let mut config = Mysql::read(file)?;
     let pool = Pool::default();
@@ -123,6 +131,8 @@
     let listener = listener::listen(config.listen, config.inherited).await?;
     let listen = listener.local_addr()?;
     let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone(), spools.clone());
+    let machine = descriptors::within(usize::MAX, given);
+    front.within(machine);
     let keys = config.tls.as_ref().map(Keys::open).transpose().map_err(|e| format!("tls: {e}"))?;
     if let Some(keys) = &keys {
         front.secure(keys.clone());
@@ -135,7 +145,7 @@
     })?;
     let members = Rc::new(RefCell::new(None));
     let watched = Watched { members: members.clone(), spools: Some(spools.clone()) };
-    operators(&hub, &pool, &shared, config.admin, watched).await?;
+    operators(&hub, &pool, &shared, config.admin, watched, Shares::of(machine, 1).callers).await?;
     let stand = standing(&hub, &shared);
     // The folder of this dispatcher's own, which `share` has made.
     let state = config.state.as_ref().map(|s| s.join("hitchwinch"));
@@ -186,11 +196,12 @@
     shared: &Rc<Shared>,
     at: Option<SocketAddr>,
     watched: Watched,
+    callers: usize,
 ) -> Result<(), Error> {
     let Some(at) = at else { return Ok(()) };
     let listener = TcpListener::bind(at).await.map_err(|e| format!("admin_addr {at}: {e}"))?;
     say!("operators call at {}", listener.local_addr()?);
-    spawn_local(Admin::new(hub.clone(), pool.clone(), shared.clone(), watched).accept(listener));
+    spawn_local(Admin::new(hub.clone(), pool.clone(), shared.clone(), watched, callers).accept(listener));
     Ok(())
 }
 
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -3,7 +3,7 @@
 
 use crate::net::hub::{Hub, Leg};
 use crate::net::members::Members;
-use crate::net::places::{Places, Use};
+use crate::net::places::{Places, Taken, Use};
 use crate::net::pool::{Pool, Wire};
 use crate::net::shared::{self, Shared};
 use crate::net::spools::Spools;
@@ -17,8 +17,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Decoder, Encoder};
 
-/// Callers at a time; the oldest gives way to a new one.
-const CALLERS: usize = 24;
 /// A call comes whole within this, and its answer is taken within it.
 const CALL: Duration = Duration::from_secs(10);
 /// A call's head is no longer.
@@ -116,18 +114,25 @@
 }
 
 impl<L: Leg> Admin<L> {
-    pub fn new(hub: Rc<Hub<L>>, pool: Pool, shared: Rc<Shared>, watched: Watched) -> Rc<Self> {
-        Rc::new(Admin { hub, pool, shared, watched, places: Places::new(CALLERS, Use::Silent) })
+    /// So many callers at a time; the oldest without a whole call gives way to a new one.
+    pub fn new(
+        hub: Rc<Hub<L>>,
+        pool: Pool,
+        shared: Rc<Shared>,
+        watched: Watched,
+        callers: usize,
+    ) -> Rc<Self> {
+        Rc::new(Admin { hub, pool, shared, watched, places: Places::new(callers, Use::Silent) })
     }
 
     /// Accepts callers for ever.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((tcp, _)) => {
+            match self.places.accept(&listener).await {
+                Ok((tcp, place)) => {
                     let admin = self.clone();
                     tokio::task::spawn_local(async move {
-                        if let Err(e) = admin.caller(tcp).await {
+                        if let Err(e) = admin.caller(tcp, place).await {
                             say!("operator: {e}");
                         }
                     });
@@ -140,13 +145,14 @@
         }
     }
 
-    async fn caller(&self, tcp: TcpStream) -> Result<(), CallError> {
-        let Some(place) = self.places.take(Instant::now()) else { return Ok(()) };
+    async fn caller(&self, tcp: TcpStream, place: Taken) -> Result<(), CallError> {
         let mut wire = Wire::new(&self.pool, tcp, HttpCodec);
         let call = tokio::select! {
             call = tokio::time::timeout(CALL, wire.heard()) => call,
             () = place.cut.notified() => return Ok(()),
         };
+        // From here on it ends within the time for its answer, and gives way to nobody.
+        place.uses(Use::Busy, Instant::now());
         let answer = match call {
             Ok(None) => return Ok(()),
             Ok(Some(Ok(call))) => self.call(&call),
--- a/src/net/frames/mod.rs
+++ b/src/net/frames/mod.rs
@@ -8,6 +8,7 @@
 pub use request::{Budget, Work};
 
 use crate::config::Machine;
+use crate::net::descriptors::Shares;
 use crate::net::hub::{Hub, Leg};
 use crate::net::listener;
 use crate::net::places::{Places, Taken, Use};
@@ -93,8 +94,7 @@
         let (limits, processes) = (self.limits.borrow(), self.processes.get());
         // A quarter of the memory for statements.
         self.budget.most.set(limits.memory_mb * 1024 * 1024 / 4 / processes);
-        // Clients hold up to a third of the descriptors, so this many are let in.
-        self.places.bound(limits.sockets * 2 / 5 / processes);
+        self.places.bound(Shares::of(limits.sockets, processes).clients);
     }
 
     /// No new request is wanted on any connection; what comes all the same is answered. `to_another`: another
@@ -133,12 +133,15 @@
                 }
             }
         }
-        if self.handed_over.get() {
-            return;
-        }
-        // A tenth of the descriptors beyond the bound, which is for as long as they last.
-        let most = self.limits.borrow().sockets / 10;
-        for tcp in listener::accepted(listener, most) {
+        let last = match self.handed_over.get() {
+            true => vec![],
+            // Beyond the bound, which is for as long as they last.
+            false => {
+                let last = Shares::of(self.limits.borrow().sockets, self.processes.get()).last;
+                listener::accepted(listener, last)
+            }
+        };
+        for tcp in self.places.at_the_door().into_iter().chain(last) {
             let place = self.places.beyond(Instant::now());
             self.clone().serve(tcp, place);
         }
@@ -147,7 +150,12 @@
     fn serve(self: Rc<Self>, tcp: TcpStream, place: Taken) {
         self.connections.set(self.connections.get() + 1);
         tokio::task::spawn_local(async move {
-            if let Err(e) = talk::connection(&self, &place, tcp).await {
+            let ended = tokio::select! {
+                biased;
+                ended = talk::connection(&self, &place, tcp) => ended,
+                () = place.overdue() => Ok(()),
+            };
+            if let Err(e) = ended {
                 say!("client: {e}");
             }
             self.connections.set(self.connections.get() - 1);
--- a/src/net/mysql/front/mod.rs
+++ b/src/net/mysql/front/mod.rs
@@ -14,6 +14,7 @@
 use super::{Job, Left, Output, Packets, SqlError, Work, auth, code, error_of};
 use crate::config::MysqlFront;
 use crate::core::{End as Figure, NewRequest, RequestId};
+use crate::net::descriptors::Shares;
 use crate::net::hub::{Hub, Leg, Reply};
 use crate::net::listener;
 use crate::net::places::{Place, Places, Taken, Use};
@@ -61,6 +62,8 @@
     config: RefCell<Rc<MysqlFront>>,
     spools: Rc<Spools>,
     places: Rc<Places>,
+    /// What the machine lets the processes hold.
+    descriptors: Cell<usize>,
     processes: Cell<usize>,
     turned_away: Cell<usize>,
     next: Cell<u32>,
@@ -175,6 +178,7 @@
             config,
             spools,
             places,
+            descriptors: Cell::new(usize::MAX),
             processes: Cell::new(1),
             turned_away: Cell::new(0),
             next: Cell::new(1),
@@ -205,7 +209,25 @@
     /// So many processes of this dispatcher share the bound on clients.
     pub fn share(&self, processes: u32) {
         self.processes.set(processes.max(1) as usize);
-        self.places.bound((self.config().max_clients / self.processes.get()).max(1));
+        let (most, shares) = (self.config().max_clients / self.processes.get(), self.shares());
+        self.places.bound(most.min(shares.clients).max(1));
+    }
+
+    fn shares(&self) -> Shares {
+        Shares::of(self.descriptors.get(), self.processes.get())
+    }
+
+    /// The machine lets this dispatcher's processes hold so many descriptors: no more clients are let in than leave enough
+    /// for the rest.
+    pub fn within(&self, descriptors: usize) {
+        self.descriptors.set(descriptors);
+        let (most, clients) = (self.config().max_clients, self.shares().clients);
+        if clients < most {
+            say!(
+                "max_clients {most}: {descriptors} descriptors have places for {clients}, so that many are let in"
+            );
+        }
+        self.share(self.processes.get() as u32);
     }
 
     /// Sessions between statements end now, the others after the answer that they wait for. `to_another`: another process
@@ -235,7 +257,7 @@
                     let place: Option<Taken> = self.places.take(Instant::now());
                     let away = usize::from(place.is_none());
                     // Those that are turned away politely are bounded as well.
-                    if front.turned_away.get() + away > TURNED_AWAY {
+                    if front.turned_away.get() + away > TURNED_AWAY.min(front.shares().last) {
                         continue;
                     }
                     front.turned_away.set(front.turned_away.get() + away);
@@ -256,7 +278,7 @@
         if self.handed_over.get() {
             return;
         }
-        for tcp in listener::accepted(listener, TURNED_AWAY) {
+        for tcp in listener::accepted(listener, TURNED_AWAY.min(self.shares().last)) {
             let front = self.clone();
             spawn_local(async move {
                 let codec = PacketCodec { most: front.config().max_packet, sequence: 0 };
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -5,10 +5,14 @@
 use std::io;
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+/// What was told to give way goes within this, or another is told as well: a request that crosses such a close by no more
+/// is sent again.
+const LEAVE: Duration = Duration::from_millis(50);
+
 /// What a connection holds its place for, least first: that is the order in which they give way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Use {
@@ -26,6 +30,9 @@
     state: Cell<(Use, Instant)>,
     /// Told to give way.
     pub cut: Notify,
+    /// Since when it was.
+    leaving: Cell<Option<Instant>>,
+    told: Notify,
     home: Rc<Places>,
 }
 
@@ -33,21 +40,32 @@
     most: Cell<usize>,
     /// What gives way at the bound, and all that holds its place for less.
     yields: Use,
+    /// Those told to give way are here until they have gone: until then they hold a descriptor.
     taken: RefCell<Vec<Rc<Place>>>,
+    /// Accepted, and waiting for one to go: the queue has no other way to tell that somebody comes.
+    door: RefCell<Option<TcpStream>>,
     /// A place has come free, or its connection idle.
     freed: Notify,
 }
 
 impl Places {
     pub fn new(most: usize, yields: Use) -> Rc<Self> {
-        Rc::new(Places { most: Cell::new(most), yields, taken: RefCell::default(), freed: Notify::new() })
+        let (most, taken, door) = (Cell::new(most), RefCell::default(), RefCell::default());
+        Rc::new(Places { most, yields, taken, door, freed: Notify::new() })
     }
 
+    /// What is beyond a lower bound gives way at once, as far as it yields.
     pub fn bound(&self, most: usize) {
         self.most.set(most);
+        while self.staying() > most && self.give_way() {}
         self.freed.notify_one();
     }
 
+    /// Connections that were not told to give way.
+    fn staying(&self) -> usize {
+        self.taken.borrow().iter().filter(|p| p.leaving.get().is_none()).count()
+    }
+
     /// A new connection would get a place, if need be that of one that gives way.
     pub fn room(&self) -> bool {
         let yields = |p: &Rc<Place>| p.state.get().0 <= self.yields;
@@ -55,26 +73,46 @@
         taken.len() < self.most.get() || taken.iter().any(yields)
     }
 
-    /// Accepts a connection once there is a place for it. It stays in the machine's queue until then, where
-    /// another process that holds the same listening socket may take it, and nothing is dropped unheard.
+    /// Accepts a connection once there is a place for it. It stays in the machine's queue until one would give way, where
+    /// another process that holds the same listening socket may take it, and nothing is dropped unheard. It is served
+    /// once that one has gone: beside those with places one more holds a descriptor.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) -> io::Result<(TcpStream, Taken)> {
         loop {
-            let accepted = poll_fn(|cx| if self.room() { listener.poll_accept(cx) } else { Poll::Pending });
-            let (tcp, _) = tokio::select! {
-                accepted = accepted => accepted?,
-                () = self.freed.notified() => continue,
-            };
-            if let Some(place) = self.take(Instant::now()) {
-                return Ok((tcp, place));
+            if self.door.borrow().is_none() {
+                let accepted =
+                    poll_fn(|cx| if self.room() { listener.poll_accept(cx) } else { Poll::Pending });
+                tokio::select! {
+                    accepted = accepted => *self.door.borrow_mut() = Some(accepted?.0),
+                    () = self.freed.notified() => continue,
+                }
+            }
+            if self.taken.borrow().len() < self.most.get()
+                && let Some(tcp) = self.door.take()
+            {
+                return Ok((tcp, self.beyond(Instant::now())));
+            }
+            let goes = |p: &Rc<Place>| p.leaving.get().is_some_and(|at| at.elapsed() < LEAVE);
+            let going = self.taken.borrow().iter().any(goes);
+            if !going {
+                self.give_way();
+            }
+            tokio::select! {
+                () = self.freed.notified() => {}
+                () = tokio::time::sleep(LEAVE) => {}
             }
         }
     }
 
+    /// The one that was accepted and waits for a place, if any: what has been accepted is served.
+    pub fn at_the_door(&self) -> Option<TcpStream> {
+        self.door.take()
+    }
+
     /// A place for a new connection. At the bound the oldest without a request gives way, else the one idle for longest:
     /// clients that connect and say nothing, or keep what they used once, must not shut others out. None if
     /// no one yields.
     pub fn take(self: &Rc<Self>, now: Instant) -> Option<Taken> {
-        if self.taken.borrow().len() >= self.most.get() && !self.give_way() {
+        if self.staying() >= self.most.get() && !self.give_way() {
             return None;
         }
         Some(self.beyond(now))
@@ -82,26 +120,30 @@
 
     /// A place whatever the bound says: for what is already here when the last are let in.
     pub fn beyond(self: &Rc<Self>, now: Instant) -> Taken {
-        let place =
-            Rc::new(Place { state: Cell::new((Use::Silent, now)), cut: Notify::new(), home: self.clone() });
+        let place = Rc::new(Place {
+            state: Cell::new((Use::Silent, now)),
+            cut: Notify::new(),
+            leaving: Cell::default(),
+            told: Notify::new(),
+            home: self.clone(),
+        });
         self.taken.borrow_mut().push(place.clone());
         Taken(place)
     }
 
     /// Makes one give way, if any yields.
     pub fn give_way(&self) -> bool {
-        let mut taken = self.taken.borrow_mut();
+        let taken = self.taken.borrow();
         // By age among those without a request, asked or not: in a crowd that asks and stays, the youngest is
         // likely to be a client on its way to ask.
         let rank = |(what, since): (Use, Instant)| (what.max(Use::Asked), since);
-        let least = (0..taken.len()).min_by_key(|&i| rank(taken[i].state.get()));
-        match least.filter(|&i| taken[i].state.get().0 <= self.yields) {
-            Some(i) => {
-                taken.swap_remove(i).cut.notify_one();
-                true
-            }
-            None => false,
-        }
+        let staying = taken.iter().filter(|p| p.leaving.get().is_none());
+        let least = staying.min_by_key(|p| rank(p.state.get()));
+        let Some(least) = least.filter(|p| p.state.get().0 <= self.yields) else { return false };
+        least.leaving.set(Some(Instant::now()));
+        least.cut.notify_one();
+        least.told.notify_one();
+        true
     }
 }
 
@@ -114,6 +156,17 @@
         }
     }
 
+    /// Ends when it was told to give way and its client has never asked anything whole: nothing is owed then, and the rest
+    /// of what has begun is not waited for.
+    pub async fn overdue(&self) {
+        self.told.notified().await;
+        // After that the runtime has heard of all that the machine has unread.
+        tokio::task::yield_now().await;
+        if self.state.get().0 != Use::Silent {
+            std::future::pending::<()>().await;
+        }
+    }
+
     pub fn state(&self) -> (Use, Instant) {
         self.state.get()
     }
--- /dev/null
+++ b/tests/child/mod.rs
@@ -0,0 +1,302 @@
+//! The program as a child with few descriptors, its stand-in engines and its journal service.
+#![allow(dead_code)]
+
+use socket2::{Domain, Socket, Type};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"{"ceilings":{"connect_timeout":250.0},"fleet_size":1,"grades":[{"name":"lookup",
+    "aim":800.0,"hard_limit":2000.0,"effect":"retryable","worth":1.0}],"machine_types":["std"],
+    "rules":{"cold_from":0.3,"drain_grace":250.0,"fall_multiple":3.0,"grace_to_answer":20.0,
+    "overload_for":1500.0,"warm_within":14000.0},"step":5.0}"#;
+
+pub struct Program {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub admin: SocketAddr,
+    pub config: PathBuf,
+    /// Its exec, as near as its parent can tell.
+    pub began: Instant,
+    pub log: mpsc::Receiver<String>,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+impl Program {
+    /// Starts it on a configuration; `real` is the machine's own limit of descriptors, by the shell that becomes it.
+    pub fn run(config: &str, args: &[&str], real: Option<usize>) -> Self {
+        let mut program = Self::exec(config, args, real);
+        program.listens();
+        program
+    }
+
+    /// The same, without a wait for it to listen.
+    pub fn exec(config: &str, args: &[&str], real: Option<usize>) -> Self {
+        Self::become_it(config, args, &real.map_or(String::new(), |n| format!("ulimit -n {n}; ")))
+    }
+
+    /// The same at a limit of 64, on the first core that this process may use; on any where there is no `taskset`.
+    pub fn exec_on_one_core(config: &str) -> Self {
+        let status = std::fs::read_to_string("/proc/self/status").unwrap();
+        let cores = status.lines().find_map(|l| l.strip_prefix("Cpus_allowed_list:")).unwrap().trim();
+        let first = cores.split([',', '-']).next().unwrap();
+        Self::become_it(config, &[], &format!("taskset -p -c {first} $$ >/dev/null 2>&1; ulimit -n 64; "))
+    }
+
+    /// A shell does this and becomes the program.
+    fn become_it(config: &str, args: &[&str], first: &str) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let (id, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(format!("hitchwinch-child-{id}-{n}.conf"));
+        std::fs::write(&path, config).unwrap();
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("{first}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_hitchwinch")]);
+        command.args(args).env("PROXY_CONFIG", &path).env("PROXY_ADMIN_ADDR", "127.0.0.1:0");
+        command.env_remove("TMPDIR").env_remove("PROXY_INHERITED_FD").stderr(Stdio::piped());
+        if !args.is_empty() {
+            command.arg(&path);
+        }
+        let began = Instant::now();
+        let mut child = command.spawn().unwrap();
+        let (say, log) = mpsc::channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| drop(say.send(l))));
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        Program { child, address: nowhere, admin: nowhere, config: path, began, log }
+    }
+
+    /// Waits until it listens.
+    pub fn listens(&mut self) {
+        while self.address.port() == 0 {
+            let line = self.log.recv_timeout(Duration::from_secs(10)).expect("it listens");
+            if let Some((_, at)) = line.split_once("operators call at ") {
+                self.admin = at.parse().unwrap();
+            } else if let Some((_, at)) = line.split_once("listens on ") {
+                self.address = at.parse().unwrap();
+            }
+        }
+    }
+
+    /// The next line of its log that holds this, which comes within 5 s.
+    pub fn says(&self, what: &str) -> String {
+        let until = Instant::now() + Duration::from_secs(5);
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no {what:?}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// What an operator's call comes to.
+    pub fn call(&self, path: &str) -> String {
+        let mut tcp = connect(self.admin);
+        tcp.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        tcp.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    /// Descriptors that it holds now.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Its processor time so far, in seconds: the kernel's clock ticks a hundred times a second.
+    pub fn cpu(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+        [11, 12].iter().map(|n| fields[*n].parse::<f64>().unwrap()).sum::<f64>() / 100.0
+    }
+
+    /// A share of its core over the next second.
+    pub fn share_of_a_second(&self) -> f64 {
+        let before = self.cpu();
+        std::thread::sleep(Duration::from_secs(1));
+        self.cpu() - before
+    }
+}
+
+/// The journal service while it is down: its address is held and refuses.
+pub struct Service {
+    socket: Socket,
+    pub at: SocketAddr,
+}
+
+impl Service {
+    pub fn down() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let at = socket.local_addr().unwrap().as_socket().unwrap();
+        Service { socket, at }
+    }
+
+    /// It comes back: its first caller gets these events. Gives how long it took until that called, and the stream.
+    pub fn returns(&self, wait: Duration, events: &str) -> Option<(Duration, TcpStream)> {
+        self.socket.listen(16).unwrap();
+        self.socket.set_nonblocking(true).unwrap();
+        let began = Instant::now();
+        while began.elapsed() < wait {
+            if let Ok((tcp, _)) = self.socket.accept() {
+                let took = began.elapsed();
+                let mut tcp = TcpStream::from(tcp);
+                tcp.set_nonblocking(false).unwrap();
+                let _ = tcp.read(&mut [0; 1024]).unwrap();
+                tcp.write_all(format!("HTTP/1.1 200 OK\r\n\r\n: hello\n{events}").as_bytes()).unwrap();
+                return Some((took, tcp));
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        None
+    }
+}
+
+/// One engine as the journal tells it.
+pub fn told(engine: usize, at: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"instanceId":"e{engine}","hostPort":"{at}","machineType":"std","lifecycle":"{state}","startedAtMs":0}}"#
+    )
+}
+
+/// A configuration with these engines in its list, or with no list where there are none.
+pub fn config(engines: &[SocketAddr], journal: SocketAddr, sockets: Option<usize>) -> String {
+    let all: Vec<String> = engines.iter().enumerate().map(|(i, at)| told(i, *at, "in_service")).collect();
+    let known = match all.is_empty() {
+        true => "null".into(),
+        false => format!(
+            r#"{{"pos":1,"entries":[{{"pos":1,"hosts":{{"reset":true,"instances":[{}]}}}}]}}"#,
+            all.join(",")
+        ),
+    };
+    let limits = sockets.map_or(String::new(), |n| format!(r#""limits":{{"sockets":{n}}},"#));
+    format!(
+        r#"{{"listen":"127.0.0.1:0","seed":"7",{limits}"journal":"{journal}","known":{known},"settings":{SETTINGS}}}"#
+    )
+}
+
+/// One event of a stream.
+pub fn event(pos: u64, instances: &str) -> String {
+    format!(
+        "id: {pos}\ndata: {{\"pos\":{pos},\"hosts\":{{\"reset\":false,\"instances\":[{instances}]}}}}\n\n"
+    )
+}
+
+/// An engine that answers every request at once, or after a while; and how many it got when.
+pub struct Engine {
+    pub at: SocketAddr,
+    pub got: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl Engine {
+    pub fn new() -> Self {
+        Self::slow(Duration::ZERO)
+    }
+
+    pub fn slow(after: Duration) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (at, got) = (listener.local_addr().unwrap(), Arc::new(Mutex::new(vec![])));
+        let all = got.clone();
+        std::thread::spawn(move || {
+            for tcp in listener.incoming().map_while(Result::ok) {
+                let got = all.clone();
+                std::thread::spawn(move || drop(Self::serve(tcp, &got, after)));
+            }
+        });
+        Engine { at, got }
+    }
+
+    fn serve(mut tcp: TcpStream, got: &Mutex<Vec<Instant>>, after: Duration) -> std::io::Result<()> {
+        let mut lines = BufReader::new(tcp.try_clone()?);
+        let mut word = || -> std::io::Result<String> {
+            let mut line = String::new();
+            if lines.read_line(&mut line)? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            Ok(line.trim_end().to_string())
+        };
+        loop {
+            let count: usize = word()?[1..].parse().unwrap();
+            let mut words = vec![];
+            for _ in 0..count {
+                word()?;
+                words.push(word()?);
+            }
+            if words[0] == "GET" {
+                got.lock().unwrap().push(Instant::now());
+                std::thread::sleep(after);
+                let answer: String = [words[1].as_str(), "ACK", "total=1", "a\tb\tc\n"]
+                    .iter()
+                    .map(|w| format!("${}\r\n{w}\r\n", w.len()))
+                    .collect();
+                tcp.write_all(format!("*4\r\n{answer}").as_bytes())?;
+            }
+        }
+    }
+}
+
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let tcp = TcpStream::connect(address).unwrap();
+    tcp.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    tcp.set_nodelay(true).unwrap();
+    tcp
+}
+
+pub fn send(tcp: &mut TcpStream, kind: u8, stream: u32, payload: &[u8]) -> std::io::Result<()> {
+    let length = (payload.len() as u32 + 5).to_be_bytes();
+    tcp.write_all(&[&length[..], &[kind], &stream.to_be_bytes(), payload].concat())
+}
+
+/// Type, stream and payload.
+pub fn expect(tcp: &mut TcpStream) -> std::io::Result<(u8, u32, Vec<u8>)> {
+    let mut length = [0; 4];
+    tcp.read_exact(&mut length)?;
+    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+    tcp.read_exact(&mut frame)?;
+    Ok((frame[0], u32::from_be_bytes(frame[1..5].try_into().unwrap()), frame[5..].to_vec()))
+}
+
+/// The answer to type 16 is a yes.
+pub fn ready(tcp: &mut TcpStream) -> std::io::Result<bool> {
+    send(tcp, 16, 9, &[0])?;
+    let (kind, stream, payload) = expect(tcp)?;
+    assert_eq!((kind, stream), (32, 9));
+    Ok(payload[0] == 0)
+}
+
+/// A look-up under this number, and the code of its answer.
+pub fn lookup(tcp: &mut TcpStream, number: u32) -> std::io::Result<u8> {
+    ask(tcp, number)?;
+    let (kind, stream, payload) = expect(tcp)?;
+    assert_eq!((kind, stream), (4, number));
+    Ok(payload[0])
+}
+
+/// Sends a look-up.
+pub fn ask(tcp: &mut TcpStream, number: u32) -> std::io::Result<()> {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let txn = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
+    let mut payload = vec![3u8];
+    for (name, value) in [("verb", "lookup"), ("txn", txn.as_str()), ("limit", "2000")] {
+        payload.extend([&[name.len() as u8][..], name.as_bytes(), &[0, value.len() as u8]].concat());
+        payload.extend(value.bytes());
+    }
+    payload.extend(b"select 1");
+    send(tcp, 2, number, &payload)
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -192,8 +192,14 @@
     let operators = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = operators.local_addr().unwrap();
     spawn_local(
-        Admin::new(hub.clone(), Pool::default(), Rc::new(Shared::open(None).unwrap()), Watched::default())
-            .accept(operators),
+        Admin::new(
+            hub.clone(),
+            Pool::default(),
+            Rc::new(Shared::open(None).unwrap()),
+            Watched::default(),
+            24,
+        )
+        .accept(operators),
     );
     for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
         let words: Vec<&str> = line.split_whitespace().collect();
