Refuse a keyed request that may have run only where every engine knows a repeat

The core's guards asked only whether a class is unsafe (`unsafe_class` in src/core/requests.rs, in `finish` and `carry_out`), so that the module's `Fail` became `TimedOut { harmless: true }`, which the front words as refused.

Ruled out: the module itself (`give_up` has the rule by group); the front (it words what it is told).

Change: the core keeps each class's effect, and `Request::harmless` is the one place that says what a refusal may promise. The guard on the module's refusals in `carry_out` said the same once more and is gone: `finish` holds for all of them.

Measured: `a_keyed_request_that_may_have_run_is_refused_only_where_all_engines_know_it` (tests/core.rs) failed on (`TimedOut { harmless: true }` for a zone) and passes.

--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -97,13 +97,23 @@
     attempts: Vec<Attempt>,
 }
 
+impl Request {
+    /// A refusal promises that a repeat does no harm: from another client's word, it may go to any engine.
+    fn harmless(&self, effect: Effect) -> bool {
+        match effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => self.attempts.iter().all(|a| !a.may_have_run),
+        }
+    }
+}
+
 /// Moments in order; `f64` times that are finite and positive sort like their bits.
 type Due = BTreeSet<(u64, RequestId)>;
 
 pub struct Core {
     facade: Facade,
-    /// By class: running it twice would do harm.
-    unsafe_class: Vec<bool>,
+    /// By class: what running it twice would do.
+    effects: Vec<Effect>,
     most_attempts: usize,
     bounds: Bounds,
     requests: BTreeMap<RequestId, Request>,
@@ -136,7 +146,7 @@
     pub fn new(settings: Settings, seed: u64, bounds: Bounds) -> Result<Self, SettingsError> {
         let figures = Figures { replies: vec![[0; 3]; settings.classes.len()], ..Figures::default() };
         Ok(Core {
-            unsafe_class: settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
             most_attempts: settings.limits.most_attempts as usize,
             facade: Facade::new(settings, seed)?,
             bounds,
@@ -193,7 +203,7 @@
         let id = self.next_id;
         self.next_id += 1;
         let due = (r.deadline - self.bounds.margin).min(self.stop_by.unwrap_or(f64::INFINITY));
-        let out_of_range = r.class >= self.unsafe_class.len() || !due.is_finite();
+        let out_of_range = r.class >= self.effects.len() || !due.is_finite();
         let refusal = match () {
             // Held beyond this, requests would outgrow the memory that the machine gives.
             () if self.requests.len() >= self.bounds.open / self.processes => {
@@ -433,14 +443,10 @@
                     self.call_off(now, AttemptId { request: query, index: attempt })
                 }
                 Decision::Refuse { query, later } => {
-                    let ran =
-                        |r: &Request| self.unsafe_class[r.class] && r.attempts.iter().any(|a| a.may_have_run);
-                    // Guards the rule whatever the module says: a refusal promises that nothing ran.
-                    let answer = match self.requests.get(&query).is_some_and(ran) {
-                        true => Answer::Failed { why: "it may have run" },
-                        false => Answer::Refused { later, why: "the engines have no room for it in time" },
-                    };
-                    self.finish(query, answer);
+                    self.finish(
+                        query,
+                        Answer::Refused { later, why: "the engines have no room for it in time" },
+                    );
                 }
                 Decision::Fail { query } => {
                     self.finish(query, Answer::Failed { why: "no engine answered it" })
@@ -458,7 +464,7 @@
     fn run(&mut self, now: Millis, id: RequestId, engine: String, memory_mb: f64, timeout: Option<Millis>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let index = r.attempts.len() as u32;
-        let repeat = self.unsafe_class[r.class] && r.attempts.iter().any(|a| a.may_have_run);
+        let repeat = self.effects[r.class] == Effect::Unsafe && r.attempts.iter().any(|a| a.may_have_run);
         let allowed = !r.answered && !repeat && r.attempts.len() < self.most_attempts && now < r.due;
         let until = timeout.map_or(r.due, |t| r.due.min(now + t));
         r.attempts.push(Attempt {
@@ -474,7 +480,7 @@
                 self.due.insert((bits(until), id));
             }
             let attempt = AttemptId { request: id, index };
-            let alone = self.unsafe_class[r.class];
+            let alone = self.effects[r.class] == Effect::Unsafe;
             self.commands.push(Command::Start { attempt, engine, until, memory_mb, alone });
         } else {
             self.pending.push_back(Report::Ended(Ended {
@@ -525,7 +531,7 @@
             r.answered = true;
             self.touched.push(id);
             // Guards the rule whatever the module says: only what cannot have run twice is called harmless.
-            let harmless = !self.unsafe_class[r.class] || r.attempts.iter().all(|a| !a.may_have_run);
+            let harmless = r.harmless(self.effects[r.class]);
             let answer = match answer {
                 Answer::Refused { .. } | Answer::Failed { .. } if r.expired => Answer::TimedOut { harmless },
                 Answer::Refused { .. } if !harmless => Answer::Failed { why: "it may have run" },
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -166,3 +166,65 @@
         start z a",
     );
 }
+
+/// A core before engines `a` and `b` in one cell, with one class of this effect.
+fn keyed(effect: Effect) -> (f64, Core) {
+    let now = 1.79e12;
+    let mut settings = settings();
+    settings.limits.most_attempts = 3;
+    settings.classes[0].effect = effect;
+    let bounds = Bounds { open: 3, margin: 20.0, page_wait: 600.0 };
+    let mut core = Core::new(settings, 1, bounds).unwrap();
+    let engine = |e: &str| EngineEntry {
+        engine: e.into(),
+        state: EngineState::Ready,
+        started: None,
+        kind: Some(0),
+        zone: Some(0),
+        cell: 0,
+    };
+    core.engines(now, ListUpdate::Stale, vec![engine("a"), engine("b")]);
+    (now, core)
+}
+
+fn lookup(deadline: f64) -> NewRequest {
+    NewRequest { class: 0, tenant: None, group: None, deadline, work: None, memory_mb: None }
+}
+
+/// The attempts started and the answers given since the last call.
+fn done(core: &mut Core) -> (Vec<AttemptId>, Vec<Answer>) {
+    let (mut started, mut answers) = (vec![], vec![]);
+    for command in core.commands() {
+        match command {
+            Command::Start { attempt, .. } => started.push(attempt),
+            Command::Answer { answer, .. } => answers.push(answer),
+            _ => {}
+        }
+    }
+    (started, answers)
+}
+
+/// Where only some engines would drop a repeat, no refusal goes out once one may have run, whoever words it.
+#[test]
+fn a_keyed_request_that_may_have_run_is_refused_only_where_all_engines_know_it() {
+    for (group, harmless) in [(Group::All, true), (Group::Zone, false), (Group::Cell, false)] {
+        for stops in [false, true] {
+            let (now, mut core) = keyed(Effect::Keyed { group, window: 4000.0 });
+            core.open(now, lookup(now + 500.0));
+            assert_eq!(done(&mut core).0.len(), 1);
+            if stops {
+                core.stop(now, now + 200.0);
+            }
+            core.tick(now + if stops { 200.0 } else { 480.0 });
+            assert_eq!(done(&mut core).1, [Answer::TimedOut { harmless }], "{group:?}");
+        }
+        let (now, mut core) = keyed(Effect::Keyed { group, window: 4000.0 });
+        core.open(now, lookup(now + 500.0));
+        let (first, _) = done(&mut core);
+        core.ended(now + 1.0, first[0], Outcome::Unreachable, vec![]);
+        let (second, _) = done(&mut core);
+        core.ended(now + 480.0, second[0], Outcome::Full, vec![]);
+        let (_, answers) = done(&mut core);
+        assert!(matches!(answers[..], [Answer::Refused { .. }]), "none ever ran: {answers:?}");
+    }
+}
