Write a repeat within its window or never, also from behind a late connection or a stall

Cause: engines drop a repeat of a `dedup` request only within its window. The module decides within it, and the attempt then waits in its connection: for that to come up (as long as connect_timeout), or behind a request that is half on the wire (2 s). The look at the write (`Shared::order` in src/net/resp.rs) asked for client, time and engine and not for the window, so that the repeat went out past it; and one that was half on the wire came whole whenever the engine read on.

Ruled out: the module's own guard (`may_send`; tests/property.rs holds it), and the first attempt's time, which counts from the decision and so ends the window early rather than late.

Change: the core carries the end of the window with `Command::Start` (`write_by`, from when the first attempt that may have run was sent; infinite for all else), and lets nothing start past it whatever the module says. The leg looks at it before the first byte (then it never ran: `Moot`) and cuts a connection on which such a one is half written at its end, as it does for a client that has left. The MySQL leg takes it into its own bound; no class is keyed there.

--- a/crates/lab/src/world/policy.rs
+++ b/crates/lab/src/world/policy.rs
@@ -176,7 +176,9 @@
         }
         let attempt = AttemptId { request: id, index: tried.len() as u32 };
         let engine = self.engines[engine].clone();
-        self.commands.push(Command::Start { attempt, engine, until: due, memory_mb: 0.0, alone: false });
+        let write_by = f64::INFINITY;
+        let start = Command::Start { attempt, engine, until: due, write_by, memory_mb: 0.0, alone: false };
+        self.commands.push(start);
     }
 
     /// The end of a request; nobody hears it if no answer is given.
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -47,11 +47,14 @@
 /// What the adapters have to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
-    /// `alone`: it must not run twice, so that it should share no connection with what may break it.
+    /// `write_by`: it is written whole by then or never, for later no engine would know it as a repeat (infinite where
+    /// that is no matter). `alone`: it must not run twice, so that it should share no connection with what may
+    /// break it.
     Start {
         attempt: AttemptId,
         engine: String,
         until: Millis,
+        write_by: Millis,
         memory_mb: f64,
         alone: bool,
     },
@@ -105,6 +108,17 @@
             Effect::Keyed { .. } | Effect::Unsafe => self.attempts.iter().all(|a| !a.may_have_run),
         }
     }
+
+    /// Another attempt may be written until then: engines drop a repeat for their window from the first that may have
+    /// run.
+    fn repeats_until(&self, effect: Effect) -> Millis {
+        let first = self.attempts.iter().find(|a| a.may_have_run);
+        first.map_or(f64::INFINITY, |a| match effect {
+            Effect::Safe => f64::INFINITY,
+            Effect::Keyed { window, .. } => a.sent + window,
+            Effect::Unsafe => f64::MIN,
+        })
+    }
 }
 
 /// Moments in order; `f64` times that are finite and positive sort like their bits.
@@ -464,8 +478,8 @@
     fn run(&mut self, now: Millis, id: RequestId, engine: String, memory_mb: f64, timeout: Option<Millis>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let index = r.attempts.len() as u32;
-        let repeat = self.effects[r.class] == Effect::Unsafe && r.attempts.iter().any(|a| a.may_have_run);
-        let allowed = !r.answered && !repeat && r.attempts.len() < self.most_attempts && now < r.due;
+        let write_by = r.repeats_until(self.effects[r.class]);
+        let allowed = !r.answered && r.attempts.len() < self.most_attempts && now < r.due && now < write_by;
         let until = timeout.map_or(r.due, |t| r.due.min(now + t));
         r.attempts.push(Attempt {
             engine: engine.clone(),
@@ -481,7 +495,7 @@
             }
             let attempt = AttemptId { request: id, index };
             let alone = self.effects[r.class] == Effect::Unsafe;
-            self.commands.push(Command::Start { attempt, engine, until, memory_mb, alone });
+            self.commands.push(Command::Start { attempt, engine, until, write_by, memory_mb, alone });
         } else {
             self.pending.push_back(Report::Ended(Ended {
                 id,
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -17,6 +17,8 @@
     pub attempt: AttemptId,
     pub engine: String,
     pub until: Millis,
+    /// It is written whole by then or never.
+    pub write_by: Millis,
     pub memory_mb: f64,
     /// It should share no connection: whatever breaks that would end it for good.
     pub alone: bool,
@@ -267,10 +269,10 @@
 
     fn command(self: &Rc<Self>, command: Command) {
         match command {
-            Command::Start { attempt, engine, until, memory_mb, alone } => {
+            Command::Start { attempt, engine, until, write_by, memory_mb, alone } => {
                 let work = self.open.borrow().get(&attempt.request).map(|o| o.work.clone());
                 if let Some(work) = work {
-                    self.leg.start(self, Start { attempt, engine, until, memory_mb, alone }, work);
+                    self.leg.start(self, Start { attempt, engine, until, write_by, memory_mb, alone }, work);
                 }
             }
             Command::Drop { attempt } => self.leg.drop_attempt(attempt),
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/leg.rs
@@ -404,8 +404,9 @@
             _ => {
                 c.status = 0;
                 let (in_service, sent) = (|| told.in_service(), || told.sent());
+                let until = start.until.min(start.write_by);
                 tokio::select! {
-                    result = self.run(&mut c, work, written, &in_service, &sent, start.until) => result,
+                    result = self.run(&mut c, work, written, &in_service, &sent, until) => result,
                     () = cut.notified() => Err(PacketError::Cut),
                 }
             }
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -227,7 +227,8 @@
     pending: RefCell<HashMap<String, Pending>>,
     /// Ids given up here: a late answer to one must not pass for that of a new attempt.
     given_up: RefCell<VecDeque<(Id, Millis)>>,
-    /// The attempt of which some bytes are on the wire and some are not; and since when it is not wanted.
+    /// The attempt of which some bytes are on the wire and some are not; and since when it is not wanted, or from when on
+    /// it will count so.
     half: RefCell<Option<String>>,
     unwanted: Cell<Option<Millis>>,
     closing: Cell<bool>,
@@ -397,7 +398,8 @@
         if let Some(Pending { stage: Stage::Written | Stage::Paging { .. }, .. }) = pending {
             c.give_up(&txn, f64::INFINITY);
             if c.half.borrow().as_ref() == Some(&txn) {
-                c.unwanted.set(Some(unix_ms()));
+                let now = unix_ms();
+                c.unwanted.set(Some(c.unwanted.get().map_or(now, |at| at.min(now))));
                 c.look.notify_one();
             }
             if c.orders.try_send(Do::Drop(txn)).is_err() {
@@ -683,13 +685,16 @@
         // Given up before a byte of it was written.
         let Some(p) = pending.get_mut(&txn) else { return Ok(0) };
         let Stage::Waiting { start, work, looked } = &mut p.stage else { return Ok(0) };
-        let left = start.until - unix_ms();
-        // The connection took its time: the engine may drain by now, or the time be over. It never ran.
-        if left < 1.0 || !hub.in_service(engine) {
+        let (now, write_by) = (unix_ms(), start.write_by);
+        let left = start.until - now;
+        let late = left < 1.0 || now >= write_by;
+        // The connection took its time: the engine may drain by now, or the time be over, its own or that of a repeat. It
+        // never ran.
+        if late || !hub.in_service(engine) {
             let attempt = start.attempt;
             drop(pending);
             self.forget(c, &txn, attempt);
-            let outcome = if left < 1.0 { Outcome::Moot } else { Outcome::Unreachable };
+            let outcome = if late { Outcome::Moot } else { Outcome::Unreachable };
             hub.ended(attempt, outcome, vec![]);
             return Ok(0);
         }
@@ -716,6 +721,8 @@
         p.stage = Stage::Written;
         if !framed.written() {
             *c.half.borrow_mut() = Some(txn);
+            // A repeat that is not whole by its time never comes whole.
+            c.unwanted.set(write_by.is_finite().then_some(write_by - HALF));
         }
         Ok(1)
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -192,11 +192,11 @@
 }
 
 /// The attempts started and the answers given since the last call.
-fn done(core: &mut Core) -> (Vec<AttemptId>, Vec<Answer>) {
+fn done(core: &mut Core) -> (Vec<(AttemptId, f64)>, Vec<Answer>) {
     let (mut started, mut answers) = (vec![], vec![]);
     for command in core.commands() {
         match command {
-            Command::Start { attempt, .. } => started.push(attempt),
+            Command::Start { attempt, write_by, .. } => started.push((attempt, write_by)),
             Command::Answer { answer, .. } => answers.push(answer),
             _ => {}
         }
@@ -204,6 +204,35 @@
     (started, answers)
 }
 
+/// Nothing binds the first attempt; a repeat is written within the window of the first that may have run, or never.
+#[test]
+fn a_repeat_goes_out_within_the_window_of_the_first_that_may_have_run() {
+    for group in [Group::All, Group::Zone, Group::Cell] {
+        let (now, mut core) = keyed(Effect::Keyed { group, window: 100.0 });
+        core.open(now, lookup(now + 3000.0));
+        let (first, _) = done(&mut core);
+        assert_eq!(first[0].1, f64::INFINITY);
+        // It never ran, so that the second is the first that may have.
+        core.ended(now + 10.0, first[0].0, Outcome::Unreachable, vec![]);
+        let (second, _) = done(&mut core);
+        assert_eq!(second[0].1, f64::INFINITY);
+        core.ended(now + 40.0, second[0].0, Outcome::Reset, vec![]);
+        let (third, _) = done(&mut core);
+        assert_eq!(third[0].1, now + 110.0, "from when the second was sent");
+        // It stood before a connection until then.
+        core.ended(now + 111.0, third[0].0, Outcome::Moot, vec![]);
+        let (more, answers) = done(&mut core);
+        assert!(more.is_empty());
+        let refused = matches!(answers[..], [Answer::Refused { .. }]);
+        assert_eq!(refused, group == Group::All, "{answers:?}");
+    }
+    let (now, mut core) = keyed(Effect::Safe);
+    core.open(now, lookup(now + 3000.0));
+    let (first, _) = done(&mut core);
+    core.ended(now + 40.0, first[0].0, Outcome::Reset, vec![]);
+    assert_eq!(done(&mut core).0[0].1, f64::INFINITY, "safe ones are repeated at any time");
+}
+
 /// Where only some engines would drop a repeat, no refusal goes out once one may have run, whoever words it.
 #[test]
 fn a_keyed_request_that_may_have_run_is_refused_only_where_all_engines_know_it() {
@@ -221,9 +250,9 @@
         let (now, mut core) = keyed(Effect::Keyed { group, window: 4000.0 });
         core.open(now, lookup(now + 500.0));
         let (first, _) = done(&mut core);
-        core.ended(now + 1.0, first[0], Outcome::Unreachable, vec![]);
+        core.ended(now + 1.0, first[0].0, Outcome::Unreachable, vec![]);
         let (second, _) = done(&mut core);
-        core.ended(now + 480.0, second[0], Outcome::Full, vec![]);
+        core.ended(now + 480.0, second[0].0, Outcome::Full, vec![]);
         let (_, answers) = done(&mut core);
         assert!(matches!(answers[..], [Answer::Refused { .. }]), "none ever ran: {answers:?}");
     }
