Let nothing wait behind half an answer that nobody wants, and hold it for its time only

Cause, three of one place (`Shared::converse` and `RespLeg::connection` in src/net/resp.rs): - Half an answer to a request that is over stood in its connection's buffer for as long as nothing else was open there (up to 0.8 of conn_idle): the looks at what stands were made only while something was (`if !none || ...`). - A new request was given to such a connection, could get no answer behind the half one, and went with it 750 ms later: a load that ran nowhere else was failed. - Looks that were missed while the process stood still, or while nothing was open, were made up for in a row (tokio's `Burst`): after a standstill of 0.9 s half an answer that had just come was cut off at once, with its load failed.

Ruled out: what comes whole (it is passed over), and pages without an end (`STALL` counts from the last part).

Change: the looks go on while anything stands in the buffer, so that such a connection is closed after five of them; half an answer that has stood for two (150 to 300 ms) bars new requests (`stands`); missed looks are not made up for. The constants are as before.

--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -232,6 +232,8 @@
     half: RefCell<Option<String>>,
     unwanted: Cell<Option<Millis>>,
     closing: Cell<bool>,
+    /// Half an answer has stood here for a while: what comes behind it would wait for its rest, which may never come.
+    stands: Cell<bool>,
     /// When it last said something, or was given something to do while it owed nothing.
     heard: Cell<Millis>,
     /// Told to end at once.
@@ -316,6 +318,7 @@
             let notes = self.0.sockets.notes;
             let silent = notes > 0.0 && !pending.is_empty() && now > c.heard.get() + SILENT * notes;
             !c.closing.get()
+                && !c.stands.get()
                 && !silent
                 && pending.len() < self.0.sockets.streams
                 && !pending.contains_key(txn)
@@ -350,6 +353,7 @@
             half: RefCell::default(),
             unwanted: Cell::default(),
             closing: Cell::new(false),
+            stands: Cell::new(false),
             heard: Cell::new(unix_ms()),
             cut: tokio::sync::Notify::new(),
             look: tokio::sync::Notify::new(),
@@ -595,6 +599,8 @@
         // Closed by us well before the engine does: a request must not cross its close.
         let idle = span(self.sockets.idle * 0.8);
         let mut check = tokio::time::interval(span(CHECK));
+        // Looks that were missed while the process stood still or nothing was to be seen are not made up for.
+        check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let (mut partial, mut gets) = (0, 0);
         // An order that cannot be written yet: it stays here, where it can be called back.
         let mut waits: Option<(Do, For)> = None;
@@ -632,6 +638,7 @@
                     Turn::Broken(e) => return Err(e),
                     Turn::Heard(answer) => {
                         partial = 0;
+                        c.stands.set(false);
                         c.heard.set(unix_ms());
                         self.answer(hub, c, &answer, framed)?;
                     }
@@ -650,8 +657,10 @@
                     return Err(RespError::Stalled);
                 }
                 () = c.look.notified() => {}
-                _ = check.tick(), if !none || !framed.written() => {
+                _ = check.tick(), if !none || !framed.written() || !framed.read_buffer().is_empty() => {
                     partial = if framed.read_buffer().is_empty() { 0 } else { partial + 1 };
+                    // One look may fall between two reads of it.
+                    c.stands.set(partial > 1);
                     let now = unix_ms();
                     if partial > 5 || c.stalled(now) || c.dead(now, self.sockets.notes) || framed.stuck(WRITE) {
                         return Err(RespError::Stalled);
