Give a request the connection that is up before one that is still coming up

Cause: `RespLeg::connection` (src/net/resp.rs) took the first connection to an engine that fits, in the order in which they were opened. One that was still coming up (up to connect_timeout, or never) took each new request while a later one was up and at rest beside it.

Change: a connection knows whether its engine has taken it (`up`), and those that are up go first, also at the bound on connections. No connection more is opened.

Measured with the tests that follow: `a_request_takes_the_connection_that_is_up_not_the_one_that_is_coming` failed on (nothing within 400 ms; it came once the other was up) and passes.

--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -224,6 +224,8 @@
     address: SocketAddr,
     opened: Millis,
     orders: mpsc::Sender<Do>,
+    /// The engine has taken it: until then nobody knows whether it ever will.
+    up: Cell<bool>,
     pending: RefCell<HashMap<String, Pending>>,
     /// Ids given up here: a late answer to one must not pass for that of a new attempt.
     given_up: RefCell<VecDeque<(Id, Millis)>>,
@@ -326,15 +328,16 @@
         };
         let shared = |c: &Connection| alone || c.pending.borrow().values().any(|p| p.alone);
         let free = |c: &&Rc<Connection>| c.pending.borrow().is_empty() || !shared(c);
-        let mut fitting = slot.connections.iter().filter(fits);
-        if let Some(c) = fitting.clone().find(free) {
+        // Those that are up go first: another may come up late, or never.
+        let fitting = |up| slot.connections.iter().filter(fits).filter(move |c| c.up.get() == up);
+        if let Some(c) = fitting(true).find(free).or_else(|| fitting(false).find(free)) {
             return Some(c.clone());
         }
         let has = slot.connections.len();
+        let fitting = fitting(true).chain(fitting(false)).next().cloned();
         if has >= self.0.most.get() {
-            return fitting.next().cloned();
+            return fitting;
         }
-        let fitting = fitting.next().cloned();
         // A further one only if a descriptor is left for each engine that has none.
         if has > 0 && self.0.short(&engines) {
             return fitting;
@@ -348,6 +351,7 @@
             address,
             opened: unix_ms(),
             orders,
+            up: Cell::new(false),
             pending: RefCell::default(),
             given_up: RefCell::default(),
             half: RefCell::default(),
@@ -584,6 +588,7 @@
         // holds what it likes.
         let _ = socket2::SockRef::from(&tcp).set_send_buffer_size(pool::SIZE);
         *connected = true;
+        c.up.set(true);
         let mut framed = Wire::new(&self.pool, tcp, RespCodec);
         self.converse(hub, engine, c, &mut inbox, &mut framed).await
     }
