Part from a client that may not have taken its last answer before the close

Cause: a connection ended as soon as its answers were with the machine (`written`) and nothing was unread (src/net/frames/talk.rs, `converse`). What its client had not taken yet was still on its way then, and whatever that client sent next, not knowing of the close, met a closed socket: the reset took the rest of the answer with it.

Ruled out: what the runtime still held (nothing ends before `written`), and what stood unread before the close (the machine is asked).

Change: such a connection ends as one with a fault does (`Wire::part`): shut for writing, what still comes read away and sent nowhere, for half a second at most. Not where its last use is 5 s ago (who takes nothing for that long is gone), not for one that never asked, and only while clients hold no more than half of the descriptors, so that those that keep their end open can't fill them. The process's end waits for these connections as for all.

--- a/src/net/frames/mod.rs
+++ b/src/net/frames/mod.rs
@@ -114,6 +114,12 @@
         self.connections.get()
     }
 
+    /// A connection that ends may stay until its client has taken what was written: while clients hold no more than half of
+    /// the descriptors.
+    fn may_part(&self) -> bool {
+        self.connections.get() <= self.limits.borrow().sockets / 2 / self.processes.get()
+    }
+
     /// Accepts connections until the goodbye. Those that the machine has accepted by then are served as well, for their
     /// requests count as taken, unless another process holds the listening socket and will accept them.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
--- a/src/net/frames/talk.rs
+++ b/src/net/frames/talk.rs
@@ -169,6 +169,11 @@
             wire.rest();
             if closing && wire.read_buffer().is_empty() && pool::unread(wire.get_ref().tcp()) != Unread::Bytes
             {
+                // What the machine has taken its client may not have: a word of that one's would reset the connection.
+                let (state, since) = place.state();
+                if state != Use::Silent && since.elapsed() < WRITE && front.may_part() {
+                    wire.part().await;
+                }
                 return Ok(());
             }
         }
