--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -146,6 +146,7 @@
     }
 
     async fn caller(&self, tcp: TcpStream, place: Taken) -> Result<(), CallError> {
+        tcp.set_nodelay(true)?;
         let mut wire = Wire::new(&self.pool, tcp, HttpCodec);
         let call = tokio::select! {
             call = tokio::time::timeout(CALL, wire.heard()) => call,
--- a/src/net/discovery/journal.rs
+++ b/src/net/discovery/journal.rs
@@ -133,6 +133,7 @@
     /// Reads one stream to its end.
     async fn follow(&mut self, address: SocketAddr, sink: &Sink) -> std::io::Result<()> {
         let mut tcp = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await??;
+        tcp.set_nodelay(true)?;
         // Silent is a stream without whole lines: what trickles in is no news.
         let mut silent_at = Instant::now() + self.silence;
         let request = format!(
