--- a/tests/program.rs
+++ b/tests/program.rs
@@ -450,3 +450,104 @@
     program.ends_well();
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Classes of each effect, whose deadlines are longer than the kill waits.
+fn long_deadlines(config: &str) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(r#",{{"name":"{name}","aim":16000.0,"hard_limit":16000.0,{effect},"worth":1.0}}"#)
+    };
+    let more = [
+        class("load", r#""effect":"fragile""#),
+        class("cell", r#""effect":"dedup","group":"cell","dedup_window":100.0"#),
+        class("all", r#""effect":"dedup","group":"all","dedup_window":100.0"#),
+    ];
+    let lookup = r#""effect":"retryable","worth":1.0}"#;
+    // An engine with room for all of them.
+    let cores = r#""extra":{"cores_by_kind":[8.0]},"fleet_size":1"#;
+    let config = config.replace("\"fleet_size\":1", cores);
+    waits(&config, 16_000)
+        .replace("\"aim\":800.0", "\"aim\":16000.0")
+        .replace(lookup, &(lookup.to_string() + &more.concat()))
+}
+
+fn asks(class: &str, txn: u64) -> Vec<u8> {
+    let mut payload = vec![3u8];
+    for (name, value) in [("verb", class), ("txn", &format!("{txn:016x}")), ("limit", "16000")] {
+        payload.extend([&[name.len() as u8][..], name.as_bytes(), &[0, value.len() as u8]].concat());
+        payload.extend(value.bytes());
+    }
+    payload.extend(b"select 1");
+    payload
+}
+
+/// An engine that hangs for longer than the kill waits, and comes out with half a line shortly before: every request that
+/// was taken, also after SIGTERM, has one whole answer by then, by its class's rule. A client that rests is closed with
+/// nothing of its next request read.
+#[test]
+fn what_hangs_under_long_deadlines_is_answered_whole_before_the_kill_can_come() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let program = Program::run("hang", &long_deadlines(&config(Some(&engine), "127.0.0.1:1")), &[]);
+    let (mut client, mut rests) = (connect(&program.address), connect(&program.address));
+    assert!(ready(&mut client) && ready(&mut rests));
+    let classes = [("lookup", 14), ("load", 2), ("cell", 2), ("all", 14)];
+    for (n, (class, _)) in classes.into_iter().enumerate() {
+        send(&mut client, 2, n as u32 + 1, &asks(class, n as u64 + 1));
+    }
+    // All are written, to as many connections as that takes.
+    let (mut open, mut written) = (vec![], String::new());
+    let asked = std::time::Instant::now();
+    engine.set_nonblocking(true).unwrap();
+    while written.matches("GET").count() < classes.len() {
+        assert!(asked.elapsed() < Duration::from_secs(5), "only {written}");
+        if let Ok((tcp, _)) = engine.accept() {
+            tcp.set_nonblocking(true).unwrap();
+            open.push(tcp);
+        }
+        for tcp in &mut open {
+            let mut bytes = [0; 4096];
+            let n = tcp.read(&mut bytes).unwrap_or(0);
+            written.push_str(&String::from_utf8_lossy(&bytes[..n]));
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let began = std::time::Instant::now();
+    program.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(300));
+    send(&mut client, 2, 9, &asks("lookup", 9));
+    let answers = std::thread::spawn(move || {
+        let mut answers = vec![];
+        while answers.len() < 5 {
+            let (kind, stream, payload) = expect(&mut client);
+            if kind == 4 {
+                answers.push((stream, payload[0]));
+            }
+        }
+        let took = began.elapsed();
+        assert!(client.read(&mut [0]).is_ok_and(|n| n == 0), "and nothing more");
+        (answers, took)
+    });
+    assert_eq!(expect(&mut rests).0, 64, "goodbye");
+    assert_eq!(rests.read(&mut [0]).unwrap(), 0, "it is ended");
+    let _ = rests.write_all(&asks("lookup", 10));
+    assert!(!rests.read(&mut [0]).is_ok_and(|n| n > 0), "nobody answers there");
+    std::thread::sleep(Duration::from_millis(2900).saturating_sub(began.elapsed()));
+    for tcp in &mut open {
+        tcp.write_all(b"*4\r\n$16\r\n0000000000").unwrap();
+    }
+    let (mut answers, took) = answers.join().unwrap();
+    answers.sort_unstable();
+    let mut wanted: Vec<(u32, u8)> = (1..).zip(classes.map(|c| c.1)).collect();
+    wanted.push((9, 14));
+    assert_eq!(answers, wanted);
+    assert!(took < Duration::from_millis(3700), "{took:?}");
+    program.ends_well();
+    assert!(began.elapsed() < Duration::from_millis(3700), "{:?}", began.elapsed());
+    for tcp in &mut open {
+        let (mut bytes, mut all) = ([0; 4096], vec![]);
+        tcp.set_nonblocking(false).unwrap();
+        while let Ok(n @ 1..) = tcp.read(&mut bytes) {
+            all.extend_from_slice(&bytes[..n]);
+        }
+        assert!(!String::from_utf8_lossy(&all).contains("00000000000a"), "what came too late is not sent on");
+    }
+}
