Answer a repeat that waits for room once its window is over, not once its aim is

Cause: a `dedup` request that may have run and waits for room stays in its class's queue past its window, where no engine may take it any more (`may_send`); `hopeless` in src/controller.rs looked only at its aim and deadline. Its answer was held back for up to the aim (a probe on the core: window 100 ms, answered after 1,320 ms), and as one of the 16 at which a release looks it stood before those that may go.

Change: the end of the window, less the same look at the clock that a send keeps, is a time by which it is answered (`Held::repeats_until` in src/state.rs).

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -931,11 +931,12 @@
         !h.pair.is_empty() && self.now < h.ask_until
     }
 
-    /// A held query that can no longer meet its aim, or is beyond its tenant's share and so not worth a wait.
+    /// A held query that can no longer meet its aim or be repeated, or is beyond its tenant's share.
     fn hopeless(&self, h: &Held) -> bool {
         let work = self.work(&h.q);
         let aim = h.arrived + self.aim(h.q.class, work);
-        let answer_by = h.deadline - 2.0 * TICK.max(self.s.step);
+        let repeats = h.repeats_until(self.s.classes[h.q.class].effect) - TICK;
+        let answer_by = (h.deadline - 2.0 * TICK.max(self.s.step)).min(repeats);
         let late = self.now + self.expected(h.q.class, work) > aim.min(h.deadline);
         self.now >= answer_by || !self.asking(h) && (late || h.over_share || self.too_heavy(&h.q))
     }
@@ -1024,8 +1025,8 @@
             && first.is_none_or(|a| match c.effect {
                 Effect::Safe => true,
                 Effect::Unsafe => false,
-                Effect::Keyed { group, window } => {
-                    self.now + TICK < a.sent + window
+                Effect::Keyed { group, .. } => {
+                    self.now + TICK < h.repeats_until(c.effect)
                         && match group {
                             Group::All => true,
                             Group::Zone => self.engines[a.engine].zone == x.zone,
--- a/src/state.rs
+++ b/src/state.rs
@@ -246,4 +246,14 @@
             q,
         }
     }
+
+    /// Engines drop a repeat of it until then, counted from the first attempt that may have run.
+    pub fn repeats_until(&self, effect: Effect) -> Millis {
+        let first = self.attempts.iter().find(|a| a.out || a.may_have_run);
+        first.map_or(f64::INFINITY, |a| match effect {
+            Effect::Safe => f64::INFINITY,
+            Effect::Keyed { window, .. } => a.sent + window,
+            Effect::Unsafe => f64::MIN,
+        })
+    }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -66,6 +66,27 @@
     }
 }
 
+/// No engine has room, and the window passes: it could not be sent any more, so that nothing is waited for.
+#[test]
+fn a_keyed_query_that_waits_for_room_is_answered_once_its_window_is_over() {
+    for group in [Group::All, Group::Zone, Group::Cell] {
+        let keyed = Class { effect: Effect::Keyed { group, window: 100.0 }, ..class(1.0, 3000.0) };
+        let mut g = Gateway::new(settings(vec![keyed, class(1.0, 3000.0)]), vec![entry("a")]);
+        assert_eq!(sends(&g.take(query(1, 0))).len(), 1);
+        assert_eq!(sends(&g.take(query(2, 1))).len(), 1);
+        g.end(2, 0, Outcome::Full);
+        g.now += 40.0;
+        let out = g.end(1, 0, Outcome::Reset);
+        assert!(
+            sends(&out).is_empty() && finals(&out).is_empty(),
+            "it may be sent again, and waits: {out:?}"
+        );
+        let out = g.pass(80.0);
+        assert_eq!(finals(&out), [1], "{group:?}");
+        assert_eq!(out.contains(&Action::Fail { id: 1 }), group != Group::All);
+    }
+}
+
 #[test]
 fn rule_2_no_second_attempt_while_one_is_out_where_copies_are_forbidden() {
     let mut g = Gateway::new(settings(vec![class(1.0, 800.0)]), vec![entry("a"), entry("b")]);
