Read an operator's call that crosses our close of its connection before it gives way

Cause: a caller told to give way was closed at once (src/net/admin.rs, `caller`), over a call that the machine held and the runtime had not heard of: the connection was reset, and the operator did not know whether the call had been carried out.

Change: what comes goes first, and the machine is asked before the close, as the clients' front does.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -4,7 +4,7 @@
 use crate::net::hub::{Hub, Leg};
 use crate::net::members::Members;
 use crate::net::places::{Places, Taken, Use};
-use crate::net::pool::{Pool, Wire};
+use crate::net::pool::{self, Pool, Unread, Wire};
 use crate::net::shared::{self, Shared};
 use crate::net::spools::Spools;
 use crate::say;
@@ -148,9 +148,17 @@
     async fn caller(&self, tcp: TcpStream, place: Taken) -> Result<(), CallError> {
         tcp.set_nodelay(true)?;
         let mut wire = Wire::new(&self.pool, tcp, HttpCodec);
-        let call = tokio::select! {
-            call = tokio::time::timeout(CALL, wire.heard()) => call,
-            () = place.cut.notified() => return Ok(()),
+        let (by, mut yields) = (tokio::time::Instant::now() + CALL, false);
+        let call = loop {
+            tokio::select! {
+                biased;
+                call = tokio::time::timeout_at(by, wire.heard()) => break call,
+                () = place.cut.notified(), if !yields => yields = true,
+                // What the machine holds of its call is read first.
+                () = std::future::ready(()), if yields && pool::unread(wire.get_ref()) != Unread::Bytes => {
+                    return Ok(());
+                }
+            }
         };
         // From here on it ends within the time for its answer, and gives way to nobody.
         place.uses(Use::Busy, Instant::now());
--- a/tests/moments.rs
+++ b/tests/moments.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use hitchwinch::config::{Machine, Sockets};
 use hitchwinch::core::{Bounds, Core, NewRequest};
+use hitchwinch::net::admin::{Admin, Watched};
 use hitchwinch::net::frames::{Front, Work};
 use hitchwinch::net::hub::{Hub, Reply};
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::shared::Shared;
 use hitchwinch::net::unix_ms;
 use hitchwinch::{Effect, Group};
 use scenario::{change, on_one_thread};
@@ -480,6 +482,44 @@
     });
 }
 
+/// Operators connect in such a number that all callers before give way, and those call in that turn, or one of the next
+/// few: what a caller has written before its end is seen is answered, and none of the connections is reset.
+#[test]
+fn an_operators_call_in_the_turn_in_which_it_gives_way_is_answered() {
+    on_one_thread(async {
+        let s = plain().await;
+        for turns in 0..10 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let at = listener.local_addr().unwrap();
+            let shared = Rc::new(Shared::open(None).unwrap());
+            let admin = Admin::new(s.hub.clone(), Pool::default(), shared, Watched::default());
+            spawn_local(admin.accept(listener));
+            let mut callers = vec![];
+            for _ in 0..24 {
+                callers.push(TcpStream::connect(at).await.unwrap());
+            }
+            pass(10).await;
+            let newcomers: Vec<_> =
+                callers.iter().map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
+            for _ in 0..turns {
+                tokio::task::yield_now().await;
+            }
+            // Those that have been closed by now have been closed with nothing unread.
+            let open = |c: &TcpStream| SockRef::from(c).peek(&mut [std::mem::MaybeUninit::uninit()]).is_err();
+            callers.retain(open);
+            for caller in &callers {
+                caller.try_write(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+            }
+            for caller in &mut callers {
+                let mut answer = String::new();
+                let read = within("an answer", caller.read_to_string(&mut answer)).await;
+                assert!(read.is_ok() && answer.starts_with("HTTP/1.1 200 "), "{turns}: {read:?} {answer}");
+            }
+            drop(newcomers);
+        }
+    });
+}
+
 // ---- half an answer, against the end of its connection
 
 /// Half an answer's bytes, or half of a result's pages, and the engine closes: nothing of it is served.
