Wait for no client that has rested and gives way, and join the operators' bound on callers

Change: of those that give way only one used within the last 50 ms (the protocol's span in which a request crosses a close) is waited for, and no longer than that; one that rested longer has taken its answer. The tests' operators get their bound of 24.

--- a/src/net/frames/talk.rs
+++ b/src/net/frames/talk.rs
@@ -9,7 +9,7 @@
 use crate::interface::Millis;
 use crate::net::client::{ClientSocket, Watch};
 use crate::net::hub::{Leg, Reply};
-use crate::net::places::{Place, Use};
+use crate::net::places::{self, Place, Use};
 use crate::net::pool::{self, Buffer, Reads, Socket, Turn, Unread};
 use crate::net::unix_ms;
 use std::cell::RefCell;
@@ -169,9 +169,13 @@
             wire.rest();
             if closing && wire.read_buffer().is_empty() && pool::unread(wire.get_ref().tcp()) != Unread::Bytes
             {
-                // What the machine has taken its client may not have: a word of that one's would reset the connection.
+                // What the machine has taken its client may not have: a word of that one's would reset the connection. One that
+                // gives way is waited for no longer than another is told beside it.
                 let (state, since) = place.state();
-                if state != Use::Silent && since.elapsed() < WRITE && front.may_part() {
+                let spent = since.elapsed();
+                if state != Use::Silent && place.gives_way() && spent < places::LEAVE {
+                    wire.part_within(places::LEAVE).await;
+                } else if state != Use::Silent && !place.gives_way() && spent < WRITE && front.may_part() {
                     wire.part().await;
                 }
                 return Ok(());
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -11,7 +11,7 @@
 
 /// What was told to give way goes within this, or another is told as well: a request that crosses such a close by no more
 /// is sent again.
-const LEAVE: Duration = Duration::from_millis(50);
+pub const LEAVE: Duration = Duration::from_millis(50);
 
 /// What a connection holds its place for, least first: that is the order in which they give way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -167,6 +167,11 @@
         }
     }
 
+    /// It was told to give way to another.
+    pub fn gives_way(&self) -> bool {
+        self.leaving.get().is_some()
+    }
+
     pub fn state(&self) -> (Use, Instant) {
         self.state.get()
     }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -16,6 +16,8 @@
 /// Holds two pages of a result with their frames; a larger result grows its buffer, which is then not kept. At
 /// the size of the largest (48,000 bytes) the buffers in use filled memory through the whole of a long day.
 pub const SIZE: usize = 16 * 1024;
+/// A peer may take the last words, and close, for this long after them.
+const PART: Duration = Duration::from_millis(500);
 /// Bytes that are read away, or ahead, at a time.
 const AWAY: usize = 16 * 1024;
 /// Idle buffers kept; more are given back to the machine.
@@ -338,13 +340,18 @@
     /// Ends a conversation whose peer may still be sending: what it sends is read away for a moment, since a
     /// close over unread bytes would reset the connection and take the last words with it.
     pub async fn part(&mut self) {
+        self.part_within(PART).await;
+    }
+
+    /// The same, within so long.
+    pub async fn part_within(&mut self, limit: Duration) {
         let Some(framed) = &mut self.framed else { return };
         let tcp = framed.get_mut();
         let parting = async {
             tcp.shutdown().await?;
             tokio::io::copy(&mut tcp.take(16 << 20), &mut tokio::io::sink()).await
         };
-        drop(tokio::time::timeout(Duration::from_millis(500), parting).await);
+        drop(tokio::time::timeout(limit, parting).await);
     }
 }
 
--- a/tests/moments.rs
+++ b/tests/moments.rs
@@ -492,7 +492,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let at = listener.local_addr().unwrap();
             let shared = Rc::new(Shared::open(None).unwrap());
-            let admin = Admin::new(s.hub.clone(), Pool::default(), shared, Watched::default());
+            let admin = Admin::new(s.hub.clone(), Pool::default(), shared, Watched::default(), 24);
             spawn_local(admin.accept(listener));
             let mut callers = vec![];
             for _ in 0..24 {
