Let a cold engine that a gateway may use go before those it has met

At fault: Controller::place took a query's four engines in an order that put those never heard last. cold_room draws the gateways that may use a cold engine and counts on it, but one that knew four warm engines never did.

Change: the order is own zone, cold with room by its budget, met, own rank. A test that fails without it (0 of 20).

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -511,12 +511,13 @@
                 self.prefer(&mut found, |e| free(&self.engines[e]));
                 self.prefer(&mut found, half);
             }
-            // The first few of this gateway's own order, those it has met first: hundreds of gateways would
-            // hold a connection to each engine. Its zone's go before them, unless crossing costs little of a
-            // query's worth, or its zone is crowded and another is not (lost racks). Harm: less choice.
+            // The first few of its own order: cold ones, for a draw left unused leaves them idle; those it
+            // has met, for each has few connections. Before all its own zone's, unless crossing costs little
+            // of a query's worth, or that zone is crowded and another not (lost racks). Harm: less choice.
             let calm = self.s.cross_zone_price * self.mean_worth.or(0.0) > CHEAP * c.worth
                 && self.crowd_of(self.s.zone) <= self.least_crowd().max(HOME_FULL);
-            let order = |x: &Engine| (!calm || x.zone != self.s.zone, x.heard == f64::MIN, x.rank(self.key));
+            let away = |x: &Engine| !calm || x.zone != self.s.zone;
+            let order = |x: &Engine| (away(x), !self.cold(x), x.heard == f64::MIN, x.rank(self.key));
             let mut found = first_by(found, REACH, |&e| order(&self.engines[e]));
             // No more of our queries than the median: a pair drawn blind would often be two of our busiest.
             let mut counts: Vec<usize> = found.iter().map(|&e| self.engines[e].out.len()).collect();
--- a/src/controller_tests.rs
+++ b/src/controller_tests.rs
@@ -166,3 +166,35 @@
         c.engines[new].cold_sent.clear();
     }
 }
+
+/// Seen when half of the engines were replaced: every gateway knew four warm engines with room, so that none went to
+/// a cold one that its draw had let it use. Those stood nearly idle while the warm ones ran out of memory.
+#[test]
+fn a_cold_engine_that_may_be_used_is_among_those_chosen_though_enough_others_were_met() {
+    let mut c = gateway();
+    let entry = |n: usize, started: Option<Millis>| EngineEntry {
+        engine: if started.is_some() { "new".into() } else { format!("met{n}") },
+        state: EngineState::Ready,
+        started,
+        kind: Some(0),
+        zone: None,
+        cell: 0,
+    };
+    let met = (0..2 * REACH).map(|n| entry(n, None));
+    let entries = met.chain([entry(0, Some(4000.0))]).collect();
+    c.handle(5000.0, Event::Engines { update: ListUpdate::Whole, entries }, &mut vec![]);
+    c.engines.iter_mut().filter(|x| x.started.is_none()).for_each(|x| x.heard = 4900.0);
+    let ask = |c: &mut Controller, ids: std::ops::Range<u64>, work| {
+        let mut out = vec![];
+        for id in ids {
+            let (tenant, key, tables, memory_mb) = (None, None, None, None);
+            let q = Query { id, class: 0, tenant, key, tables, time_left: 900.0, work, memory_mb };
+            c.handle(5000.0, Event::Query(q), &mut out);
+        }
+        let new = |a: &&Action| matches!(a, Action::Send { engine, .. } if engine == "new");
+        out.iter().filter(new).count()
+    };
+    let new = ask(&mut c, 0..20, Some(10.0));
+    assert!((2..10).contains(&new), "{new} of 20 went to it: one of several");
+    assert_eq!(ask(&mut c, 20..40, Some(1e6)), 0, "none that is beyond its budget");
+}
