Draw for a cold engine as a query would go there, and spare it after a start or an upgrade

Seen: a gateway's lot at a cold engine was drawn each period (Controller::sample, cold_room), so that a burst after silence met two lots in one window and brought up to twice the mean; queries of unequal work were each held to the mean of their own size, so that two sizes brought the sum of two means; a new process knew nothing of what the one before it had sent in the running window and, with a part of one query or more, sent a whole part again (.6 and .6 of what the engine stands); after an upgrade the part of the process that had just ended was taken at once.

Change. cold_chance tells the chance of such a query; send draws (draw) when a query would go there, and what the lot brings on average is charged to the window whether it is drawn or not. So the mean of all gateways in any window is that of one lot each. A process that has just begun takes of a window that reaches back before it the part of what the earlier one left, or nothing where its part is a lot; after an upgrade the part stays halved for a window. What is charged is kept in state::Account, with the ration of further attempts. No constant of the settings' rules changed; DRAWN bounds the lots in a window to ten. A warm fleet draws as before from the same generator, and so does one whose parts are whole queries.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -37,6 +37,7 @@
 const HOLD_TOLD: Millis = 1000.0; // A note of a load that holds a group keeps others off for this long, ms.
 const BAD_PLAN: f64 = 4.0; // A plan is bad when its progress is this many times slower than its peers'.
 const COLD_SAFETY: f64 = 0.6; // Part of the cold budget used: speeds and estimates are not known exactly.
+const DRAWN: f64 = 0.9; // Part of a mean past which nothing is drawn: ten draws in a window at most.
 const SCATTER: f64 = 0.05; // Variance of an estimate's logarithm before answers tell.
 const GRANT_SIGMAS: f64 = 0.85; // Memory over the likely, in scatters: a spill costs more than slack.
 const FRESH: Millis = 500.0; // A report decides ties for this long, ms; older ones make gateways herd.
@@ -62,7 +63,7 @@
     lines: BTreeMap<String, Line>,
     buckets: Vec<Bucket>,
     taken: VecDeque<Millis>,
-    further: VecDeque<Millis>,
+    further: Account,
     width: f64, // Threads of a running query, over all classes (Little's law on the last period).
     mean_worth: Mean,
     mean_work: Mean,
@@ -74,6 +75,9 @@
     ask_at: Millis, // When to subscribe to the engine list: at once, then 2 s after a failure.
     heard: Millis,  // When any engine was last heard.
     processes: f64, // Of this gateway: two while one takes over from the other.
+    shared: f64,    // The same before `shared_at`: the last of them has sent its part until then.
+    shared_at: Millis,
+    began: Millis, // The first event; what the gateway did before is not known.
 }
 
 impl Controller {
@@ -94,7 +98,7 @@
             lines: BTreeMap::new(),
             buckets,
             taken: VecDeque::new(),
-            further: VecDeque::new(),
+            further: Account::default(),
             width: 1.0,
             mean_worth: Mean::default(),
             mean_work: Mean::default(),
@@ -106,6 +110,9 @@
             ask_at: f64::MIN,
             heard: f64::MIN,
             processes: 1.0,
+            shared: 1.0,
+            shared_at: f64::MIN,
+            began: f64::MIN,
             s: settings,
         })
     }
@@ -113,8 +120,8 @@
     /// Takes one event at `now` and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = if now.is_finite() { now.max(self.now) } else { self.now };
-        if self.period_end == f64::MIN {
-            self.period_end = self.now + PERIOD;
+        if self.began == f64::MIN {
+            (self.began, self.period_end) = (self.now, self.now + PERIOD);
         }
         match event {
             Event::Engines { update, entries } => self.list(update, entries),
@@ -179,8 +186,8 @@
                     let e = &mut self.engines[i];
                     if entry.started.is_some() && entry.started != e.started {
                         // A restart under the same id: what was learned of the old process is void.
-                        let (kept, sent) = (std::mem::take(&mut e.out), std::mem::take(&mut e.cold_sent));
-                        *e = Engine { out: kept, cold_sent: sent, ..fresh };
+                        let (out, sent) = (std::mem::take(&mut e.out), std::mem::take(&mut e.sent));
+                        *e = Engine { out, sent, ..fresh };
                     } else {
                         (e.state, e.kind, e.zone, e.cell) = (entry.state, entry.kind, entry.zone, entry.cell);
                     }
@@ -438,16 +445,18 @@
         if !(0..self.engines.len()).any(|e| self.room(e, threads)) {
             return false;
         }
+        let mut lots = 0..SCAN;
         for k in 0..self.classes[class].queue.len().min(SCAN) {
             let id = self.classes[class].queue[k];
             if self.held.get(&id).is_some_and(|h| self.too_heavy(&h.q)) {
                 continue;
             }
-            if let Some(e) = self.place(id, out)
-                && self.send(id, e, out)
-            {
-                self.classes[class].queue.remove(k);
-                return true;
+            // A cold engine takes it by lot; else another may.
+            while let Some(e) = lots.next().and_then(|_| self.place(id, out)) {
+                if self.send(id, e, out) {
+                    self.classes[class].queue.remove(k);
+                    return true;
+                }
             }
         }
         false
@@ -712,6 +721,7 @@
 
     /// So many processes make the decisions of this gateway now, and share what a cold engine may get.
     pub fn share(&mut self, processes: u32) {
+        (self.shared, self.shared_at) = (self.processes, self.now);
         self.processes = f64::from(processes.max(1));
     }
 
@@ -1038,7 +1048,7 @@
             // 3: only to engines in service; the grace is not used.
             && x.state == EngineState::Ready
             // 4: a cold engine gets our part of its budget over any window.
-            && self.cold_room(x, self.cold_work(&h.q))
+            && self.cold_chance(x, self.cold_work(&h.q)) > 0.0
             // 5: the key's turn.
             && self.turn(h)
             // 6: placement.
@@ -1048,23 +1058,37 @@
             && (h.attempts.is_empty() || self.further_left())
     }
 
-    /// A cold engine stands so many such queries a window; a gateway keeps to its part. A part below one is
-    /// drawn each period: the mean of all gateways stays four standard deviations below what it stands.
-    fn cold_room(&self, x: &Engine, work: f64) -> bool {
-        if !self.cold(x) {
-            return true;
-        }
-        let (r, n) = (&self.s.rules, f64::from(self.s.gateways) * self.processes);
+    /// The chance of such a query at a cold engine. A gateway keeps to its part of what that stands in any
+    /// window; a part below one is drawn: the mean of all gateways stays four standard deviations below.
+    fn cold_chance(&self, x: &Engine, work: f64) -> f64 {
+        let Some(started) = x.started.filter(|_| self.cold(x)) else { return 1.0 };
+        let (r, from) = (&self.s.rules, self.now - self.s.rules.fall_window);
+        // The part of a process that ended within the window is not ours yet.
+        let shared = if from < self.shared_at { self.shared } else { 1.0 };
+        let n = f64::from(self.s.gateways) * self.processes.max(shared);
         // It warms evenly, as far as answers tell: held to its first share of capacity for all its cold
         // time, it stood nearly idle while the warm ones were jammed. Harm: one that warms late gets more.
-        let age = x.started.map_or(1.0, |t| (self.now - t) / r.warm_within).clamp(0.0, 1.0);
+        let age = ((self.now - started) / r.warm_within).clamp(0.0, 1.0);
         let capacity = self.cores(x) * (r.cold_from + (1.0 - r.cold_from) * age);
         let stands = r.fall_multiple * capacity * r.fall_window / work;
-        let mean = ((4.0 + stands).sqrt() - 2.0).powi(2) * (PERIOD / r.fall_window).min(1.0);
-        let sent: f64 =
-            x.cold_sent.iter().filter(|(t, _)| *t > self.now - r.fall_window).map(|(_, w)| w).sum();
-        let part = COLD_SAFETY * stands / n;
-        sent + work <= if part >= 1.0 { part } else { mean / n + x.draw } * work
+        let (part, mean) = (COLD_SAFETY * stands / n, ((4.0 + stands).sqrt() - 2.0).powi(2) / n);
+        let sent = x.sent.since(from) / work;
+        // Before our process began another may have had its part: as much of what it left. Harm: slow starts.
+        let (known, rest) = (from.max(started) >= self.began, 1.0 - COLD_SAFETY);
+        match () {
+            () if part >= 1.0 => f64::from(u8::from(sent + 1.0 <= part * if known { 1.0 } else { rest })),
+            () if known && sent < DRAWN * mean => (mean - sent).min(1.0),
+            () => 0.0,
+        }
+    }
+
+    /// Whether such a query goes there, by lot: what it brings on average is spent either way.
+    fn draw(&mut self, e: usize, work: f64) -> bool {
+        let chance = self.cold_chance(&self.engines[e], work);
+        let drawn = chance >= 1.0 || self.rng.rand_float() < chance;
+        let spent = if drawn { work } else { chance * work };
+        self.engines[e].sent.charge(self.now, self.s.rules.fall_window, spent);
+        drawn
     }
 
     fn turn(&self, h: &Held) -> bool {
@@ -1076,7 +1100,7 @@
 
     fn further_left(&self) -> bool {
         let Some(b) = self.s.rules.attempt_budget else { return true };
-        let used = self.further.iter().filter(|&&t| t >= self.now - b.span).count() as f64;
+        let used = self.further.since((self.now - b.span).next_down());
         let taken = self.taken.iter().filter(|&&t| t > self.now - b.span).count() as f64;
         used + 1.0 <= b.free + b.share * taken
     }
@@ -1084,8 +1108,9 @@
     /// Every attempt goes through here.
     fn send(&mut self, id: QueryId, e: usize, out: &mut Vec<Action>) -> bool {
         let Some(h) = self.held.get(&id).filter(|h| self.may_send(h, e)) else { return false };
-        let class = h.q.class;
-        let (work, cold_work) = (self.work(&h.q), self.cold_work(&h.q));
+        let drawn = self.draw(e, self.cold_work(&h.q));
+        let Some(h) = self.held.get(&id).filter(|_| drawn) else { return false };
+        let (class, work) = (h.q.class, self.work(&h.q));
         let threads = self.s.classes[class].threads;
         let facts = &self.s.engines;
         let mut granted = 0.0;
@@ -1103,38 +1128,15 @@
         }
         let now = self.now;
         let horizon = self.s.rules.attempt_budget.map_or(0.0, |b| b.span);
-        let window = self.s.rules.fall_window;
-        let cold = self.cold(&self.engines[e]);
         let Some(h) = self.held.get_mut(&id) else { return false };
         let attempt = h.attempts.len() as u32;
-        if attempt > 0 {
-            self.further.push_back(now);
-        }
-        self.further.retain(|&t| t >= now - horizon);
+        self.further.charge(now, horizon, f64::from(attempt.min(1)));
         self.taken.retain(|&t| t >= now - horizon);
         h.waited += now - h.queued_at;
         (h.pair, h.ask_until) = (vec![], f64::MIN);
         h.attempts.push(Attempt { engine: e, sent: now, out: true, may_have_run: false });
         let x = &mut self.engines[e];
-        if cold {
-            x.cold_sent.retain(|(t, _)| *t > now - window);
-            x.cold_sent.push_back((now, cold_work));
-        }
-        let tables = h.q.tables;
-        let run = Running {
-            id,
-            attempt,
-            class,
-            tables,
-            threads,
-            work,
-            sent: now,
-            done: 0.0,
-            heard: now,
-            granted,
-            stood: false,
-        };
-        x.out.push(run);
+        x.out.push(Running { threads, work, granted, ..Running::new(&h.q, attempt, now) });
         out.push(Action::Send { id, engine: x.name.clone(), timeout: None });
         true
     }
--- a/src/controller_tests.rs
+++ b/src/controller_tests.rs
@@ -160,10 +160,10 @@
     for (age, capacity) in [(0.0, 0.3), (500.0, 0.65), (1000.0, 1.0), (1500.0, 1.0)] {
         c.now = 10.0 + age;
         let most = COLD_SAFETY * 3.0 * 8.0 * 1000.0 * capacity;
-        assert!(c.cold_room(&c.engines[new], most * 0.999), "{age} ms after its start");
-        c.engines[new].cold_sent.push_back((c.now, most * 0.5));
-        assert!(!c.cold_room(&c.engines[new], most * 0.501), "what it got in this window counts");
-        c.engines[new].cold_sent.clear();
+        assert!(c.cold_chance(&c.engines[new], most * 0.999) > 0.0, "{age} ms after its start");
+        c.engines[new].sent.charge(c.now, 1000.0, most * 0.5);
+        assert!(c.cold_chance(&c.engines[new], most * 0.501) == 0.0, "what it got in this window counts");
+        c.engines[new].sent = Account::default();
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,24 @@
     }
 }
 
+/// What was spent when, as far back as a span reaches.
+#[derive(Default)]
+pub struct Account(VecDeque<(Millis, f64)>);
+
+impl Account {
+    /// Forgets what lies further back than `span`.
+    pub fn charge(&mut self, now: Millis, span: Millis, amount: f64) {
+        self.0.retain(|(t, _)| *t >= now - span);
+        if amount > 0.0 {
+            self.0.push_back((now, amount));
+        }
+    }
+    /// The sum of what was spent after `from`.
+    pub fn since(&self, from: Millis) -> f64 {
+        self.0.iter().filter(|(t, _)| *t > from).map(|(_, amount)| amount).sum()
+    }
+}
+
 /// The first `n` of these by `key`, in its order: what a stable sort of them all would begin with.
 pub fn first_by<K: Ord>(all: Vec<usize>, n: usize, key: impl Fn(&usize) -> K) -> Vec<usize> {
     let mut keyed: Vec<(K, usize)> = all.into_iter().map(|e| (key(&e), e)).collect();
@@ -83,6 +101,25 @@
     pub stood: bool,
 }
 
+impl Running {
+    /// Just sent; what it takes there is for the caller to say.
+    pub fn new(q: &Query, attempt: u32, now: Millis) -> Self {
+        Running {
+            id: q.id,
+            attempt,
+            class: q.class,
+            tables: q.tables,
+            threads: 0.0,
+            work: 0.0,
+            sent: now,
+            done: 0.0,
+            heard: now,
+            granted: 0.0,
+            stood: false,
+        }
+    }
+}
+
 pub struct Engine {
     pub name: String,
     pub state: EngineState,
@@ -109,8 +146,8 @@
     pub speaks: Millis,
     /// This period's draw, 0 to 1, for a budget below one query.
     pub draw: f64,
-    /// Work sent while cold, by time.
-    pub cold_sent: VecDeque<(Millis, f64)>,
+    /// Work sent there, or drawn for in vain, in the window in which a cold engine may fall.
+    pub sent: Account,
     /// Groups that a load holds there, and when a note told of it.
     pub held: BTreeMap<u64, Millis>,
 }
@@ -222,7 +259,7 @@
             heard: f64::MIN,
             speaks: f64::MIN,
             draw: 0.0,
-            cold_sent: VecDeque::new(),
+            sent: Account::default(),
             held: BTreeMap::new(),
         }
     }
