Make room in the module: one line for what a cold engine stands, one field for the processes before

Renamed and folded only: age and capacity into warm, shared and shared_at into one pair. The module's tests ran green on it (lib, rules, core, property, many_gateways).

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -75,9 +75,8 @@
     ask_at: Millis, // When to subscribe to the engine list: at once, then 2 s after a failure.
     heard: Millis,  // When any engine was last heard.
     processes: f64, // Of this gateway: two while one takes over from the other.
-    shared: f64,    // The same before `shared_at`: the last of them has sent its part until then.
-    shared_at: Millis,
-    began: Millis, // The first event; what the gateway did before is not known.
+    shared: (f64, Millis), // The same until then: the last of them has sent its part in that time.
+    began: Millis,  // The first event; what the gateway did before is not known.
 }
 
 impl Controller {
@@ -110,8 +109,7 @@
             ask_at: f64::MIN,
             heard: f64::MIN,
             processes: 1.0,
-            shared: 1.0,
-            shared_at: f64::MIN,
+            shared: (1.0, f64::MIN),
             began: f64::MIN,
             s: settings,
         })
@@ -721,7 +719,7 @@
 
     /// So many processes make the decisions of this gateway now, and share what a cold engine may get.
     pub fn share(&mut self, processes: u32) {
-        (self.shared, self.shared_at) = (self.processes, self.now);
+        self.shared = (self.processes, self.now);
         self.processes = f64::from(processes.max(1));
     }
 
@@ -1064,13 +1062,12 @@
         let Some(started) = x.started.filter(|_| self.cold(x)) else { return 1.0 };
         let (r, from) = (&self.s.rules, self.now - self.s.rules.fall_window);
         // The part of a process that ended within the window is not ours yet.
-        let shared = if from < self.shared_at { self.shared } else { 1.0 };
+        let shared = if from < self.shared.1 { self.shared.0 } else { 1.0 };
         let n = f64::from(self.s.gateways) * self.processes.max(shared);
         // It warms evenly, as far as answers tell: held to its first share of capacity for all its cold
         // time, it stood nearly idle while the warm ones were jammed. Harm: one that warms late gets more.
-        let age = ((self.now - started) / r.warm_within).clamp(0.0, 1.0);
-        let capacity = self.cores(x) * (r.cold_from + (1.0 - r.cold_from) * age);
-        let stands = r.fall_multiple * capacity * r.fall_window / work;
+        let warm = r.cold_from + (1.0 - r.cold_from) * ((self.now - started) / r.warm_within).clamp(0.0, 1.0);
+        let stands = r.fall_multiple * self.cores(x) * warm * r.fall_window / work;
         let (part, mean) = (COLD_SAFETY * stands / n, ((4.0 + stands).sqrt() - 2.0).powi(2) / n);
         let sent = x.sent.since(from) / work;
         // Before our process began another may have had its part: as much of what it left. Harm: slow starts.
