--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -14,7 +14,7 @@
 pub struct ClientSocket(Rc<TcpStream>);
 
 /// A look at a client's socket. It does not keep it open.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Watch(Weak<TcpStream>);
 
 impl From<TcpStream> for ClientSocket {
--- a/src/net/mysql/downstream.rs
+++ b/src/net/mysql/downstream.rs
@@ -3,8 +3,8 @@
 
 use super::packet::PacketError;
 use crate::interface::Millis;
+use crate::net::client::Watch;
 use crate::net::pool::Unread;
-use crate::net::stream::Watch;
 use crate::net::unix_ms;
 use std::cell::Cell;
 use tokio::sync::Notify;
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,11 +1,10 @@
 //! A client's connection, in the clear or in TLS.
 
-use super::pool::{self, Unread};
+use super::client::{ClientSocket, Watch};
+use super::pool::Unread;
 use bytes::BytesMut;
-use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -13,56 +12,20 @@
 use tokio_rustls::rustls::ServerConfig;
 use tokio_rustls::{TlsAcceptor, TlsStream};
 
-/// A connection's socket, which others may look at while the connection lives.
-pub struct Socket(Rc<RefCell<TcpStream>>);
-
-/// A look at the socket of a connection that somebody else reads and writes. It keeps nothing open.
-#[derive(Clone, Debug, Default)]
-pub struct Watch(Weak<RefCell<TcpStream>>);
-
-impl Watch {
-    /// What the machine holds unread of the peer; its end, once the connection is dropped here.
-    pub fn unread(&self) -> Unread {
-        self.0.upgrade().map_or(Unread::End, |tcp| pool::unread(&tcp.borrow()))
-    }
-}
-
-impl AsyncRead for Socket {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buffer)
-    }
-}
-
-impl AsyncWrite for Socket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
-    }
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
-    }
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
 /// A connection with what was read of it too early: a client sends its first words of TLS right behind its wish for it.
 pub struct Ahead {
     bytes: BytesMut,
-    tcp: Socket,
+    tcp: ClientSocket,
 }
 
 impl Ahead {
-    pub fn new(bytes: BytesMut, tcp: Socket) -> Self {
+    pub fn new(bytes: BytesMut, tcp: ClientSocket) -> Self {
         Ahead { bytes, tcp }
     }
 }
 
 pub enum Stream {
-    Plain(Socket),
+    Plain(ClientSocket),
     Tls(Box<TlsStream<Ahead>>),
     /// Its handshake failed, and nothing is left of it.
     Gone,
@@ -70,7 +33,7 @@
 
 impl From<TcpStream> for Stream {
     fn from(tcp: TcpStream) -> Self {
-        Stream::Plain(Socket(Rc::new(RefCell::new(tcp))))
+        Stream::Plain(tcp.into())
     }
 }
 
@@ -103,8 +66,8 @@
     /// A look at its socket, in the clear or not, for whoever acts for its peer.
     pub fn watch(&self) -> Watch {
         match self {
-            Stream::Plain(socket) => Watch(Rc::downgrade(&socket.0)),
-            Stream::Tls(tls) => Watch(Rc::downgrade(&tls.get_ref().0.tcp.0)),
+            Stream::Plain(tcp) => tcp.watch(),
+            Stream::Tls(tls) => tls.get_ref().0.tcp.watch(),
             Stream::Gone => Watch::default(),
         }
     }
