Hold an outdated fleet_size to the line itself, and tell its one known failure in KNOWN-RED.txt

Seen at the join: tests/cold_budget.rs held twice_as_many_run to twice the line, where the term is the line. Cause: a gateway's part is 1/fleet_size by the settings, and nothing tells it that twice as many run.

Change: KNOWN-RED.txt names such tests, three at most; make check passes over just these, runs them, prints them, and fails if one passes.

--- a/Makefile
+++ b/Makefile
@@ -23,14 +23,25 @@
 check: module lint
 	cargo test --locked --workspace --no-run
 	$(MAKE) --no-print-directory --output-sync=target -j2 check-long check-short
+	@$(MAKE) --no-print-directory check-red
+
+# Tests that fail for a fault which is known and not mended yet, FILE::TEST: CAUSE: ISSUE, three at most. They run all the
+# same, and are told; one that passes has to leave the list.
+RED = $(shell sed -n 's/^\([a-z_]*\)::\([a-z_0-9]*\):.*/\2/p' KNOWN-RED.txt 2>/dev/null)
+.PHONY: check-long check-short check-red
+check-red:
+	@test "$(words $(RED))" -le 3
+	@if [ -s KNOWN-RED.txt ]; then while IFS=: read -r file _ name cause; do \
+	  if cargo test --locked --test "$$file" "$$name" -- --exact >/dev/null 2>&1 </dev/null; \
+	  then echo "KNOWN-RED.txt: $$name passes now"; exit 1; else echo "known red: $$name:$$cause"; fi; \
+	done < KNOWN-RED.txt; fi
 
-.PHONY: check-long check-short
 check-long:
 	cargo test --locked --workspace $(LONG:%=--test %)
 
 check-short:
 	cargo test --locked --workspace --doc
-	cargo test --locked --workspace --lib --bins --examples $(SHORT:%=--test %)
+	cargo test --locked --workspace --lib --bins --examples $(SHORT:%=--test %) -- $(RED:%=--skip %)
 
 # PROXY_CONFIG names the configuration.
 run: build
--- a/tests/cold_budget.rs
+++ b/tests/cold_budget.rs
@@ -316,11 +316,22 @@
     }
 }
 
-/// Runs a scenario at every size and grain of work; the seeds over the line, and those in which the rule was broken.
-fn play(name: &str, make: impl Fn(u32, f64, &mut Rand64) -> Case) -> (usize, usize, f64) {
-    let mut all_over = (0, 0, 0.0f64);
+/// A large fleet with small requests: N is large there, and what chance allows beside it small.
+const LARGE: (u32, f64) = (300, 150.0);
+
+/// Runs a scenario at every size and grain of work that is wanted; the seeds over the line, and those in which the rule was
+/// broken.
+fn play(
+    name: &str,
+    wanted: impl Fn(u32, f64) -> bool,
+    make: impl Fn(u32, f64, &mut Rand64) -> Case,
+) -> (usize, usize) {
+    let mut all_over = (0, 0);
     for (n, seeds, step) in [(2u32, 12u64, 125.0), (20, 4, 200.0), (30, 4, 200.0), (300, 1, 400.0)] {
         for work in [950.0, 150.0] {
+            if !wanted(n, work) {
+                continue;
+            }
             let began = std::time::Instant::now();
             let (mut peaks, mut over, mut broken, mut total) = (vec![], 0, 0, 0);
             for seed in 0..seeds {
@@ -341,7 +352,7 @@
                 total / seeds as usize,
                 began.elapsed().as_millis(),
             );
-            all_over = (all_over.0 + over, all_over.1 + broken, all_over.2.max(most));
+            all_over = (all_over.0 + over, all_over.1 + broken);
         }
     }
     all_over
@@ -349,13 +360,16 @@
 
 /// No window is over the line.
 fn run(name: &str, make: impl Fn(u32, f64, &mut Rand64) -> Case) {
-    let (over, broken, _) = play(name, make);
-    assert_eq!((over, broken), (0, 0), "{name}: seeds over the line, seeds in which the rule was broken");
+    assert_eq!(
+        play(name, |_, _| true, make),
+        (0, 0),
+        "{name}: seeds over the line, seeds in which the rule was broken"
+    );
 }
 
 /// The rule is not broken, whatever those send that were not told.
 fn run_told(name: &str, make: impl Fn(u32, f64, &mut Rand64) -> Case) {
-    assert_eq!(play(name, make).1, 0, "{name}: seeds in which the rule was broken");
+    assert_eq!(play(name, |_, _| true, make).1, 0, "{name}: seeds in which the rule was broken");
 }
 
 /// A moment in the middle of the ramp.
@@ -525,15 +539,23 @@
     });
 }
 
-/// The settings name half as many as run: nothing tells them so but the engine's answers. It may get over the line
-/// (1.24 times it from 300 with small requests), and never twice of it.
+/// The settings name half as many as run: nothing tells them so but the engine's answers.
 #[test]
 fn twice_as_many_run() {
-    let (_, _, most) = play("twice as many run", |n, w, rng| {
-        let mut c = case(n, w, rng);
-        c.settings.gateways = n.div_ceil(2);
-        c.reports = true;
-        c
-    });
-    assert!(most <= 2.0, "{most} of the line");
+    let over = play("twice as many run", |n, work| (n, work) != LARGE, twice);
+    assert_eq!(over, (0, 0), "seeds over the line, seeds in which the rule was broken");
+}
+
+#[test]
+fn twice_as_many_run_in_a_large_fleet_with_small_requests() {
+    let over = play("twice as many run, large", |n, work| (n, work) == LARGE, twice);
+    assert_eq!(over, (0, 0), "seeds over the line, seeds in which the rule was broken");
+}
+
+/// The settings name half as many dispatchers as run.
+fn twice(n: u32, work: f64, rng: &mut Rand64) -> Case {
+    let mut c = case(n, work, rng);
+    c.settings.gateways = n.div_ceil(2);
+    c.reports = true;
+    c
 }
