--- a/tests/moments.rs
+++ b/tests/moments.rs
@@ -3,6 +3,7 @@
 //! the list; what needs the process's own end is in `program.rs`.
 
 mod scenario;
+mod wire;
 
 use bytes::Bytes;
 use hitchwinch::config::{Machine, Sockets};
@@ -24,9 +25,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
+use wire::*;
 
-/// An engine's or a client's socket keeps so little unread that what is large stands.
-const SMALL: usize = 4096;
 const LOOKUP: usize = 0;
 const LOAD: usize = 1;
 const KEYED: usize = 2;
@@ -71,13 +71,6 @@
     stand(TcpListener::bind("127.0.0.1:0").await.unwrap(), (Group::All, 0.0), |_| {}).await
 }
 
-/// An engine's listener with room in its queue for one connection: what comes after that is up a second late.
-fn tight() -> TcpListener {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    socket.listen(0).unwrap()
-}
-
 /// An engine that keeps little of what it does not read.
 fn narrow() -> TcpListener {
     let socket = TcpSocket::new_v4().unwrap();
@@ -134,32 +127,10 @@
     }
 }
 
-async fn within<T>(what: &str, f: impl Future<Output = T>) -> T {
-    tokio::time::timeout(Duration::from_secs(6), f).await.unwrap_or_else(|_| panic!("no {what}"))
-}
-
-async fn until(what: &str, holds: impl Fn() -> bool) {
-    within(what, async {
-        while !holds() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-    })
-    .await;
-}
-
 async fn pass(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
 
-fn name(txn: u64) -> String {
-    format!("{txn:016x}")
-}
-
-fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
-    let length = (payload.len() as u32 + 5).to_be_bytes();
-    [&length[..], &[kind], &stream.to_be_bytes(), payload].concat()
-}
-
 fn fields(all: &[(&str, &str)]) -> Vec<u8> {
     let mut p = vec![all.len() as u8];
     for (n, v) in all {
@@ -174,98 +145,12 @@
     frame(2, stream, &p)
 }
 
-struct Client(TcpStream);
-
-impl Client {
-    async fn new(at: SocketAddr) -> Self {
-        let tcp = TcpStream::connect(at).await.unwrap();
-        tcp.set_nodelay(true).unwrap();
-        Client(tcp)
-    }
-
-    /// One whose machine keeps little of what it does not read.
-    async fn narrow(at: SocketAddr) -> Self {
-        let socket = TcpSocket::new_v4().unwrap();
-        socket.set_recv_buffer_size(SMALL as u32).unwrap();
-        Client(socket.connect(at).await.unwrap())
-    }
-
-    async fn say(&mut self, bytes: &[u8]) {
-        self.0.write_all(bytes).await.unwrap();
-    }
-
-    /// Type, stream and payload of the next frame; none at the end.
-    async fn hear(&mut self) -> Option<(u8, u32, Vec<u8>)> {
-        let read = async {
-            let n = self.0.read_u32().await.ok()?;
-            let mut f = vec![0; n as usize];
-            self.0.read_exact(&mut f).await.ok()?;
-            Some((f[0], u32::from_be_bytes(f[1..5].try_into().unwrap()), f[5..].to_vec()))
-        };
-        within("frame", read).await
-    }
-
-    /// It has asked on this stream, and is served.
-    async fn is_served(&mut self, stream: u32) {
-        let (kind, on, payload) = self.hear().await.expect("its answer");
-        assert_eq!((kind, on, payload[0]), (4, stream, 0));
-    }
-}
-
-/// The next command's words; none at the connection's end.
-async fn command(engine: &mut TcpStream) -> Option<Vec<String>> {
-    async fn number(engine: &mut TcpStream) -> Option<usize> {
-        let mut line = String::new();
-        while !line.ends_with('\n') {
-            line.push(engine.read_u8().await.ok()?.into());
-        }
-        line[1..].trim().parse().ok()
-    }
-    let read = async {
-        let mut words = vec![];
-        for _ in 0..number(engine).await? {
-            let mut word = vec![0; number(engine).await? + 2];
-            engine.read_exact(&mut word).await.ok()?;
-            words.push(String::from_utf8_lossy(&word[..word.len() - 2]).into_owned());
-        }
-        Some(words)
-    };
-    within("command", read).await
-}
-
-/// The id of the next request.
-async fn get(engine: &mut TcpStream) -> String {
-    let words = command(engine).await.expect("a command");
-    assert_eq!(words[0], "GET", "{words:?}");
-    words[1].clone()
-}
-
-fn array(words: [&str; 4]) -> Vec<u8> {
-    let bulk: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
-    format!("*4\r\n{bulk}").into_bytes()
-}
-
-async fn reply(engine: &mut TcpStream, words: [&str; 4]) {
-    engine.write_all(&array(words)).await.unwrap();
-}
-
 /// The first half of an answer's bytes.
 async fn half(engine: &mut TcpStream, words: [&str; 4]) {
     let all = array(words);
     engine.write_all(&all[..all.len() / 2]).await.unwrap();
 }
 
-/// A result of as many full pages.
-async fn serve(engine: &mut TcpStream, txn: &str, pages: usize) {
-    let page = format!("{}\tb\tc\n", "a".repeat(5000));
-    reply(engine, [txn, "ACK", &format!("total={pages}"), &page]).await;
-    for _ in 1..pages {
-        let asked = command(engine).await.expect("a page is asked for");
-        assert_eq!(asked[0], "PAGE");
-        reply(engine, [txn, "BLOCK", &format!("index={}", asked[2]), &page]).await;
-    }
-}
-
 // ---- repeats, against the window in which engines know them
 
 /// By group: what a client is told of a request that may have run and can't be sent again.
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -2,6 +2,7 @@
 //! letting both happen before the runtime hears of either. `docs/RACES.md` has the list.
 
 mod scenario;
+mod wire;
 
 use bytes::Bytes;
 use hitchwinch::config::{Machine, Names, Sockets};
@@ -21,11 +22,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
+use wire::*;
 
 /// Past it, nothing is sent on for a client that has left.
 const TERM: Duration = Duration::from_millis(100);
-/// An engine's socket keeps so little unread, and the dispatcher's so little unsent, that large requests stand.
-const SMALL: usize = 4096;
 
 struct Stand {
     hub: Rc<Hub<RespLeg>>,
@@ -107,28 +107,6 @@
     }
 }
 
-async fn within<T>(what: &str, f: impl Future<Output = T>) -> T {
-    tokio::time::timeout(Duration::from_secs(6), f).await.unwrap_or_else(|_| panic!("no {what}"))
-}
-
-async fn until(what: &str, holds: impl Fn() -> bool) {
-    within(what, async {
-        while !holds() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-    })
-    .await;
-}
-
-fn name(txn: u64) -> String {
-    format!("{txn:016x}")
-}
-
-fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
-    let length = (payload.len() as u32 + 5).to_be_bytes();
-    [&length[..], &[kind], &stream.to_be_bytes(), payload].concat()
-}
-
 fn request(stream: u32, txn: u64, class: &str, more: &str) -> Vec<u8> {
     let mut p = vec![4];
     for (n, v) in [("verb", class), ("txn", &name(txn)), ("limit", "5000"), ("team", "acme")] {
@@ -143,85 +121,6 @@
     (from..from + n).flat_map(|s| request(s, s.into(), "nonsense", "")).collect()
 }
 
-struct Client(TcpStream);
-
-impl Client {
-    async fn new(at: SocketAddr) -> Self {
-        Client(TcpStream::connect(at).await.unwrap())
-    }
-
-    /// One whose machine keeps little of what it does not read.
-    async fn narrow(at: SocketAddr) -> Self {
-        let socket = TcpSocket::new_v4().unwrap();
-        socket.set_recv_buffer_size(SMALL as u32).unwrap();
-        Client(socket.connect(at).await.unwrap())
-    }
-
-    async fn say(&mut self, bytes: &[u8]) {
-        self.0.write_all(bytes).await.unwrap();
-    }
-
-    /// Type, stream and payload of the next frame; none at the end.
-    async fn hear(&mut self) -> Option<(u8, u32, Vec<u8>)> {
-        let read = async {
-            let n = self.0.read_u32().await.ok()?;
-            let mut f = vec![0; n as usize];
-            self.0.read_exact(&mut f).await.ok()?;
-            Some((f[0], u32::from_be_bytes(f[1..5].try_into().unwrap()), f[5..].to_vec()))
-        };
-        within("frame", read).await
-    }
-
-    /// Its connection is reset.
-    fn resets(self) {
-        SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).unwrap();
-    }
-}
-
-/// The next command's words; none at the connection's end.
-async fn command(engine: &mut TcpStream) -> Option<Vec<String>> {
-    async fn number(engine: &mut TcpStream) -> Option<usize> {
-        let mut line = String::new();
-        while !line.ends_with('\n') {
-            line.push(engine.read_u8().await.ok()?.into());
-        }
-        line[1..].trim().parse().ok()
-    }
-    let read = async {
-        let mut words = vec![];
-        for _ in 0..number(engine).await? {
-            let mut word = vec![0; number(engine).await? + 2];
-            engine.read_exact(&mut word).await.ok()?;
-            words.push(String::from_utf8_lossy(&word[..word.len() - 2]).into_owned());
-        }
-        Some(words)
-    };
-    within("command", read).await
-}
-
-/// The id of the next request.
-async fn get(engine: &mut TcpStream) -> String {
-    let words = command(engine).await.expect("a command");
-    assert_eq!(words[0], "GET", "{words:?}");
-    words[1].clone()
-}
-
-async fn reply(engine: &mut TcpStream, words: [&str; 4]) {
-    let bulk: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
-    engine.write_all(format!("*4\r\n{bulk}").as_bytes()).await.unwrap();
-}
-
-/// A result of as many full pages.
-async fn serve(engine: &mut TcpStream, txn: &str, pages: usize) {
-    let page = format!("{}\tb\tc\n", "a".repeat(5000));
-    reply(engine, [txn, "ACK", &format!("total={pages}"), &page]).await;
-    for _ in 1..pages {
-        let asked = command(engine).await.expect("a page is asked for");
-        assert_eq!(asked[0], "PAGE");
-        reply(engine, [txn, "BLOCK", &format!("index={}", asked[2]), &page]).await;
-    }
-}
-
 /// A request straight at the hub, in the same turn as what the test does before; its answer is pushed there.
 fn ask(s: &Stand, txn: u64, class: usize, answers: &Rc<RefCell<Vec<&'static str>>>) {
     let new = NewRequest {
@@ -683,13 +582,6 @@
     });
 }
 
-/// A listener whose queue has room for one.
-fn tight() -> TcpListener {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    socket.listen(0).unwrap()
-}
-
 /// Its connection broke, and the retry waits for another to come up: its client leaves.
 #[test]
 fn a_retry_that_waits_goes_with_its_client() {
