--- a/crates/conformance/src/lib.rs
+++ b/crates/conformance/src/lib.rs
@@ -9,8 +9,8 @@
 use hitchwinch::net::discovery::{Change, Engine as Listed};
 use hitchwinch::net::hub::Hub;
 use hitchwinch::net::mysql::front::Front;
-use hitchwinch::net::mysql::leg::MysqlLeg;
 use hitchwinch::net::mysql::packet::{PacketError, QUERY, Reader, eof_status, ok_tail};
+use hitchwinch::net::mysql::upstream::MysqlUpstream;
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::spools::Spools;
 use hitchwinch::{EngineState, ListUpdate};
@@ -49,8 +49,8 @@
     let names = config.names.clone();
     let (spools, done) = Spools::open(&config.spool, names.classes.clone(), names.tenants.clone())?;
     spawn_local(spools.clone().attend(done));
-    let leg = MysqlLeg::new(config.access, config.sockets, pool.clone(), spools.clone());
-    let hub = Hub::new(core, names, leg);
+    let upstream = MysqlUpstream::new(config.access, config.sockets, pool.clone(), spools.clone());
+    let hub = Hub::new(core, names, upstream);
     let Source::Fixed(fixed) = config.source else { return Err("the engines are not listed".into()) };
     let listed = fixed.into_iter().map(|e| Listed {
         id: e.id,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,5 +1,5 @@
 //! The life of requests and attempts, with no I/O: time is passed in, what is to be done comes out as
-//! [`Command`]s. It knows no wire; fronts open and leave requests, engine legs tell how attempts end.
+//! [`Command`]s. It knows no wire; fronts open and leave requests, upstreams tell how attempts end.
 //!
 //! The decisions are the module's; what is kept here is what must hold whatever it decides: one final
 //! answer for each request, in time; no attempt of an unsafe query after one that may have run; nothing out
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,11 +8,11 @@
 use hitchwinch::net::discovery::eureka::{self, lease::Lease, lease::Stand};
 use hitchwinch::net::discovery::{Discovery, fixed, journal::Journal};
 use hitchwinch::net::frames::{self, Front};
-use hitchwinch::net::hub::{Hub, Leg};
+use hitchwinch::net::hub::{Hub, Upstream};
 use hitchwinch::net::members::Members;
 use hitchwinch::net::peers;
 use hitchwinch::net::pool::Pool;
-use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::resp::RespUpstream;
 use hitchwinch::net::shared::Shared;
 use hitchwinch::net::signals::{SIGHUP, SIGTERM, Signals};
 use hitchwinch::net::spools::Spools;
@@ -71,9 +71,10 @@
     let pool = Pool::default();
     let bounds = Bounds { open: config.sockets.most_open, margin: MARGIN, page_wait: PAGE_WAIT };
     let core = Core::new(config.settings.clone(), config.seed, bounds)?;
-    let leg = RespLeg::new(config.sockets.clone(), config.names.report_fields.clone(), pool.clone());
-    leg.within(config.limits.sockets);
-    let hub = Hub::new(core, config.names.clone(), leg);
+    let upstream =
+        RespUpstream::new(config.sockets.clone(), config.names.report_fields.clone(), pool.clone());
+    upstream.within(config.limits.sockets);
+    let hub = Hub::new(core, config.names.clone(), upstream);
     let (at, address) = watch::channel(config.journal);
     let journal =
         Journal::new(address, config.known.take(), config.seed).map_err(|e| format!("known: {e}"))?;
@@ -101,7 +102,7 @@
         let kept = config.needs_restart(&new);
         at.send_if_modified(|at| std::mem::replace(at, new.journal) != new.journal);
         reconfigured.limit(&new.limits);
-        relimited.leg().within(new.limits.sockets);
+        relimited.upstream().within(new.limits.sockets);
         Ok(kept)
     }));
 
@@ -126,8 +127,9 @@
         .map_err(|e| format!("spool.dir ({:?}): {e}", config.spool.dir))?;
     spawn_local(spools.clone().attend(done));
     let access = config.access.clone();
-    let leg = mysql::leg::MysqlLeg::new(access, config.sockets.clone(), pool.clone(), spools.clone());
-    let hub = Hub::new(core, config.names.clone(), leg);
+    let upstream =
+        mysql::upstream::MysqlUpstream::new(access, config.sockets.clone(), pool.clone(), spools.clone());
+    let hub = Hub::new(core, config.names.clone(), upstream);
     let listener = listener::listen(config.listen, config.inherited).await?;
     let listen = listener.local_addr()?;
     let front = mysql::front::Front::new(hub.clone(), pool.clone(), config.front.clone(), spools.clone());
@@ -190,7 +192,7 @@
 }
 
 /// Listens where operators call, if that is said.
-async fn operators<L: Leg>(
+async fn operators<L: Upstream>(
     hub: &Rc<Hub<L>>,
     pool: &Pool,
     shared: &Rc<Shared>,
@@ -206,7 +208,7 @@
 }
 
 /// How this dispatcher stands, for those who look for it at a registry.
-fn standing<L: Leg>(hub: &Rc<Hub<L>>, shared: &Rc<Shared>) -> Rc<dyn Fn() -> Stand> {
+fn standing<L: Upstream>(hub: &Rc<Hub<L>>, shared: &Rc<Shared>) -> Rc<dyn Fn() -> Stand> {
     let (hub, shared) = (hub.clone(), shared.clone());
     Rc::new(move || match () {
         () if hub.stopping() => match shared.processes() {
@@ -219,7 +221,7 @@
 }
 
 /// What this dispatcher's processes have been told by hand is in force before the first engine is known.
-fn share<L: Leg>(
+fn share<L: Upstream>(
     hub: &Rc<Hub<L>>,
     folder: Option<&Path>,
     front: impl Fn(u32) + 'static,
@@ -258,7 +260,7 @@
 
 /// Where the engines of the MySQL front come from now.
 struct Following {
-    hub: Rc<Hub<mysql::leg::MysqlLeg>>,
+    hub: Rc<Hub<mysql::upstream::MysqlUpstream>>,
     state: Option<PathBuf>,
     /// What is believed of engines that a registry lists; operators look at it.
     members: Rc<RefCell<Option<Rc<Members>>>>,
@@ -284,7 +286,7 @@
                     spawn_local(async move { cancel(registry.lease.as_deref()).await });
                 }
                 *self.members.borrow_mut() = None;
-                self.hub.leg().watch(None);
+                self.hub.upstream().watch(None);
                 self.hub.change(&fixed(engines));
             }
             Source::Eureka(source) => {
@@ -313,7 +315,7 @@
                             Box::new(move |change| sink.change(&change)),
                             Box::new(move || hub.out_by_hand()),
                         );
-                        self.hub.leg().watch(Some(members.clone()));
+                        self.hub.upstream().watch(Some(members.clone()));
                         let (tell, told) = watch::channel(source.clone());
                         let tasks = vec![
                             spawn_local(eureka::follow(told, members.clone())).abort_handle(),
@@ -370,7 +372,7 @@
 /// ready, and then asked to go elsewhere. With a listening socket that others hold as well (`handed_over`) no
 /// more are accepted, for they would find an end here that another process could give them a whole life: only
 /// those that were accepted are read and answered on. The last answers are given before the kill can come.
-async fn wind_down<L: Leg>(
+async fn wind_down<L: Upstream>(
     term: &mut Signals,
     hub: &Rc<Hub<L>>,
     longest: f64,
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,7 +1,7 @@
 //! Where operators call: HTTP/1.1, one call a connection, at an address of its own. Its places are its own as
 //! well, so that clients' load takes none of them and a caller who completes no call delays nobody.
 
-use crate::net::hub::{Hub, Leg};
+use crate::net::hub::{Hub, Upstream};
 use crate::net::members::Members;
 use crate::net::places::{Places, Taken, Use};
 use crate::net::pool::{self, Pool, Unread, Wire};
@@ -96,7 +96,7 @@
     }
 }
 
-pub struct Admin<L: Leg> {
+pub struct Admin<L: Upstream> {
     hub: Rc<Hub<L>>,
     pool: Pool,
     shared: Rc<Shared>,
@@ -113,7 +113,7 @@
     pub spools: Option<Rc<Spools>>,
 }
 
-impl<L: Leg> Admin<L> {
+impl<L: Upstream> Admin<L> {
     /// So many callers at a time; the oldest without a whole call gives way to a new one.
     pub fn new(
         hub: Rc<Hub<L>>,
--- a/src/net/frames/mod.rs
+++ b/src/net/frames/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::config::Machine;
 use crate::net::descriptors::Shares;
-use crate::net::hub::{Hub, Leg};
+use crate::net::hub::{Hub, Upstream};
 use crate::net::listener;
 use crate::net::places::{Places, Taken, Use};
 use crate::net::pool::{Buffer, Pool};
@@ -44,7 +44,7 @@
 }
 
 /// All that the connections of this front share.
-pub struct Front<L: Leg<Work = Work, Output = Buffer>> {
+pub struct Front<L: Upstream<Work = Work, Output = Buffer>> {
     pub hub: Rc<Hub<L>>,
     pub pool: Pool,
     pub budget: Budget,
@@ -58,7 +58,7 @@
     connections: Cell<usize>,
 }
 
-impl<L: Leg<Work = Work, Output = Buffer>> Front<L> {
+impl<L: Upstream<Work = Work, Output = Buffer>> Front<L> {
     pub fn new(hub: Rc<Hub<L>>, pool: Pool, limits: &Machine) -> Rc<Self> {
         let (phase, _) = watch::channel(Phase::Serving);
         let (budget, places) = (Budget::new(0), Places::new(0, Use::Idle));
--- a/src/net/frames/request.rs
+++ b/src/net/frames/request.rs
@@ -5,7 +5,7 @@
 use crate::core::NewRequest;
 use crate::interface::{ClassId, Millis};
 use crate::net::client::Watch;
-use crate::net::hub::{Hub, Leg};
+use crate::net::hub::{Hub, Upstream};
 use crate::net::pool::Unread;
 use crate::net::{MOST_MB, MOST_MS, statement};
 use bytes::Bytes;
@@ -106,14 +106,14 @@
 pub(super) type AtTheDoor = (Option<ClassId>, String);
 
 /// The class that a request names.
-pub(super) fn class<L: Leg>(hub: &Hub<L>, frame: Frame) -> Option<ClassId> {
+pub(super) fn class<L: Upstream>(hub: &Hub<L>, frame: Frame) -> Option<ClassId> {
     let (fields, _) = fields(frame.payload).ok()?;
     let named = fields.iter().find(|f| f.0 == "verb")?;
     find(&hub.names().classes, &named.1)
 }
 
 /// Reads a request that arrived at this Unix time; the error is the message of a `failed`.
-pub(super) fn request<L: Leg>(
+pub(super) fn request<L: Upstream>(
     hub: &Hub<L>,
     payload: Bytes,
     arrived: Millis,
--- a/src/net/frames/talk.rs
+++ b/src/net/frames/talk.rs
@@ -8,7 +8,7 @@
 use crate::core::{End, RequestId};
 use crate::interface::Millis;
 use crate::net::client::{ClientSocket, Watch};
-use crate::net::hub::{Leg, Reply};
+use crate::net::hub::{Reply, Upstream};
 use crate::net::places::{self, Place, Use};
 use crate::net::pool::{self, Buffer, Reads, Socket, Turn, Unread};
 use crate::net::unix_ms;
@@ -87,9 +87,9 @@
 }
 
 /// Requests of a connection that ends are left: nobody waits for them any more.
-struct Leaves<'a, L: Leg<Work = Work, Output = Buffer>>(&'a Front<L>, Open);
+struct Leaves<'a, L: Upstream<Work = Work, Output = Buffer>>(&'a Front<L>, Open);
 
-impl<L: Leg<Work = Work, Output = Buffer>> Drop for Leaves<'_, L> {
+impl<L: Upstream<Work = Work, Output = Buffer>> Drop for Leaves<'_, L> {
     fn drop(&mut self) {
         let open = std::mem::take(&mut *self.1.borrow_mut());
         open.into_values().for_each(|id| self.0.hub.leave(id));
@@ -97,7 +97,7 @@
 }
 
 /// Serves one client connection to its end.
-pub(super) async fn connection<L: Leg<Work = Work, Output = Buffer>>(
+pub(super) async fn connection<L: Upstream<Work = Work, Output = Buffer>>(
     front: &Front<L>,
     place: &Place,
     tcp: TcpStream,
@@ -107,7 +107,7 @@
 }
 
 /// What one connection has told of its client.
-struct Client<'a, L: Leg<Work = Work, Output = Buffer>> {
+struct Client<'a, L: Upstream<Work = Work, Output = Buffer>> {
     front: &'a Front<L>,
     place: &'a Place,
     open: Open,
@@ -126,7 +126,7 @@
     answers: mpsc::Sender<(u32, Reply<Buffer>)>,
 }
 
-async fn converse<L: Leg<Work = Work, Output = Buffer>>(
+async fn converse<L: Upstream<Work = Work, Output = Buffer>>(
     front: &Front<L>,
     place: &Place,
     wire: &mut Wire,
@@ -293,7 +293,7 @@
     wire.put(Send { kind: ANSWER, stream, code: Some(code), fields, body })
 }
 
-impl<L: Leg<Work = Work, Output = Buffer>> Client<'_, L> {
+impl<L: Upstream<Work = Work, Output = Buffer>> Client<'_, L> {
     fn owes_nothing(&self) -> bool {
         self.open.borrow().is_empty() && self.ahead.is_empty() && self.turned_away.is_empty()
     }
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// What an engine leg is told to start.
+/// What an upstream is told to start.
 pub struct Start {
     pub attempt: AttemptId,
     pub engine: String,
@@ -25,7 +25,7 @@
 }
 
 /// The way to the engines on one wire.
-pub trait Leg: Sized + 'static {
+pub trait Upstream: Sized + 'static {
     /// What a front hands over with a request.
     type Work: 'static;
     /// What an engine brings back.
@@ -60,30 +60,30 @@
 
 type Answerer<O> = Box<dyn FnOnce(Reply<O>)>;
 
-struct Open<L: Leg> {
+struct Open<L: Upstream> {
     work: Rc<L::Work>,
     output: Option<L::Output>,
     answer: Answerer<L::Output>,
 }
 
-pub struct Hub<L: Leg> {
+pub struct Hub<L: Upstream> {
     core: RefCell<Core>,
     open: RefCell<HashMap<RequestId, Open<L>>>,
     names: Names,
-    leg: L,
+    upstream: L,
     wake: Notify,
     stopping: Cell<bool>,
     /// The way to the peers, where there is one.
     peers: OnceCell<Outlet>,
 }
 
-impl<L: Leg> Hub<L> {
-    pub fn new(core: Core, names: Names, leg: L) -> Rc<Self> {
+impl<L: Upstream> Hub<L> {
+    pub fn new(core: Core, names: Names, upstream: L) -> Rc<Self> {
         Rc::new(Hub {
             core: RefCell::new(core),
             open: RefCell::new(HashMap::new()),
             names,
-            leg,
+            upstream,
             wake: Notify::new(),
             stopping: Cell::new(false),
             peers: OnceCell::new(),
@@ -110,8 +110,8 @@
     }
 
     /// The way to the engines.
-    pub fn leg(&self) -> &L {
-        &self.leg
+    pub fn upstream(&self) -> &L {
+        &self.upstream
     }
 
     pub fn names(&self) -> &Names {
@@ -186,7 +186,7 @@
         let entries = entries.collect();
         // The module hears of it first, so that connections that drop find it informed.
         self.core.borrow_mut().engines(unix_ms(), change.update, entries);
-        self.leg.change(change);
+        self.upstream.change(change);
         self.carry_out();
     }
 
@@ -203,7 +203,7 @@
         };
         if let Some(e) = told {
             say!("engine {engine}: {} by hand", if out { "taken out" } else { "put back" });
-            // Where it is the leg knows; connections to the process before lead to nobody.
+            // Where it is the upstream knows; connections to the process before lead to nobody.
             let engine = Engine {
                 id: e.engine,
                 address: None,
@@ -213,7 +213,7 @@
                 cell: e.cell,
                 started: e.started,
             };
-            self.leg.change(&Change { update: ListUpdate::Patch, engines: vec![engine] });
+            self.upstream.change(&Change { update: ListUpdate::Patch, engines: vec![engine] });
         }
         self.carry_out();
     }
@@ -233,7 +233,7 @@
     /// So many processes of this dispatcher live.
     pub fn share(&self, processes: u32) {
         self.core.borrow_mut().share(processes);
-        self.leg.share(processes as usize);
+        self.upstream.share(processes as usize);
     }
 
     /// The end has begun.
@@ -272,10 +272,14 @@
             Command::Start { attempt, engine, until, write_by, memory_mb, alone } => {
                 let work = self.open.borrow().get(&attempt.request).map(|o| o.work.clone());
                 if let Some(work) = work {
-                    self.leg.start(self, Start { attempt, engine, until, write_by, memory_mb, alone }, work);
+                    self.upstream.start(
+                        self,
+                        Start { attempt, engine, until, write_by, memory_mb, alone },
+                        work,
+                    );
                 }
             }
-            Command::Drop { attempt } => self.leg.drop_attempt(attempt),
+            Command::Drop { attempt } => self.upstream.drop_attempt(attempt),
             Command::Answer { request, answer } => {
                 let Some(open) = self.open.borrow_mut().remove(&request) else { return };
                 let reply = match (answer, open.output) {
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -1,4 +1,4 @@
-//! Joins membership with what stands round it: the hub that takes its changes, the engine leg that sees
+//! Joins membership with what stands round it: the hub that takes its changes, the upstream that sees
 //! connections, the store that outlives the process, and operators.
 
 use crate::config::EurekaSource;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,4 +1,4 @@
-//! The adapters: fronts, engine legs and discovery, on tokio, round the core. All run on one thread.
+//! The adapters: fronts, upstreams and discovery, on tokio, round the core. All run on one thread.
 
 pub mod admin;
 pub mod client;
--- a/src/net/mysql/front/mod.rs
+++ b/src/net/mysql/front/mod.rs
@@ -15,7 +15,7 @@
 use crate::config::MysqlFront;
 use crate::core::{End as Figure, NewRequest, RequestId};
 use crate::net::descriptors::Shares;
-use crate::net::hub::{Hub, Leg, Reply};
+use crate::net::hub::{Hub, Reply, Upstream};
 use crate::net::listener;
 use crate::net::places::{Place, Places, Taken, Use};
 use crate::net::pool::{Pool, Unread, Wire};
@@ -55,7 +55,7 @@
 /// COM_STMT_EXECUTE asks for a cursor.
 const CURSOR_READ_ONLY: u8 = 1;
 
-pub struct Front<L: Leg<Work = Work, Output = Output>> {
+pub struct Front<L: Upstream<Work = Work, Output = Output>> {
     hub: Rc<Hub<L>>,
     pool: Pool,
     /// Swapped whole by a new configuration; a session keeps to the one in force at each step.
@@ -146,9 +146,9 @@
 }
 
 /// A request that its client may leave at any time.
-struct Asked<'a, L: Leg<Work = Work, Output = Output>>(&'a Rc<Hub<L>>, RequestId);
+struct Asked<'a, L: Upstream<Work = Work, Output = Output>>(&'a Rc<Hub<L>>, RequestId);
 
-impl<L: Leg<Work = Work, Output = Output>> Drop for Asked<'_, L> {
+impl<L: Upstream<Work = Work, Output = Output>> Drop for Asked<'_, L> {
     fn drop(&mut self) {
         self.0.leave(self.1);
     }
@@ -166,7 +166,7 @@
     }
 }
 
-impl<L: Leg<Work = Work, Output = Output>> Front<L> {
+impl<L: Upstream<Work = Work, Output = Output>> Front<L> {
     pub fn new(hub: Rc<Hub<L>>, pool: Pool, config: MysqlFront, spools: Rc<Spools>) -> Rc<Self> {
         let (stopping, _) = tokio::sync::watch::channel(false);
         // Sessions keep their place while they are idle, for they hold what they prepared.
@@ -344,13 +344,13 @@
         let greeting =
             Greeting { connection, nonce: nonce.to_vec(), plugin: auth::NATIVE.into(), capabilities };
         wire.send(&greeting.write(&self.config().version)[..]).await?;
-        let mut first = super::leg::next(wire).await?;
+        let mut first = super::upstream::next(wire).await?;
         if let Some(keys) = &keys {
             if Login::asks_tls(&first) {
                 let ahead = BytesMut::from(&wire.read_buffer()[..]);
                 wire.read_buffer_mut().clear();
                 wire.get_mut().secure(ahead, keys.config()).await.map_err(PacketError::from)?;
-                first = super::leg::next(wire).await?;
+                first = super::upstream::next(wire).await?;
             } else if keys.required() {
                 let text = "Connections using insecure transport are prohibited: this one is not in TLS";
                 wire.send(&err(&SqlError::new(code::INSECURE, text))[..]).await?;
@@ -386,7 +386,7 @@
             plugin = auth::NATIVE.into();
             let ask = [&[0xfe][..], auth::NATIVE.as_bytes(), &[0], nonce, &[0]].concat();
             wire.send(&ask[..]).await?;
-            proof = super::leg::next(wire).await?.to_vec();
+            proof = super::upstream::next(wire).await?.to_vec();
         }
         let config = self.config();
         let user = config.users.get(&login.user);
@@ -426,7 +426,7 @@
     Ok(())
 }
 
-struct Session<'a, L: Leg<Work = Work, Output = Output>> {
+struct Session<'a, L: Upstream<Work = Work, Output = Output>> {
     front: &'a Rc<Front<L>>,
     wire: Wire<PacketCodec, Stream>,
     tenant: Option<usize>,
@@ -449,13 +449,13 @@
 /// What a command comes to: packets to send, or an error.
 type Answer = Result<Option<Vec<Vec<u8>>>, SqlError>;
 
-impl<L: Leg<Work = Work, Output = Output>> Drop for Session<'_, L> {
+impl<L: Upstream<Work = Work, Output = Output>> Drop for Session<'_, L> {
     fn drop(&mut self) {
         self.front.sessions.borrow_mut().remove(&self.number);
     }
 }
 
-impl<L: Leg<Work = Work, Output = Output>> Session<'_, L> {
+impl<L: Upstream<Work = Work, Output = Output>> Session<'_, L> {
     async fn serve(mut self) -> Result<(), End> {
         let mut stopping = self.front.stopping.subscribe();
         loop {
@@ -583,7 +583,7 @@
         // Whatever it has sent was made for the nonce of its log-in: it is asked for a new one.
         let ask = [&[0xfe][..], auth::NATIVE.as_bytes(), &[0], &nonce, &[0]].concat();
         self.wire.send(&ask[..]).await?;
-        let proof = tokio::time::timeout(LOGIN, super::leg::next(&mut self.wire)).await;
+        let proof = tokio::time::timeout(LOGIN, super::upstream::next(&mut self.wire)).await;
         let auth = proof.map_err(|e| PacketError::from(io::Error::from(e)))??.to_vec();
         let login = Login { user, auth, schema, plugin: auth::NATIVE.into(), ends: self.ends };
         let front = self.front;
--- a/src/net/mysql/front/pinned.rs
+++ b/src/net/mysql/front/pinned.rs
@@ -6,16 +6,16 @@
 use tokio::sync::mpsc;
 
 /// A place among the pins, given back when it is dropped.
-struct Booked<'a, L: Leg<Work = Work, Output = Output>>(&'a Front<L>, Option<usize>);
+struct Booked<'a, L: Upstream<Work = Work, Output = Output>>(&'a Front<L>, Option<usize>);
 
-impl<L: Leg<Work = Work, Output = Output>> Drop for Booked<'_, L> {
+impl<L: Upstream<Work = Work, Output = Output>> Drop for Booked<'_, L> {
     fn drop(&mut self) {
         self.0.book.borrow_mut().give(self.1);
     }
 }
 
 /// A pin of this session.
-pub(super) struct Hold<'a, L: Leg<Work = Work, Output = Output>> {
+pub(super) struct Hold<'a, L: Upstream<Work = Work, Output = Output>> {
     orders: mpsc::Sender<Order>,
     pinned: Rc<Pinned>,
     answer: oneshot::Receiver<Reply<Output>>,
@@ -30,7 +30,7 @@
 /// What a statement came to: an answer to pass on, or an error of the front's own.
 pub(super) type Came = Result<Reply<Output>, SqlError>;
 
-impl<'a, L: Leg<Work = Work, Output = Output>> Session<'a, L> {
+impl<'a, L: Upstream<Work = Work, Output = Output>> Session<'a, L> {
     /// An OK of the front's own, with the session's status.
     pub(super) fn ok(&self) -> Vec<u8> {
         let open = self.hold.as_ref().is_some_and(|h| h.open);
--- a/src/net/mysql/front/settings.rs
+++ b/src/net/mysql/front/settings.rs
@@ -5,7 +5,7 @@
 use super::super::session::{State, literal};
 use super::*;
 
-impl<L: Leg<Work = Work, Output = Output>> Session<'_, L> {
+impl<L: Upstream<Work = Work, Output = Output>> Session<'_, L> {
     pub(super) async fn set(&mut self, sql: Bytes) -> Result<(), End> {
         // On a pin the next transaction begins on its connection, which has to hear of it.
         if self.hold.is_some() && set::parse(&sql).is_ok_and(|c| matches!(c[..], [Change::Next(_)])) {
--- a/src/net/mysql/mod.rs
+++ b/src/net/mysql/mod.rs
@@ -1,4 +1,4 @@
-//! The MySQL front and its engine leg. Sessions belong to the client, connections to the engines. What a session has
+//! The MySQL front and its upstream. Sessions belong to the client, connections to the engines. What a session has
 //! set is data here and set anew wherever a statement runs ([`session`]); what cannot be keeps the session on one
 //! connection for a while ([`pin`]).
 
@@ -6,11 +6,11 @@
 pub mod cursor;
 pub mod downstream;
 pub mod front;
-pub mod leg;
 pub mod ours;
 pub mod packet;
 pub mod pin;
 pub mod session;
+pub mod upstream;
 pub mod values;
 
 use crate::net::hub::Reply;
--- a/src/net/mysql/pin.rs
+++ b/src/net/mysql/pin.rs
@@ -2,13 +2,13 @@
 //! nothing holds it there, a bound ends it, or the connection breaks. When it ends is [`crate::pins`]'s to say.
 
 use super::downstream::Downstream;
-use super::leg::{Connection, Shared, command, next};
 use super::packet::*;
 use super::session::Context;
+use super::upstream::{Connection, Shared, command, next};
 use super::{Output, Packets, SqlError, Work, code};
 use crate::core::AttemptId;
 use crate::interface::{Millis, Note};
-use crate::net::hub::{Hub, Leg};
+use crate::net::hub::{Hub, Upstream};
 use crate::net::{span, unix_ms};
 use crate::pins::{After, Fate, Next, Over, Pin, Step, Terms};
 use bytes::Bytes;
@@ -83,13 +83,13 @@
 }
 
 /// An attempt's hub, as long as it lives.
-pub struct Telling<L: Leg> {
+pub struct Telling<L: Upstream> {
     pub hub: Weak<Hub<L>>,
     pub attempt: AttemptId,
     pub engine: String,
 }
 
-impl<L: Leg> Told for Telling<L> {
+impl<L: Upstream> Told for Telling<L> {
     fn in_service(&self) -> bool {
         self.hub.upgrade().is_some_and(|hub| hub.in_service(&self.engine))
     }
--- a/src/net/mysql/leg.rs
+++ b/src/net/mysql/upstream.rs
@@ -1,4 +1,4 @@
-//! The engine leg of MySQL: pooled connections that carry one command at a time. Statements are prepared on
+//! The upstream of MySQL: pooled connections that carry one command at a time. Statements are prepared on
 //! each connection when it first needs them.
 
 use super::packet::*;
@@ -10,7 +10,7 @@
 use crate::interface::*;
 use crate::membership::Seen;
 use crate::net::discovery::Change;
-use crate::net::hub::{Hub, Leg, Start};
+use crate::net::hub::{Hub, Start, Upstream};
 use crate::net::members::Witness;
 use crate::net::pool::{self, Pool, Unread, Wire};
 use crate::net::spools::writer::Whole;
@@ -201,7 +201,7 @@
     witness: RefCell<Option<Rc<dyn Witness>>>,
 }
 
-pub struct MysqlLeg(Rc<Shared>);
+pub struct MysqlUpstream(Rc<Shared>);
 
 /// One of an engine's connections; gives its place back when it ends, however its task ends.
 struct Place<'a> {
@@ -225,9 +225,9 @@
     }
 }
 
-impl MysqlLeg {
+impl MysqlUpstream {
     pub fn new(access: Access, sockets: Sockets, pool: Pool, spools: Rc<Spools>) -> Self {
-        MysqlLeg(Rc::new_cyclic(|weak| Shared {
+        MysqlUpstream(Rc::new_cyclic(|weak| Shared {
             weak: weak.clone(),
             engines: RefCell::default(),
             running: RefCell::default(),
@@ -252,7 +252,7 @@
     }
 }
 
-impl Leg for MysqlLeg {
+impl Upstream for MysqlUpstream {
     type Work = Work;
     type Output = Output;
 
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,7 +1,7 @@
 //! The way between the dispatchers of a tier: UDP datagrams, late or lost. What they say is [`crate::peers`]'s.
 
 use crate::config::Peers;
-use crate::net::hub::{Hub, Leg};
+use crate::net::hub::{Hub, Upstream};
 use crate::peers::MOST;
 use crate::say;
 use std::collections::HashSet;
@@ -13,7 +13,7 @@
 const REST: Duration = Duration::from_millis(250);
 
 /// Listens for the peers, and lets the hub speak to them, until the hub is gone.
-pub async fn attend<L: Leg>(hub: Weak<Hub<L>>, peers: Peers) {
+pub async fn attend<L: Upstream>(hub: Weak<Hub<L>>, peers: Peers) {
     let mut told = false;
     let socket = loop {
         match UdpSocket::bind(peers.listen).await {
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -1,4 +1,4 @@
-//! The engine leg on the platform: RESP over pooled connections, results page by page, notes.
+//! The upstream on the platform: RESP over pooled connections, results page by page, notes.
 
 use crate::config::Sockets;
 use crate::core::AttemptId;
@@ -6,7 +6,7 @@
 use crate::net::descriptors::Shares;
 use crate::net::discovery::Change;
 use crate::net::frames::Work;
-use crate::net::hub::{Hub, Leg, Start};
+use crate::net::hub::{Hub, Start, Upstream};
 use crate::net::pool::{self, Buffer, Pool, Reads, Turn, Unread};
 use crate::net::{span, unix_ms};
 use crate::say;
@@ -270,11 +270,11 @@
     freed: tokio::sync::Notify,
 }
 
-pub struct RespLeg(Rc<Shared>);
+pub struct RespUpstream(Rc<Shared>);
 
-impl RespLeg {
+impl RespUpstream {
     pub fn new(sockets: Sockets, report_fields: Vec<String>, pool: Pool) -> Self {
-        RespLeg(Rc::new(Shared {
+        RespUpstream(Rc::new(Shared {
             engines: RefCell::default(),
             attempts: RefCell::default(),
             sockets,
@@ -376,7 +376,7 @@
     }
 }
 
-impl Leg for RespLeg {
+impl Upstream for RespUpstream {
     type Work = Work;
     type Output = Buffer;
 
@@ -564,7 +564,7 @@
 
     async fn run(
         &self,
-        hub: &Weak<Hub<RespLeg>>,
+        hub: &Weak<Hub<RespUpstream>>,
         engine: &str,
         c: &Connection,
         mut inbox: mpsc::Receiver<Do>,
@@ -595,7 +595,7 @@
 
     async fn converse(
         &self,
-        hub: &Weak<Hub<RespLeg>>,
+        hub: &Weak<Hub<RespUpstream>>,
         engine: &str,
         c: &Connection,
         inbox: &mut mpsc::Receiver<Do>,
@@ -683,7 +683,7 @@
     /// its engine drain.
     fn order(
         &self,
-        hub: &Weak<Hub<RespLeg>>,
+        hub: &Weak<Hub<RespUpstream>>,
         engine: &str,
         c: &Connection,
         order: Do,
@@ -753,7 +753,7 @@
     /// Takes an engine's answer.
     fn answer(
         &self,
-        hub: &Weak<Hub<RespLeg>>,
+        hub: &Weak<Hub<RespUpstream>>,
         c: &Connection,
         words: &[Bytes],
         framed: &mut Wire,
@@ -854,7 +854,7 @@
     }
 
     /// Once all pages are here, the result goes on in one piece.
-    fn whole(&self, hub: &Rc<Hub<RespLeg>>, c: &Connection, txn: &str, attempt: AttemptId) {
+    fn whole(&self, hub: &Rc<Hub<RespUpstream>>, c: &Connection, txn: &str, attempt: AttemptId) {
         let whole = |p: &Pending| matches!(p.stage, Stage::Paging { missing: 0, .. });
         if !c.pending.borrow().get(txn).is_some_and(whole) {
             return;
@@ -872,7 +872,7 @@
     /// The connection has ended: what was written on it may have run, the rest never did. That says something
     /// of the engine once, not for each request that shared the connection: one bad connection would make a
     /// healthy engine look as if it failed all it is sent. The others only end, by their class's rule.
-    fn close(&self, hub: &Weak<Hub<RespLeg>>, engine: &str, c: &Rc<Connection>, connected: bool) {
+    fn close(&self, hub: &Weak<Hub<RespUpstream>>, engine: &str, c: &Rc<Connection>, connected: bool) {
         c.closing.set(true);
         if let Some(slot) = self.engines.borrow_mut().get_mut(engine) {
             slot.connections.retain(|o| o.number != c.number);
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -1,4 +1,4 @@
-//! The platform's front and engine leg against stand-in clients and engines.
+//! The platform's front and upstream against stand-in clients and engines.
 
 mod scenario;
 
@@ -6,7 +6,7 @@
 use hitchwinch::net::frames::Front;
 use hitchwinch::net::hub::Hub;
 use hitchwinch::net::pool::Pool;
-use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::resp::RespUpstream;
 use scenario::*;
 use std::collections::HashMap;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -190,7 +190,7 @@
 }
 
 type SetUp =
-    (std::rc::Rc<Hub<RespLeg>>, FramesClient, Vec<std::net::SocketAddr>, mpsc::UnboundedReceiver<Seen>);
+    (std::rc::Rc<Hub<RespUpstream>>, FramesClient, Vec<std::net::SocketAddr>, mpsc::UnboundedReceiver<Seen>);
 
 async fn set_up() -> SetUp {
     set_up_with_notes(0.0).await
@@ -202,7 +202,7 @@
     let (core, names, mut sockets) = core();
     sockets.notes = notes;
     let pool = Pool::default();
-    let hub = Hub::new(core, names, RespLeg::new(sockets, vec![], pool.clone()));
+    let hub = Hub::new(core, names, RespUpstream::new(sockets, vec![], pool.clone()));
     hub.change(&change(&addresses, None));
     spawn_local(hub.clone().clock());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/tests/moments.rs
+++ b/tests/moments.rs
@@ -12,7 +12,7 @@
 use hitchwinch::net::frames::{Front, Work};
 use hitchwinch::net::hub::{Hub, Reply};
 use hitchwinch::net::pool::Pool;
-use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::resp::RespUpstream;
 use hitchwinch::net::shared::Shared;
 use hitchwinch::net::unix_ms;
 use hitchwinch::{Effect, Group};
@@ -35,8 +35,8 @@
 type Answers = Rc<RefCell<Vec<(u64, &'static str)>>>;
 
 struct Stand {
-    hub: Rc<Hub<RespLeg>>,
-    front: Rc<Front<RespLeg>>,
+    hub: Rc<Hub<RespUpstream>>,
+    front: Rc<Front<RespUpstream>>,
     at: SocketAddr,
     engine: TcpListener,
     engines: Vec<SocketAddr>,
@@ -54,7 +54,7 @@
     let bounds = Bounds { open: 100, margin: 20.0, page_wait: 600.0 };
     let core = Core::new(settings, 1, bounds).unwrap();
     let pool = Pool::default();
-    let hub = Hub::new(core, names, RespLeg::new(sockets, vec![], pool.clone()));
+    let hub = Hub::new(core, names, RespUpstream::new(sockets, vec![], pool.clone()));
     let engines = vec![engine.local_addr().unwrap()];
     hub.change(&change(&engines, None));
     spawn_local(hub.clone().clock());
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -1,4 +1,4 @@
-//! The MySQL front and engine leg against stand-in clients and engines, on prepared statements.
+//! The MySQL front and upstream against stand-in clients and engines, on prepared statements.
 
 mod scenario;
 
@@ -8,8 +8,8 @@
 use hitchwinch::net::discovery::Change;
 use hitchwinch::net::hub::Hub;
 use hitchwinch::net::mysql::front::Front;
-use hitchwinch::net::mysql::leg::MysqlLeg;
 use hitchwinch::net::mysql::packet::*;
+use hitchwinch::net::mysql::upstream::MysqlUpstream;
 use hitchwinch::net::mysql::{SqlError, auth};
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::spools::Spools;
@@ -262,23 +262,24 @@
 
 type Seens = mpsc::UnboundedReceiver<Seen>;
 
-async fn set_up() -> (Rc<Hub<MysqlLeg>>, MysqlClient, Vec<SocketAddr>, Seens) {
+async fn set_up() -> (Rc<Hub<MysqlUpstream>>, MysqlClient, Vec<SocketAddr>, Seens) {
     let (hub, _, client, addresses, seen) = set_up_all().await;
     (hub, client, addresses, seen)
 }
 
-async fn set_up_front() -> (Rc<Hub<MysqlLeg>>, Rc<Front<MysqlLeg>>, MysqlClient, Seens) {
+async fn set_up_front() -> (Rc<Hub<MysqlUpstream>>, Rc<Front<MysqlUpstream>>, MysqlClient, Seens) {
     let (hub, front, client, _, seen) = set_up_all().await;
     (hub, front, client, seen)
 }
 
-async fn set_up_all() -> (Rc<Hub<MysqlLeg>>, Rc<Front<MysqlLeg>>, MysqlClient, Vec<SocketAddr>, Seens) {
+async fn set_up_all()
+-> (Rc<Hub<MysqlUpstream>>, Rc<Front<MysqlUpstream>>, MysqlClient, Vec<SocketAddr>, Seens) {
     let (addresses, seen) = engines(engine).await;
     let (core, names, sockets) = core();
     let pool = Pool::default();
     let (spools, done) = Spools::open(&spools(), names.classes.clone(), names.tenants.clone()).unwrap();
     spawn_local(spools.clone().attend(done));
-    let hub = Hub::new(core, names, MysqlLeg::new(access(), sockets, pool.clone(), spools.clone()));
+    let hub = Hub::new(core, names, MysqlUpstream::new(access(), sockets, pool.clone(), spools.clone()));
     hub.change(&change(&addresses, None));
     spawn_local(hub.clone().clock());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/tests/mysql_gone.rs
+++ b/tests/mysql_gone.rs
@@ -15,8 +15,8 @@
 use hitchwinch::net::discovery::Change;
 use hitchwinch::net::hub::Hub;
 use hitchwinch::net::mysql::front::Front;
-use hitchwinch::net::mysql::leg::MysqlLeg;
 use hitchwinch::net::mysql::packet::*;
+use hitchwinch::net::mysql::upstream::MysqlUpstream;
 use hitchwinch::net::mysql::{SqlError, auth};
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::spools::Spools;
@@ -187,8 +187,8 @@
 }
 
 struct Stand {
-    hub: Rc<Hub<MysqlLeg>>,
-    front: Rc<Front<MysqlLeg>>,
+    hub: Rc<Hub<MysqlUpstream>>,
+    front: Rc<Front<MysqlUpstream>>,
     address: SocketAddr,
     engines: Rc<Engines>,
     at: Vec<SocketAddr>,
@@ -220,7 +220,7 @@
     let (spools, done) = Spools::open(&large, names.classes.clone(), names.tenants.clone()).unwrap();
     spawn_local(spools.clone().attend(done));
     let access = Access { connections: 1, ..access() };
-    let hub = Hub::new(core, names, MysqlLeg::new(access, sockets, pool.clone(), spools.clone()));
+    let hub = Hub::new(core, names, MysqlUpstream::new(access, sockets, pool.clone(), spools.clone()));
     hub.change(&change(&at, None));
     spawn_local(hub.clone().clock());
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -10,7 +10,7 @@
 use hitchwinch::net::frames::{Front, Work};
 use hitchwinch::net::hub::{Hub, Reply};
 use hitchwinch::net::pool::Pool;
-use hitchwinch::net::resp::RespLeg;
+use hitchwinch::net::resp::RespUpstream;
 use hitchwinch::net::unix_ms;
 use scenario::{change, core, core_with, on_one_thread};
 use socket2::SockRef;
@@ -28,8 +28,8 @@
 const TERM: Duration = Duration::from_millis(100);
 
 struct Stand {
-    hub: Rc<Hub<RespLeg>>,
-    front: Rc<Front<RespLeg>>,
+    hub: Rc<Hub<RespUpstream>>,
+    front: Rc<Front<RespUpstream>>,
     at: SocketAddr,
     engine: TcpListener,
     engines: Vec<SocketAddr>,
@@ -47,7 +47,7 @@
 ) -> Stand {
     tweak(&mut sockets);
     let pool = Pool::default();
-    let hub = Hub::new(core, names, RespLeg::new(sockets, vec![], pool.clone()));
+    let hub = Hub::new(core, names, RespUpstream::new(sockets, vec![], pool.clone()));
     let engines = vec![engine.local_addr().unwrap()];
     hub.change(&change(&engines, None));
     spawn_local(hub.clone().clock());
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -29,7 +29,7 @@
 use hitchwinch::core::{Bounds, Core};
 use hitchwinch::net::admin::{Admin, Watched};
 use hitchwinch::net::discovery::{Change, Engine};
-use hitchwinch::net::hub::{Hub, Leg};
+use hitchwinch::net::hub::{Hub, Upstream};
 use hitchwinch::net::pool::Pool;
 use hitchwinch::net::shared::Shared;
 use hitchwinch::*;
@@ -180,7 +180,7 @@
 }
 
 /// Plays a script.
-pub async fn play<L: Leg>(
+pub async fn play<L: Upstream>(
     hub: &Rc<Hub<L>>,
     client: &mut impl Client,
     addresses: &[SocketAddr],
