--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1069,22 +1069,22 @@
         let warm = r.cold_from + (1.0 - r.cold_from) * ((self.now - started) / r.warm_within).clamp(0.0, 1.0);
         let stands = r.fall_multiple * self.cores(x) * warm * r.fall_window / work;
         let (part, mean) = (COLD_SAFETY * stands / n, ((4.0 + stands).sqrt() - 2.0).powi(2) / n);
-        let sent = x.sent.since(from) / work;
+        let (sent, lots) = x.sent.since(from, work);
         // Before our process began another may have had its part: as much of what it left. Harm: slow starts.
         let (known, rest) = (from.max(started) >= self.began, 1.0 - COLD_SAFETY);
         match () {
             () if part >= 1.0 => f64::from(u8::from(sent + 1.0 <= part * if known { 1.0 } else { rest })),
-            () if known && sent < DRAWN * mean => (mean - sent).min(1.0),
+            () if known && lots < DRAWN * mean => (mean - lots).min(1.0),
             () => 0.0,
         }
     }
 
-    /// Whether such a query goes there, by lot: what it brings on average is spent either way.
+    /// Whether such a query goes there, by lot: what it brings on average is spent either way, of lots.
     fn draw(&mut self, e: usize, work: f64) -> bool {
         let chance = self.cold_chance(&self.engines[e], work);
         let drawn = chance >= 1.0 || self.rng.rand_float() < chance;
-        let spent = if drawn { work } else { chance * work };
-        self.engines[e].sent.charge(self.now, self.s.rules.fall_window, spent);
+        let part = if drawn { 1.0 } else { chance };
+        self.engines[e].sent.charge(self.now, self.s.rules.fall_window, work, part);
         drawn
     }
 
--- a/src/controller_tests.rs
+++ b/src/controller_tests.rs
@@ -161,9 +161,9 @@
         c.now = 10.0 + age;
         let most = COLD_SAFETY * 3.0 * 8.0 * 1000.0 * capacity;
         assert!(c.cold_chance(&c.engines[new], most * 0.999) > 0.0, "{age} ms after its start");
-        c.engines[new].sent.charge(c.now, 1000.0, most * 0.5);
+        c.engines[new].sent.charge(c.now, 1000.0, most * 0.5, 1.0);
         assert!(c.cold_chance(&c.engines[new], most * 0.501) == 0.0, "what it got in this window counts");
-        c.engines[new].sent = Account::default();
+        c.engines[new].sent = Sent::default();
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,27 @@
     }
 }
 
+/// What an engine was sent by us: work, and what lots for it have spent. A lot that is lost spends what it would have
+/// brought on average of the lots alone, for nothing came of it.
+#[derive(Default)]
+pub struct Sent {
+    work: Account,
+    lots: Account,
+}
+
+impl Sent {
+    /// `part`: 1 if the work was sent, else what its lot would have brought of it on average.
+    pub fn charge(&mut self, now: Millis, span: Millis, work: f64, part: f64) {
+        self.work.charge(now, span, if part >= 1.0 { work } else { 0.0 });
+        self.lots.charge(now, span, work * part);
+    }
+
+    /// The work after `from` in queries of this work, and the same with lots that were lost.
+    pub fn since(&self, from: Millis, work: f64) -> (f64, f64) {
+        (self.work.since(from) / work, self.lots.since(from) / work)
+    }
+}
+
 /// The first `n` of these by `key`, in its order: what a stable sort of them all would begin with.
 pub fn first_by<K: Ord>(all: Vec<usize>, n: usize, key: impl Fn(&usize) -> K) -> Vec<usize> {
     let mut keyed: Vec<(K, usize)> = all.into_iter().map(|e| (key(&e), e)).collect();
@@ -147,7 +168,7 @@
     /// This period's draw, 0 to 1, for a budget below one query.
     pub draw: f64,
     /// Work sent there, or drawn for in vain, in the window in which a cold engine may fall.
-    pub sent: Account,
+    pub sent: Sent,
     /// Groups that a load holds there, and when a note told of it.
     pub held: BTreeMap<u64, Millis>,
 }
@@ -259,7 +280,7 @@
             heard: f64::MIN,
             speaks: f64::MIN,
             draw: 0.0,
-            sent: Account::default(),
+            sent: Sent::default(),
             held: BTreeMap::new(),
         }
     }
