--- /dev/null
+++ b/crates/testbed/src/platform/clients.rs
@@ -0,0 +1,300 @@
+//! Clients on the platform's frames. Each request is recorded from the moment when its last byte was written.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{Mutex, Notify};
+use tokio::task::{AbortHandle, spawn_local};
+
+use query_dispatcher::protocol::frames::{code, kind};
+
+/// An answer as a client got it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub at: Instant,
+    pub code: u8,
+    /// The rows of a served request, or the message of another.
+    pub body: String,
+}
+
+/// What a client knows of one request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: String,
+    pub class: &'static str,
+    /// The dispatcher that it was handed to, and which of that dispatcher's processes.
+    pub dispatcher: usize,
+    pub process: usize,
+    /// When its last byte was written.
+    pub sent_at: Instant,
+    pub limit: Duration,
+    /// When its client cancelled it or closed its connection.
+    pub gone_at: Option<Instant>,
+    pub answers: Vec<Answer>,
+    /// When the dispatcher ended the connection, if that came before the answer.
+    pub connection_ended_at: Option<Instant>,
+    /// Requests of the same connection that were open when it was sent.
+    pub was_idle: bool,
+}
+
+impl Request {
+    pub fn deadline(&self) -> Instant {
+        self.sent_at + self.limit
+    }
+}
+
+/// All requests of a test.
+#[derive(Clone, Default)]
+pub struct RequestLog(Rc<RefCell<Vec<Request>>>);
+
+impl RequestLog {
+    pub fn requests(&self) -> Vec<Request> {
+        self.0.borrow().clone()
+    }
+
+    fn add(&self, request: Request) -> usize {
+        self.0.borrow_mut().push(request);
+        self.0.borrow().len() - 1
+    }
+
+    fn update(&self, position: usize, change: impl FnOnce(&mut Request)) {
+        change(&mut self.0.borrow_mut()[position]);
+    }
+}
+
+/// Where a connection leads.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    pub address: SocketAddr,
+    pub dispatcher: usize,
+    pub process: usize,
+}
+
+/// One connection of a client.
+pub struct Connection {
+    target: Target,
+    write: Mutex<OwnedWriteHalf>,
+    next_stream: Cell<u32>,
+    open: Rc<RefCell<HashMap<u32, usize>>>,
+    log: RequestLog,
+    reader: AbortHandle,
+    state: Rc<ConnectionState>,
+}
+
+#[derive(Default)]
+struct ConnectionState {
+    ended: Cell<bool>,
+    goodbye: Cell<bool>,
+    changed: Notify,
+}
+
+impl Connection {
+    pub async fn open(target: Target, log: &RequestLog) -> io::Result<Rc<Self>> {
+        let tcp = TcpStream::connect(target.address).await?;
+        tcp.set_nodelay(true)?;
+        let (read, write) = tcp.into_split();
+        let open: Rc<RefCell<HashMap<u32, usize>>> = Rc::default();
+        let state: Rc<ConnectionState> = Rc::default();
+        let reader = spawn_local(read_frames(read, open.clone(), log.clone(), state.clone()));
+        Ok(Rc::new(Connection {
+            target,
+            write: Mutex::new(write),
+            next_stream: Cell::new(1),
+            open,
+            log: log.clone(),
+            reader: reader.abort_handle(),
+            state,
+        }))
+    }
+
+    /// The dispatcher has closed or reset it.
+    pub fn has_ended(&self) -> bool {
+        self.state.ended.get()
+    }
+
+    /// The dispatcher wants no new request on it.
+    pub fn is_unwanted(&self) -> bool {
+        self.state.goodbye.get()
+    }
+
+    pub fn open_requests(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Sends a request; gives its stream.
+    pub async fn send(&self, id: &str, class: &'static str, limit: Duration) -> io::Result<u32> {
+        let stream = self.next_stream.get();
+        self.next_stream.set(stream + 1);
+        let limit_text = limit.as_millis().to_string();
+        let fields = [("verb", class), ("txn", id), ("limit", &limit_text)];
+        let frame = encode(
+            kind::REQUEST,
+            stream,
+            &fields,
+            b"select 1 from sales_17.orders",
+        );
+        let mut write = self.write.lock().await;
+        // Recorded before the write: its answer may be read before the writer's task runs again.
+        let position = self.log.add(Request {
+            id: id.to_string(),
+            class,
+            dispatcher: self.target.dispatcher,
+            process: self.target.process,
+            sent_at: Instant::now(),
+            limit,
+            gone_at: None,
+            answers: vec![],
+            connection_ended_at: None,
+            was_idle: self.open.borrow().is_empty(),
+        });
+        self.open.borrow_mut().insert(stream, position);
+        if let Err(error) = write.write_all(&frame).await {
+            // Not whole, so it was never handed in.
+            self.open.borrow_mut().remove(&stream);
+            self.log
+                .update(position, |request| request.gone_at = Some(request.sent_at));
+            return Err(error);
+        }
+        if self.state.ended.get() {
+            self.log.update(position, |request| {
+                request.connection_ended_at.get_or_insert_with(Instant::now);
+            });
+        }
+        Ok(stream)
+    }
+
+    /// Cancels a request.
+    pub async fn cancel(&self, stream: u32) -> io::Result<()> {
+        let position = self.open.borrow_mut().remove(&stream);
+        let Some(position) = position else {
+            return Ok(());
+        };
+        let frame = encode_frame(kind::LEAVE, stream, &[]);
+        self.write.lock().await.write_all(&frame).await?;
+        self.log
+            .update(position, |request| request.gone_at = Some(Instant::now()));
+        Ok(())
+    }
+
+    /// Closes the connection, whatever is open on it.
+    pub async fn close(&self) {
+        self.reader.abort();
+        let _ = self.write.lock().await.shutdown().await;
+        for (_, position) in self.open.borrow_mut().drain() {
+            self.log
+                .update(position, |request| request.gone_at = Some(Instant::now()));
+        }
+    }
+
+    /// Sends these bytes as they are.
+    pub async fn send_raw(&self, bytes: &[u8]) -> io::Result<()> {
+        self.write.lock().await.write_all(bytes).await
+    }
+
+    /// Asks whether the dispatcher is ready, on a connection of its own.
+    pub async fn ask_ready(address: SocketAddr) -> io::Result<bool> {
+        let mut tcp = TcpStream::connect(address).await?;
+        tcp.write_all(&encode_frame(kind::ASK, 1, &[0])).await?;
+        let (kind, _, payload) = read_frame(&mut tcp).await?;
+        Ok(kind == kind::STATE && payload.first() == Some(&code::SERVED))
+    }
+
+    /// Waits until nothing is open on it, or it has ended.
+    pub async fn until_idle(&self, timeout: Duration) {
+        let wait = async {
+            while !self.open.borrow().is_empty() && !self.has_ended() {
+                self.state.changed.notified().await;
+            }
+        };
+        let _ = tokio::time::timeout(timeout, wait).await;
+    }
+}
+
+async fn read_frames(
+    mut read: OwnedReadHalf,
+    open: Rc<RefCell<HashMap<u32, usize>>>,
+    log: RequestLog,
+    state: Rc<ConnectionState>,
+) {
+    let mut answered: HashMap<u32, usize> = HashMap::new();
+    while let Ok((kind, stream, payload)) = read_frame(&mut read).await {
+        if kind == kind::GOODBYE {
+            state.goodbye.set(true);
+        }
+        if kind != kind::ANSWER || stream == 0 {
+            continue;
+        }
+        let position = open.borrow_mut().remove(&stream);
+        let position = position.or_else(|| answered.get(&stream).copied());
+        if let Some(position) = position {
+            answered.insert(stream, position);
+            let answer = decode_answer(&payload);
+            log.update(position, |request| request.answers.push(answer));
+        }
+        state.changed.notify_one();
+    }
+    state.ended.set(true);
+    for (_, position) in open.borrow_mut().drain() {
+        log.update(position, |request| {
+            request.connection_ended_at = Some(Instant::now());
+        });
+    }
+    state.changed.notify_one();
+}
+
+async fn read_frame<R: AsyncReadExt + Unpin>(read: &mut R) -> io::Result<(u8, u32, Vec<u8>)> {
+    let length = read.read_u32().await? as usize;
+    let mut frame = vec![0; length.max(5)];
+    read.read_exact(&mut frame).await?;
+    let stream = u32::from_be_bytes([frame[1], frame[2], frame[3], frame[4]]);
+    Ok((frame[0], stream, frame.split_off(5)))
+}
+
+/// One frame: length, kind, stream and payload.
+pub fn encode_frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = (payload.len() as u32 + 5).to_be_bytes();
+    [&length[..], &[kind], &stream.to_be_bytes(), payload].concat()
+}
+
+fn encode(kind: u8, stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut payload = vec![fields.len() as u8];
+    for (name, value) in fields {
+        payload.push(name.len() as u8);
+        payload.extend_from_slice(name.as_bytes());
+        payload.extend_from_slice(&(value.len() as u16).to_be_bytes());
+        payload.extend_from_slice(value.as_bytes());
+    }
+    payload.extend_from_slice(body);
+    encode_frame(kind, stream, &payload)
+}
+
+/// Code and body of an answer; a malformed one has the code 255.
+fn decode_answer(payload: &[u8]) -> Answer {
+    let malformed = || Answer {
+        at: Instant::now(),
+        code: u8::MAX,
+        body: String::new(),
+    };
+    let parse = || {
+        let (&code, rest) = payload.split_first()?;
+        let (&count, mut rest) = rest.split_first()?;
+        for _ in 0..count {
+            let name = usize::from(*rest.first()?);
+            rest = rest.get(1 + name..)?;
+            let value = usize::from(u16::from_be_bytes([*rest.first()?, *rest.get(1)?]));
+            rest = rest.get(2 + value..)?;
+        }
+        Some(Answer {
+            at: Instant::now(),
+            code,
+            body: String::from_utf8_lossy(rest).into_owned(),
+        })
+    };
+    parse().unwrap_or_else(malformed)
+}
--- /dev/null
+++ b/crates/testbed/src/platform/dispatcher.rs
@@ -0,0 +1,231 @@
+//! The dispatcher on the platform's frontend as a child process, optionally under a preloaded shim that steps its wall
+//! clock or lets system calls fail.
+
+use crate::platform::clients::Connection;
+use crate::program::{Folder, ProgramError};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::task::spawn_local;
+
+/// How long a start and a call may take.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The source of the shim.
+const SHIM_SOURCE: &str = include_str!("shim.c");
+
+/// A library that is preloaded into dispatchers: it adds an offset to their wall clock and fails some system calls.
+pub struct Shim {
+    library: PathBuf,
+}
+
+impl Shim {
+    /// Compiles it with the machine's C compiler, which linking Rust programs needs as well.
+    pub fn build(folder: &Folder) -> Result<Self, ProgramError> {
+        let source = folder.path().join("shim.c");
+        let library = folder.path().join("libshim.so");
+        std::fs::write(&source, SHIM_SOURCE)?;
+        let status = std::process::Command::new("cc")
+            .args(["-shared", "-fPIC", "-O1", "-o"])
+            .args([&library, &source])
+            .status()?;
+        match status.success() {
+            true => Ok(Shim { library }),
+            false => Err(ProgramError::Unanswered("cc".into())),
+        }
+    }
+}
+
+/// What a shim does to one process. Written to a file that the process maps.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Added to the wall clock, in milliseconds.
+    pub clock_offset_ms: i64,
+    /// Of a million system calls so many fail or are short.
+    pub call_failures_per_million: u32,
+}
+
+impl Faults {
+    fn bytes(self) -> [u8; 16] {
+        let mut bytes = [0; 16];
+        bytes[..8].copy_from_slice(&(self.clock_offset_ms * 1_000_000).to_le_bytes());
+        bytes[8..12].copy_from_slice(&self.call_failures_per_million.to_le_bytes());
+        bytes
+    }
+}
+
+/// A process of the dispatcher. It is killed when the handle is dropped.
+pub struct Dispatcher {
+    child: Child,
+    pub address: SocketAddr,
+    admin: SocketAddr,
+    file: PathBuf,
+    faults: PathBuf,
+    log: Rc<RefCell<Vec<(Instant, String)>>>,
+}
+
+impl Dispatcher {
+    /// Starts `binary` with this configuration and waits until it is ready for clients.
+    pub async fn start(
+        binary: &Path,
+        folder: &Folder,
+        name: &str,
+        config: &str,
+        shim: Option<(&Shim, Faults)>,
+    ) -> Result<Self, ProgramError> {
+        let file = folder.path().join(format!("{name}.json"));
+        let faults = folder.path().join(format!("{name}.faults"));
+        std::fs::write(&file, config)?;
+        let mut command = Command::new(binary);
+        command
+            .env_clear()
+            .env("PROXY_CONFIG", &file)
+            .env("PROXY_ADMIN_ADDR", "127.0.0.1:0")
+            .stderr(Stdio::piped())
+            .kill_on_drop(true);
+        if let Some((shim, initial)) = shim {
+            std::fs::write(&faults, initial.bytes())?;
+            command
+                .env("LD_PRELOAD", &shim.library)
+                .env("SHIM_FAULTS", &faults);
+        }
+        let mut child = command.spawn()?;
+        let log: Rc<RefCell<Vec<(Instant, String)>>> = Rc::default();
+        if let Some(stderr) = child.stderr.take() {
+            let log = log.clone();
+            spawn_local(async move {
+                let mut lines = BufReader::new(stderr).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    log.borrow_mut().push((Instant::now(), line));
+                }
+            });
+        }
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut dispatcher = Dispatcher {
+            child,
+            address: nowhere,
+            admin: nowhere,
+            file,
+            faults,
+            log,
+        };
+        dispatcher.admin = dispatcher.logged_address("operators call at ").await?;
+        dispatcher.address = dispatcher.logged_address(" listens on ").await?;
+        dispatcher.until_ready().await?;
+        Ok(dispatcher)
+    }
+
+    async fn logged_address(&self, after: &str) -> Result<SocketAddr, ProgramError> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            let address = self.log().iter().find_map(|(_, line)| {
+                let (_, address) = line.split_once(after)?;
+                address.trim().parse().ok()
+            });
+            if let Some(address) = address {
+                return Ok(address);
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Err(ProgramError::Silent {
+            what: after.into(),
+            log: self.log().into_iter().map(|(_, line)| line).collect(),
+        })
+    }
+
+    async fn until_ready(&self) -> Result<(), ProgramError> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if Connection::ask_ready(self.address).await.unwrap_or(false) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Err(ProgramError::Unanswered("is it ready".into()))
+    }
+
+    /// What it has logged, and when.
+    pub fn log(&self) -> Vec<(Instant, String)> {
+        self.log.borrow().clone()
+    }
+
+    /// Changes what its shim does.
+    pub fn set_faults(&self, faults: Faults) -> Result<(), ProgramError> {
+        use std::io::{Seek, Write};
+        // In place: the process maps this file.
+        let mut file = std::fs::OpenOptions::new().write(true).open(&self.faults)?;
+        file.rewind()?;
+        Ok(file.write_all(&faults.bytes())?)
+    }
+
+    /// Sends a signal by its name: `TERM`, `HUP`, `KILL`, `STOP`, `CONT`.
+    pub async fn signal(&self, name: &str) -> Result<(), ProgramError> {
+        let Some(id) = self.child.id() else {
+            return Ok(());
+        };
+        Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(id.to_string())
+            .status()
+            .await?;
+        Ok(())
+    }
+
+    /// Another configuration is in its file, and it is told.
+    pub async fn configure(&self, config: &str) -> Result<(), ProgramError> {
+        std::fs::write(&self.file, config)?;
+        self.signal("HUP").await
+    }
+
+    /// Waits until it ends by itself, at most this long; gives its exit status.
+    pub async fn wait(&mut self, limit: Duration) -> Option<std::process::ExitStatus> {
+        let ended = tokio::time::timeout(limit, self.child.wait()).await;
+        ended.ok()?.ok()
+    }
+
+    /// Ends it at once.
+    pub async fn kill(&mut self) {
+        let _ = self.child.kill().await;
+    }
+
+    /// A page at its operators' address.
+    pub async fn page(&self, path: &str) -> Result<String, ProgramError> {
+        let call = async {
+            let mut tcp = TcpStream::connect(self.admin).await?;
+            let request =
+                format!("GET {path} HTTP/1.1\r\nHost: local\r\nConnection: close\r\n\r\n");
+            tcp.write_all(request.as_bytes()).await?;
+            let mut answer = String::new();
+            tcp.read_to_string(&mut answer).await?;
+            Ok(answer)
+        };
+        tokio::time::timeout(PATIENCE, call)
+            .await
+            .map_err(|_| ProgramError::Unanswered(path.into()))?
+    }
+
+    /// A figure of `/_vars`; 0 if it is not there.
+    pub async fn metric(&self, name: &str) -> Result<u64, ProgramError> {
+        let page = self.page("/_vars").await?;
+        let value = page
+            .lines()
+            .find_map(|line| line.trim().strip_prefix(name)?.strip_prefix('='));
+        Ok(value.and_then(|value| value.parse().ok()).unwrap_or(0))
+    }
+
+    /// Seconds of processor time that it has taken so far.
+    pub fn processor_seconds(&self) -> f64 {
+        let id = self.child.id().unwrap_or(0);
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+        let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok());
+        // The kernel's clock ticks a hundred times a second wherever this runs.
+        (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / 100.0
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/platform/engines.rs
@@ -0,0 +1,304 @@
+//! Engines on the platform's RESP protocol: each listens at an address of its own, runs what it is sent for a while and
+//! records when each request reached it.
+
+use bytes::Bytes;
+use query_dispatcher::protocol::resp::RespCodec;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
+use tokio_util::codec::Decoder;
+
+/// A request as it reached an engine.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    pub request: String,
+    pub engine: usize,
+    pub at: Instant,
+    /// How long the dispatcher says that it waits.
+    pub time_limit: Duration,
+    /// The engine rejected it: it never ran.
+    pub rejected: bool,
+    /// The engine gave its answer.
+    pub answered: bool,
+}
+
+/// What an engine does with requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    Serving,
+    /// It takes requests and never answers them.
+    Hanging,
+    /// Every request fails.
+    Failing,
+    /// Answers break off, and their connection with them.
+    Truncating,
+    /// It is full.
+    Full,
+}
+
+/// All engines of a test, and what reached them.
+#[derive(Default)]
+pub struct Fleet {
+    pub engines: Vec<Rc<Engine>>,
+    executions: Rc<RefCell<Vec<Execution>>>,
+}
+
+/// One engine.
+pub struct Engine {
+    pub number: usize,
+    pub address: SocketAddr,
+    pub behaviour: Cell<Behaviour>,
+    /// How long it works on one request.
+    pub work: Cell<Duration>,
+    /// Requests that it runs at a time; more are rejected.
+    pub slots: Cell<usize>,
+    running: Cell<usize>,
+    executions: Rc<RefCell<Vec<Execution>>>,
+    listener: RefCell<Option<AbortHandle>>,
+    connections: RefCell<Vec<AbortHandle>>,
+}
+
+impl Fleet {
+    /// So many engines that work this long on a request.
+    pub async fn start(count: usize, work: Duration, slots: usize) -> io::Result<Self> {
+        let mut fleet = Fleet::default();
+        for _ in 0..count {
+            fleet.add(work, slots).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts one more engine.
+    pub async fn add(&mut self, work: Duration, slots: usize) -> io::Result<Rc<Engine>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let engine = Rc::new(Engine {
+            number: self.engines.len(),
+            address: listener.local_addr()?,
+            behaviour: Cell::new(Behaviour::Serving),
+            work: Cell::new(work),
+            slots: Cell::new(slots),
+            running: Cell::new(0),
+            executions: self.executions.clone(),
+            listener: RefCell::default(),
+            connections: RefCell::default(),
+        });
+        engine.listen(listener);
+        self.engines.push(engine.clone());
+        Ok(engine)
+    }
+
+    /// Everything that reached an engine so far.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.executions.borrow().clone()
+    }
+}
+
+impl Engine {
+    pub fn id(&self) -> String {
+        format!("e{}", self.number)
+    }
+
+    fn listen(self: &Rc<Self>, listener: TcpListener) {
+        let engine = self.clone();
+        let task = spawn_local(async move {
+            while let Ok((tcp, _)) = listener.accept().await {
+                let connection = spawn_local(engine.clone().serve(tcp));
+                let mut connections = engine.connections.borrow_mut();
+                connections.retain(|connection| !connection.is_finished());
+                connections.push(connection.abort_handle());
+            }
+        });
+        *self.listener.borrow_mut() = Some(task.abort_handle());
+    }
+
+    /// Its process ends: connections are reset, new ones refused.
+    pub fn crash(&self) {
+        if let Some(listener) = self.listener.take() {
+            listener.abort();
+        }
+        self.reset_connections();
+    }
+
+    /// Every connection to it is reset.
+    pub fn reset_connections(&self) {
+        for connection in self.connections.borrow_mut().drain(..) {
+            connection.abort();
+        }
+    }
+
+    /// A new process takes its address.
+    pub async fn restart(self: &Rc<Self>) -> io::Result<()> {
+        self.crash();
+        self.running.set(0);
+        self.behaviour.set(Behaviour::Serving);
+        // The aborted listener is closed when its task is next polled.
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+            if let Ok(listener) = TcpListener::bind(self.address).await {
+                self.listen(listener);
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        Err(io::Error::from(io::ErrorKind::AddrInUse))
+    }
+
+    async fn serve(self: Rc<Self>, tcp: TcpStream) {
+        // Whatever ends this task resets the connection.
+        let _ = SockRef::from(&tcp).set_linger(Some(Duration::ZERO));
+        let _ = tcp.set_nodelay(true);
+        let (mut read, write) = tcp.into_split();
+        let write = Rc::new(Mutex::new(write));
+        let mut running = RunningRequests::default();
+        let mut buffer = bytes::BytesMut::new();
+        let mut codec = RespCodec;
+        while let Ok(1..) = read.read_buf(&mut buffer).await {
+            while let Ok(Some(command)) = codec.decode(&mut buffer) {
+                self.obey(&command, &write, &mut running);
+            }
+        }
+    }
+
+    fn obey(
+        self: &Rc<Self>,
+        command: &[Bytes],
+        write: &Rc<Mutex<OwnedWriteHalf>>,
+        running: &mut RunningRequests,
+    ) {
+        let text = |at: usize| String::from_utf8_lossy(&command[at]).into_owned();
+        match (&command[0][..], command.len()) {
+            (b"GET", 4) => {
+                let (id, fields) = (text(1), text(2));
+                let position = self.record(&id, &fields);
+                let run = self.clone().run(id.clone(), position, write.clone());
+                running.start(id, run);
+            }
+            (b"DROP", 2) => {
+                running.cancel(&text(1));
+            }
+            (b"PAGE", 3) => {
+                let (engine, write) = (self.clone(), write.clone());
+                let (id, index) = (text(1), text(2));
+                running.tasks.spawn_local(async move {
+                    let page = engine.page(&id);
+                    reply(&write, [&id, "BLOCK", &format!("index={index}"), &page]).await;
+                });
+            }
+            _ => {}
+        }
+    }
+
+    fn record(&self, id: &str, fields: &str) -> usize {
+        let limit = fields
+            .split(',')
+            .find_map(|field| field.strip_prefix("limit="));
+        let limit = limit.and_then(|limit| limit.parse().ok()).unwrap_or(0);
+        let mut executions = self.executions.borrow_mut();
+        executions.push(Execution {
+            request: id.to_string(),
+            engine: self.number,
+            at: Instant::now(),
+            time_limit: Duration::from_millis(limit),
+            rejected: false,
+            answered: false,
+        });
+        executions.len() - 1
+    }
+
+    /// A row that names the request and its engine.
+    fn page(&self, id: &str) -> String {
+        format!("{id}\te{}\t1\n", self.number)
+    }
+
+    async fn run(self: Rc<Self>, id: String, position: usize, write: Rc<Mutex<OwnedWriteHalf>>) {
+        if self.behaviour.get() == Behaviour::Hanging {
+            return std::future::pending().await;
+        }
+        let load = format!("meter=rif:{};x0:0.1", self.running.get());
+        if self.behaviour.get() == Behaviour::Full || self.running.get() >= self.slots.get() {
+            self.executions.borrow_mut()[position].rejected = true;
+            return reply(&write, [&id, "AGAIN", &load, ""]).await;
+        }
+        let _running = Running::begin(&self);
+        tokio::time::sleep(self.work.get()).await;
+        let pages = 1 + position % 2;
+        let fields = format!("total={pages},{load}");
+        let page = self.page(&id);
+        match self.behaviour.get() {
+            Behaviour::Hanging => std::future::pending().await,
+            Behaviour::Failing => reply(&write, [&id, "EIO", "-", ""]).await,
+            Behaviour::Truncating => {
+                let whole = encode([&id, "ACK", &fields, &page]);
+                let _ = write
+                    .lock()
+                    .await
+                    .write_all(&whole[..whole.len() / 2])
+                    .await;
+                std::future::pending().await
+            }
+            Behaviour::Serving | Behaviour::Full => {
+                reply(&write, [&id, "ACK", &fields, &page]).await;
+                self.executions.borrow_mut()[position].answered = true;
+            }
+        }
+    }
+}
+
+/// The requests of one connection: they end with it.
+#[derive(Default)]
+struct RunningRequests {
+    tasks: JoinSet<()>,
+    by_id: HashMap<String, AbortHandle>,
+}
+
+impl RunningRequests {
+    fn start(&mut self, id: String, run: impl Future<Output = ()> + 'static) {
+        while self.tasks.try_join_next().is_some() {}
+        self.by_id.retain(|_, task| !task.is_finished());
+        let task = self.tasks.spawn_local(run);
+        self.by_id.insert(id, task);
+    }
+
+    fn cancel(&mut self, id: &str) {
+        if let Some(task) = self.by_id.remove(id) {
+            task.abort();
+        }
+    }
+}
+
+/// Counts a request while it runs.
+struct Running(Rc<Engine>);
+
+impl Running {
+    fn begin(engine: &Rc<Engine>) -> Self {
+        engine.running.set(engine.running.get() + 1);
+        Running(engine.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get().saturating_sub(1));
+    }
+}
+
+fn encode(fields: [&str; 4]) -> Vec<u8> {
+    let bulk: String = fields
+        .iter()
+        .map(|field| format!("${}\r\n{field}\r\n", field.len()))
+        .collect();
+    format!("*4\r\n{bulk}").into_bytes()
+}
+
+async fn reply(write: &Mutex<OwnedWriteHalf>, fields: [&str; 4]) {
+    let _ = write.lock().await.write_all(&encode(fields)).await;
+}
