--- a/crates/testbed/src/platform/soak.rs
+++ b/crates/testbed/src/platform/soak.rs
@@ -210,8 +210,8 @@
     ];
     tokio::time::sleep(scale.span).await;
     faults.iter().for_each(JoinHandle::abort);
-    world.collect_counted().await;
     world.until_nodes_rest().await;
+    world.collect_counted().await;
     let ends = world
         .nodes
         .iter()
@@ -534,9 +534,10 @@
                     let span = random.between(20.0, 250.0);
                     // A task of its own: what is stopped is always continued.
                     spawn_local(async move {
-                        signal(&node, "STOP").await;
+                        let id = node.process_id();
+                        signal_process(id, "STOP").await;
                         tokio::time::sleep(Duration::from_secs_f64(span / 1000.0)).await;
-                        signal(&node, "CONT").await;
+                        signal_process(id, "CONT").await;
                         node.is_busy.set(false);
                     });
                 }
@@ -727,6 +728,10 @@
             is_busy: Cell::new(false),
         })
     }
+
+    fn process_id(&self) -> Option<u32> {
+        self.dispatcher.borrow().as_ref().and_then(Dispatcher::id)
+    }
 }
 
 fn instance(engine: &Engine, lifecycle: Lifecycle, started_at_ms: f64) -> Instance {
@@ -739,7 +744,10 @@
 }
 
 async fn signal(node: &Node, name: &str) {
-    let id = node.dispatcher.borrow().as_ref().and_then(Dispatcher::id);
+    signal_process(node.process_id(), name).await;
+}
+
+async fn signal_process(id: Option<u32>, name: &str) {
     if let Some(id) = id {
         crate::platform::dispatcher::send_signal(id, name).await;
     }
--- a/src/decision/model/endpoint_list.rs
+++ b/src/decision/model/endpoint_list.rs
@@ -42,6 +42,8 @@
     ready_zones: BTreeSet<Option<usize>>,
     zone_count: usize,
     thread_budget: f64,
+    /// The latest start of an engine in service.
+    latest_start: Millis,
 }
 
 impl ListSummary {
@@ -50,6 +52,10 @@
         let ready: Vec<EngineIndex> = (0..engines.len()).filter(is_ready).collect();
         let zones: BTreeSet<_> = engines.iter().map(|engine| engine.zone).collect();
         ListSummary {
+            latest_start: ready
+                .iter()
+                .filter_map(|&index| engines[index].started)
+                .fold(f64::MIN, f64::max),
             ready_zones: ready.iter().map(|&index| engines[index].zone).collect(),
             zone_count: zones.len(),
             thread_budget: ready
@@ -160,26 +166,39 @@
             .map(|&index| &self.engines[index])
     }
 
-    /// The engines in service in the order in which a dispatcher of this zone and salt prefers them: those that have
-    /// responded, then its zone's, those that have started late first.
+    /// The engines in service in the order in which a dispatcher of this zone and salt prefers them: up to `max_warming` of
+    /// those that started after `warming_since`, those that have responded, and the others, its zone's first.
     pub(crate) fn in_own_order(
         &self,
         zone: Option<usize>,
         salt: u64,
+        warming_since: Millis,
+        max_warming: usize,
     ) -> impl Iterator<Item = EngineIndex> {
         let own_order = self.own_order.get_or_init(|| {
             let mut order = self.ready_indices().to_vec();
             order.sort_by_cached_key(|&index| {
                 let engine = &self.engines[index];
-                let is_remote = engine.zone != zone;
-                (is_remote, engine.started.is_none(), engine.rank(salt))
+                (engine.zone != zone, engine.rank(salt))
             });
             order
         });
+        let is_warming = move |index: &EngineIndex| {
+            let started = self.engines[*index].started;
+            started.is_some_and(|started| started > warming_since)
+        };
+        let has_warming = self.summary().latest_start > warming_since;
+        let searched = if has_warming { &own_order[..] } else { &[] };
+        let warming = searched.iter().copied().filter(is_warming);
         let is_ready = |index: &EngineIndex| self.engines[*index].is_ready();
         let responsive = self.responsive.iter().copied().filter(is_ready);
         let others = own_order.iter().copied();
-        responsive.chain(others.filter(|index| !self.responsive.contains(index)))
+        let others = others.filter(|index| !self.responsive.contains(index));
+        warming.take(max_warming).chain(
+            responsive
+                .chain(others)
+                .filter(move |index| !is_warming(index)),
+        )
     }
 
     /// The zones in which an engine is in service.
--- a/src/decision/placement.rs
+++ b/src/decision/placement.rs
@@ -67,8 +67,14 @@
         let ready = self.state.engines.ready_indices();
         let has_capacity = |engine: &EngineIndex| self.has_capacity(*engine, class.threads);
         if ready.len() > CANDIDATE_LIMIT {
-            let own_zone = self.state.settings.zone;
-            let in_own_order = self.state.engines.in_own_order(own_zone, self.rank_salt);
+            let state = &self.state;
+            let rules = &state.settings.rules;
+            let in_own_order = state.engines.in_own_order(
+                state.settings.zone,
+                self.rank_salt,
+                state.now - rules.warm_up_period - rules.overload_window,
+                CANDIDATE_LIMIT / 2,
+            );
             let is_preferred = |index: &EngineIndex| {
                 let engine = &self.state.engines[*index];
                 class.allows(engine.zone, engine.kind) && !self.is_outlier(*index)
--- a/src/frontend/frames/mod.rs
+++ b/src/frontend/frames/mod.rs
@@ -143,9 +143,11 @@
                 Ok((tcp, permit)) => self.clone().serve(tcp, permit),
                 Err(error) if listener::is_momentary(&error) => {}
                 Err(error) => {
-                    // Out of descriptors: some have to be freed.
                     log_line!("accept: {error}");
-                    self.limiter.evict_one();
+                    // What the whole machine lacks for a moment is not freed by a client that gives way.
+                    if listener::is_out_of_descriptors(&error) {
+                        self.limiter.evict_one();
+                    }
                     tokio::time::sleep(ACCEPT_BACKOFF).await;
                 }
             }
--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -236,3 +236,37 @@
     (0..1000).for_each(|_| broadcaster.credit_request());
     assert_eq!(broadcaster.offer_report(0.0, "s", &[1.0, 0.1]), None);
 }
+
+#[test]
+fn engines_that_share_a_hash_gossip_again_once_one_is_left() {
+    let mut broadcaster = credited(&[]);
+    let mut by_hash: HashMap<u32, String> = HashMap::new();
+    let (first, second) = (0..)
+        .find_map(|number| {
+            let name = format!("s-{number}");
+            let other = by_hash.insert(message::engine_hash(&name), name.clone())?;
+            Some((other, name))
+        })
+        .expect("a collision");
+    broadcaster.add_engine(&first);
+    broadcaster.add_engine(&first);
+    assert!(broadcaster.offer_report(0.0, &first, &[1.0, 0.5]).is_some());
+    broadcaster.add_engine(&second);
+    assert!(
+        broadcaster
+            .offer_report(1000.0, &first, &[1.0, 0.5])
+            .is_none()
+    );
+    broadcaster.remove_engine(&second);
+    assert!(
+        broadcaster
+            .offer_report(2000.0, &first, &[1.0, 0.5])
+            .is_some()
+    );
+    broadcaster.remove_engine(&first);
+    assert!(
+        broadcaster
+            .offer_report(3000.0, &first, &[1.0, 0.5])
+            .is_none()
+    );
+}
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -113,6 +113,11 @@
     )
 }
 
+/// Whether an accept failed since this process holds as many descriptors as it may.
+pub fn is_out_of_descriptors(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(rustix::io::Errno::MFILE.raw_os_error())
+}
+
 /// Closes the listening socket and gives what the machine has accepted on it by now, `most` at most: a client counts
 /// those as accepted, and asks on them. The socket itself is asked, for the runtime may not have heard of the last yet.
 pub fn accepted(listener: TcpListener, most: usize) -> Vec<TcpStream> {
