--- a/crates/testbed/src/platform/soak.rs
+++ b/crates/testbed/src/platform/soak.rs
@@ -1,5 +1,5 @@
 //! A soak: dispatchers as real processes, engines, the journal and clients on loopback, and random faults that overlap.
-//! Everything that happens is drawn from a seed; what was recorded is judged by [`verdict`].
+//! Everything that happens is drawn from a seed; what was recorded is judged by [`crate::platform::verdict`].
 
 use crate::platform::clients::{Connection, RequestLog, Target};
 use crate::platform::dispatcher::{Dispatcher, Faults, Shim};
