Apply the list events of one read as one change

Traced: 2,880 events were applied one by one, each with a round of decisions, which in the unoptimized build took the thread for longer than it had.

Change: patches that one read brings are one change; requests have their turn between reads.

--- a/src/discovery/journal.rs
+++ b/src/discovery/journal.rs
@@ -165,6 +165,36 @@
         Ok(event.hosts.map(Hosts::change))
     }
 
+    /// Applies the events of one read. Patches in a row are one change, for each change costs a round of decisions.
+    fn apply(&mut self, events: Vec<ServerSentEvent>, sink: &ChangeHandler) -> std::io::Result<()> {
+        let mut pending: Option<Change> = None;
+        let mut outcome = Ok(());
+        for (id, data) in events {
+            let change = match self.event(id, &data) {
+                Ok(Some(change)) => change,
+                Ok(None) => continue,
+                Err(error) => {
+                    outcome = Err(error);
+                    break;
+                }
+            };
+            match &mut pending {
+                Some(pending) if change.update == ListUpdate::Patch => {
+                    pending.engines.extend(change.engines);
+                }
+                _ => {
+                    if let Some(earlier) = pending.replace(change) {
+                        sink(earlier);
+                    }
+                }
+            }
+        }
+        if let Some(change) = pending {
+            sink(change);
+        }
+        outcome
+    }
+
     /// Reads one stream to its end.
     async fn follow(&mut self, address: SocketAddr, sink: &ChangeHandler) -> std::io::Result<()> {
         let mut tcp = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
@@ -186,13 +216,10 @@
             }
             let lines = reader.lines;
             received += n;
-            for (id, data) in reader.feed(&buffer[..n])? {
-                if let Some(change) = self.event(id, &data)? {
-                    sink(change);
-                    // Thousands of events may be read at once: requests have their turn between them.
-                    tokio::task::yield_now().await;
-                }
-            }
+            let events = reader.feed(&buffer[..n])?;
+            self.apply(events, sink)?;
+            // Thousands of events may come in a row: requests have their turn between two reads.
+            tokio::task::yield_now().await;
             // An event may be a whole list, whose one line takes a while: a full buffer counts as a sign of life too.
             if reader.lines > lines || received >= buffer.len() {
                 (deadline, received) = (Instant::now() + self.silence, 0);
