Share a slow start among twice the configured dispatchers until gossip confirms them

Callers saw: with fleet_size naming half of 300 dispatchers, an engine in slow start got 1.23 times the limit of its window from dispatchers that had all been told of the start (rule failback).

Cause: a dispatcher's share is what the engine bears divided by the configured number, and nothing checked that number. Answers cannot correct it: the first window is over the limit before they come.

Change: a share keeps to two bounds at once: 0.6 of what the engine bears by the expected number (fleet_size, or the listed peers if they are more, or those heard), and the limit itself by the possible number, twice the configured one until gossip confirms it. The limit is that of the window's begin, in requests of mean work, as the rule counts it. 20 messages of different listed peers, with none from elsewhere, confirm the number for 10 s; a readable message from an address that is not listed counts as a dispatcher for 60 s. Why it holds: the sum over twice the configured number stays four deviations (sampled) or a tenth (whole requests) below the limit whatever the configuration says.

Looked at elsewhere: tenant quotas, thread budgets and the price of gossip divide by the same number; they break no rule and now take the larger of fleet_size and peers.

--- a/src/bin/hitchwinch-simhost/host.rs
+++ b/src/bin/hitchwinch-simhost/host.rs
@@ -172,7 +172,7 @@
 
     fn handle_peer_message(&mut self, now: Millis, message: &PeerMessage) -> Result<(), HostError> {
         let instance = instance_mut(&mut self.instances, &message.instance)?;
-        match instance.peer_event(now, message.content.as_bytes()) {
+        match instance.peer_event(now, message.sender, message.content.as_bytes()) {
             Some(event) => self.handle_event(now, &message.instance, event),
             None => Ok(()),
         }
--- a/src/bin/hitchwinch-simhost/wire/input.rs
+++ b/src/bin/hitchwinch-simhost/wire/input.rs
@@ -148,6 +148,9 @@
 pub(crate) struct PeerMessage {
     #[serde(rename = "gateway_id")]
     pub(crate) instance: InstanceId,
+    /// The number of the instance that sent it.
+    #[serde(rename = "who")]
+    pub(crate) sender: u32,
     /// The bytes of the UDP message, as text.
     pub(crate) content: String,
 }
--- a/src/config/fleet_settings/mod.rs
+++ b/src/config/fleet_settings/mod.rs
@@ -75,17 +75,19 @@
             .fold(0.0, f64::max)
     }
 
-    /// How much the dispatchers of the tier may send each other; `None`: nothing.
-    pub fn gossip_budget(&self) -> Option<GossipBudget> {
+    /// How much the dispatchers of the tier may send each other; `None`: nothing. `listed_dispatchers` are those that
+    /// the configuration names one by one.
+    pub fn gossip_budget(&self, listed_dispatchers: u32) -> Option<GossipBudget> {
         let raw = &self.raw;
+        let dispatchers = raw.fleet_size.max(listed_dispatchers);
         let report_fields = raw.feedback.as_ref().and_then(|f| f.fields.as_ref());
         let fields = report_fields.map_or(0, Vec::len);
         let permitted = raw.ceilings.peer_messages.unwrap_or(false);
         let price = raw.deductions.as_ref().and_then(|d| d.peer).unwrap_or(0.0);
         let is_price_valid = price.is_finite() && price >= 0.0;
-        let has_purpose = raw.fleet_size > 1 && fields > 0;
+        let has_purpose = dispatchers > 1 && fields > 0;
         (permitted && has_purpose && is_price_valid).then_some(GossipBudget {
-            dispatchers: raw.fleet_size,
+            dispatchers,
             message_price: price * HUNDREDTHS,
             report_fields: fields,
         })
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -8,6 +8,7 @@
 use crate::decision::model::Settings;
 use crate::gossip::GossipBudget;
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -143,13 +144,15 @@
         let gossip = self.gossip()?;
         let sockets = self.settings.socket_settings();
         check_timeouts(&sockets)?;
-        let (settings, names) = self
+        let listed_dispatchers = self.listed_dispatchers();
+        let (mut settings, names) = self
             .settings
             .decision_settings()
             .map_err(|e| ConfigError::invalid("settings", Problem::FleetSettings(e)))?;
         settings
             .check()
             .map_err(|e| ConfigError::settings("settings.", e))?;
+        settings.dispatchers = settings.dispatchers.max(listed_dispatchers);
         Ok(PlatformConfig {
             name: variable(NAME)
                 .or(self.name)
@@ -169,10 +172,16 @@
         })
     }
 
+    /// The dispatchers that `peers` names, this one included: `settings.fleet_size` may name fewer.
+    fn listed_dispatchers(&self) -> u32 {
+        let distinct: BTreeSet<&String> = self.peers.iter().collect();
+        u32::try_from(distinct.len()).unwrap_or(u32::MAX)
+    }
+
     /// `peer_listen`, `peers` and `peers_all`; without effect unless the settings allow messages between dispatchers.
     fn gossip(&self) -> Result<Option<GossipSettings>, ConfigError> {
         let (Some(budget), Some(listen), Some(broadcast)) = (
-            self.settings.gossip_budget(),
+            self.settings.gossip_budget(self.listed_dispatchers()),
             &self.peer_listen,
             &self.peers_all,
         ) else {
--- a/src/config/tests/platform.rs
+++ b/src/config/tests/platform.rs
@@ -67,3 +67,21 @@
     let message = rejection(port_and_descriptor(&file, &[("PROXY_INHERITED_FD", "-1")]));
     assert!(message.contains("PROXY_INHERITED_FD"), "{message}");
 }
+
+/// `fleet_size` and `peers` both tell how many dispatchers share the engines; a stale one of them must not make each
+/// dispatcher's share too large.
+#[test]
+fn the_larger_of_fleet_size_and_listed_peers_is_the_number_of_dispatchers() {
+    let peers = r#"{"peers":["10.0.0.1:1","10.0.0.2:1","10.0.0.3:1","10.0.0.3:1"],"#;
+    for (fleet_size, expected) in [(1, 3), (3, 3), (8, 8)] {
+        let file = PLATFORM
+            .replacen('{', peers, 1)
+            .replace("\"fleet_size\":1", &format!("\"fleet_size\":{fleet_size}"));
+        let config = PlatformConfig::parse(&file, |_| None).unwrap();
+        assert_eq!(config.settings.dispatchers, expected, "{fleet_size}");
+    }
+    let none = PLATFORM
+        .replacen('{', peers, 1)
+        .replace("\"fleet_size\":1", "\"fleet_size\":0");
+    assert!(rejection(PlatformConfig::parse(&none, |_| None)).contains("gateways"));
+}
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -4,8 +4,9 @@
 use crate::core::request_core::Core;
 use crate::decision::facade::Report;
 use crate::decision::model::{EngineEntry, ListUpdate, Millis};
-use crate::gossip::{Broadcaster, DecodeError, GossipBudget, PeerReport};
+use crate::gossip::{Broadcaster, DecodeError, FleetCensus, GossipBudget, PeerReport};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 impl Core {
     /// Applies an update of the endpoint list from discovery.
@@ -75,9 +76,10 @@
 
     /// Shares load reports with the other dispatchers of the tier from now on.
     pub fn join_gossip(&mut self, budget: GossipBudget) {
-        let mut gossip = Broadcaster::new(budget);
+        let mut gossip = Broadcaster::new(budget.clone());
         gossip.set_engines(self.endpoints.engines());
         self.gossip = Some(gossip);
+        self.census = Some(FleetCensus::new(budget.dispatchers));
     }
 
     /// Receives a peer's gossip message.
@@ -99,11 +101,30 @@
         Ok(())
     }
 
+    /// A listed peer was heard: what it sent could be read.
+    pub fn record_listed_peer(&mut self, now: Millis, peer: SocketAddr) {
+        if let Some(census) = &mut self.census {
+            self.policy.observe_fleet(census.record_listed(now, peer));
+        }
+    }
+
     /// Counts a gossip message whose sender is not a peer.
     pub fn record_foreign_message(&mut self) {
         self.metrics.rejected_gossip_messages += 1;
     }
 
+    /// Counts a gossip message whose sender is not listed. One that can be read shows that more dispatchers run than
+    /// the configuration says.
+    pub fn record_unlisted_peer(&mut self, now: Millis, peer: SocketAddr, message: &[u8]) {
+        self.record_foreign_message();
+        let is_readable = |gossip: &Broadcaster| gossip.is_readable(message);
+        if let Some(census) = &mut self.census
+            && self.gossip.as_ref().is_some_and(is_readable)
+        {
+            self.policy.observe_fleet(census.record_unlisted(now, peer));
+        }
+    }
+
     /// Broadcasts the load report that an attempt brought, if the gossip budget allows it. The report of a process
     /// that has been restarted since says nothing of the new one.
     pub(super) fn broadcast_load_report(&mut self, now: Millis, id: AttemptId, report: &[f64]) {
--- a/src/core/metrics.rs
+++ b/src/core/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters since the process started and gauges of its present state, as operators read them.
 
 use crate::core::invariants::{Violation, ViolationCounts};
-use crate::decision::model::ClassId;
+use crate::decision::model::{ClassId, FleetSizeRange};
 
 /// Variants of [`RequestOutcome`].
 const OUTCOMES: usize = 3;
@@ -57,6 +57,8 @@
     pub standstills: u64,
     /// Broken invariants.
     pub violations: ViolationCounts,
+    /// How many dispatchers are taken to run.
+    pub fleet_size: FleetSizeRange,
 }
 
 impl Metrics {
@@ -75,7 +77,8 @@
         }
     }
 
-    /// The text of the broken invariants, a line `violations.name=value` for each kind, and of the standstills.
+    /// The text of the broken invariants, a line `violations.name=value` for each kind, of the standstills, and of how many
+    /// dispatchers are taken to run.
     pub fn invariants_text(&self) -> String {
         let mut text = String::new();
         for violation in Violation::ALL {
@@ -83,6 +86,9 @@
             text.push_str(&format!("violations.{name}={count}\n"));
         }
         text.push_str(&format!("standstills={}\n", self.standstills));
+        let dispatchers = self.fleet_size;
+        text.push_str(&format!("dispatchers.expected={}\n", dispatchers.expected));
+        text.push_str(&format!("dispatchers.at_most={}\n", dispatchers.at_most));
         text
     }
 
--- a/src/core/request_core.rs
+++ b/src/core/request_core.rs
@@ -12,8 +12,9 @@
 use crate::decision::model::{
     ClassId, Ended, Idempotency, Millis, Outcome, ProgressNote, Query, Settings, SettingsError,
 };
-use crate::gossip::Broadcaster;
+use crate::gossip::{Broadcaster, FleetCensus};
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 /// The request core. All times are milliseconds on the clock of the process; `now` is the time of the call.
 ///
@@ -35,6 +36,8 @@
     /// Processes of this dispatcher, which share its limits.
     process_count: usize,
     pub(super) gossip: Option<Broadcaster>,
+    /// The dispatchers that are heard, by the address that they send from.
+    pub(super) census: Option<FleetCensus<SocketAddr>>,
 }
 
 impl Core {
@@ -62,6 +65,7 @@
             shutdown_deadline: None,
             process_count: 1,
             gossip: None,
+            census: None,
         })
     }
 
@@ -309,6 +313,7 @@
             endpoints: self.endpoints.len(),
             unavailable_endpoints: unavailable.count(),
             violations,
+            fleet_size: self.policy.fleet_size(),
             ..self.metrics.clone()
         }
     }
--- a/src/decision/facade.rs
+++ b/src/decision/facade.rs
@@ -6,8 +6,8 @@
 
 use super::controller::Controller;
 use super::model::{
-    Action, Ended, EngineEntry, Event, ListUpdate, Millis, Outcome, ProgressNote, Query, QueryId,
-    Settings, SettingsError,
+    Action, Ended, EngineEntry, Event, FleetEvidence, FleetSizeRange, ListUpdate, Millis, Outcome,
+    ProgressNote, Query, QueryId, Settings, SettingsError,
 };
 
 /// Something to be done now.
@@ -149,6 +149,16 @@
         self.controller.set_process_count(processes);
     }
 
+    /// Takes over what has been heard of how many dispatchers run.
+    pub fn observe_fleet(&mut self, evidence: FleetEvidence) {
+        self.controller.observe_fleet(evidence);
+    }
+
+    /// How many dispatchers are taken to run.
+    pub fn fleet_size(&self) -> FleetSizeRange {
+        self.controller.fleet_size()
+    }
+
     /// Whether this engine is passed over while others are healthy.
     pub fn is_ejected(&self, engine: &str) -> bool {
         self.controller.is_ejected(engine)
--- /dev/null
+++ b/src/decision/model/fleet_size/tests.rs
@@ -0,0 +1,30 @@
+use super::{FleetEvidence, FleetSize};
+
+#[test]
+fn an_unconfirmed_number_may_be_half_of_what_runs() {
+    let size = FleetSize::new(150);
+    assert_eq!(size.expected(), 150.0);
+    assert_eq!(size.upper_bound(0.0), 300.0);
+}
+
+#[test]
+fn a_confirmation_holds_for_its_time() {
+    let mut size = FleetSize::new(150);
+    size.observe(FleetEvidence {
+        at_least: 21,
+        confirmed_until: Some(100.0),
+    });
+    assert_eq!(size.upper_bound(99.0), 150.0);
+    assert_eq!(size.upper_bound(100.0), 300.0);
+}
+
+#[test]
+fn more_dispatchers_heard_than_configured_count() {
+    let mut size = FleetSize::new(10);
+    size.observe(FleetEvidence {
+        at_least: 35,
+        confirmed_until: None,
+    });
+    assert_eq!(size.expected(), 35.0);
+    assert_eq!(size.upper_bound(0.0), 35.0);
+}
--- a/src/decision/model/mod.rs
+++ b/src/decision/model/mod.rs
@@ -13,6 +13,7 @@
 pub(super) mod cost_estimator;
 pub(super) mod endpoint;
 pub(super) mod endpoint_list;
+pub(super) mod fleet_size;
 pub(super) mod in_flight_attempt;
 pub(super) mod load_report;
 pub(super) mod ordered_queue;
@@ -31,6 +32,7 @@
 
 pub use actions::Action;
 pub use events::{Ended, EngineEntry, EngineState, Event, ListUpdate, Outcome, ProgressNote};
+pub use fleet_size::{FleetEvidence, FleetSizeRange};
 pub use query::Query;
 pub use settings::{
     Class, DeduplicationScope, EngineCapabilities, Idempotency, Kind, Limits, ReportField,
--- a/src/decision/model/state.rs
+++ b/src/decision/model/state.rs
@@ -5,6 +5,7 @@
 use super::cost_estimator::CLASS_RETENTION;
 use super::endpoint::Engine;
 use super::endpoint_list::{EndpointList, EngineIndex};
+use super::fleet_size::FleetSize;
 use super::ordered_queue::OrderedQueues;
 use super::process_count::ProcessCount;
 use super::request::PendingRequest;
@@ -48,6 +49,8 @@
     pub(crate) window: AimdLimit,
     /// Processes that make the decisions of this dispatcher.
     pub(crate) processes: ProcessCount,
+    /// How many dispatchers share what a warming engine may get.
+    pub(crate) fleet_size: FleetSize,
     /// What is due when.
     pub(crate) timers: Timers,
     /// How often a warming engine was sent more than its part.
@@ -78,6 +81,7 @@
             mean_work: DecayingMean::default(),
             window: AimdLimit::default(),
             processes: ProcessCount::default(),
+            fleet_size: FleetSize::new(settings.dispatchers),
             timers: Timers::default(),
             slow_start_overruns: 0,
             settings,
@@ -194,10 +198,17 @@
         self.engines[engine].has_memory_for(self.now, granted_mb)
     }
 
-    /// Queries of this work that a warming engine bears in the overload window.
-    pub(crate) fn bearable_queries(&self, engine: &Engine, started: Millis, work: f64) -> f64 {
+    /// Queries of this work that a warming engine bears in an overload window, by its capacity at
+    /// the time `at`.
+    pub(crate) fn bearable_queries(
+        &self,
+        engine: &Engine,
+        started: Millis,
+        work: f64,
+        at: Millis,
+    ) -> f64 {
         let rules = &self.settings.rules;
-        let capacity = engine.warm_up_capacity(rules, started, self.now);
+        let capacity = engine.warm_up_capacity(rules, started, at);
         rules.overload_multiple * engine.cores * capacity * rules.overload_window / work
     }
 
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -2,6 +2,7 @@
 //! admission where that part is below one query.
 
 use super::controller::Controller;
+use super::model::{FleetEvidence, FleetSizeRange, Millis};
 use super::model::{endpoint::Engine, endpoint_list::EngineIndex};
 
 /// Part of the budget that is used: speeds and estimates are not known exactly.
@@ -10,6 +11,43 @@
 /// Part of its mean past which nothing is sampled: ten samples in a window at most.
 const SAMPLED_FRACTION: f64 = 0.9;
 
+/// Part of an engine's limit that is used when the largest possible number of dispatchers run.
+const LIMIT_SAFETY_FACTOR: f64 = 0.9;
+
+/// Standard deviations that the sum of all samples stays below a limit.
+const SAMPLE_DEVIATIONS: f64 = 4.0;
+
+/// What one dispatcher may send to a warming engine within any overload window, in queries of one
+/// size.
+struct SlowStartShare {
+    /// Queries, if at least one fits.
+    whole: f64,
+    /// The same for a process whose predecessor may have sent the whole share within the window.
+    after_restart: f64,
+    /// The mean of sampled queries, if none fits.
+    sampled_mean: f64,
+}
+
+/// Queries in a window below which a warming engine's limit allows more for chance.
+const FEW_QUERIES: f64 = 30.0;
+
+/// Queries of mean work in a window beyond which a warming engine fails that bears `bearable` of
+/// them when the window begins: chance is allowed for.
+fn overload_limit(bearable: f64) -> f64 {
+    let allowance = match bearable < FEW_QUERIES {
+        true => 3.0,
+        false => 2.0,
+    };
+    bearable + allowance * bearable.sqrt() + allowance
+}
+
+/// The largest mean of a sum of samples that stays the standard deviations below `limit`: the
+/// variance is the mean at most.
+fn largest_mean(limit: f64) -> f64 {
+    let half = SAMPLE_DEVIATIONS / 2.0;
+    ((half * half + limit).sqrt() - half).powi(2)
+}
+
 impl Controller {
     /// Its process has started so lately that it lacks capacity, or that its first load still
     /// counts.
@@ -21,38 +59,72 @@
     }
 
     /// The probability of admission for a query of this work: 1 unless the engine is warming up. A
-    /// dispatcher keeps to its part of what the engine bears in any window. A part below one query
-    /// is sampled: the mean of all dispatchers stays four standard deviations below the budget.
-    /// Cost: an engine that warms up late gets more.
+    /// dispatcher keeps to its share of what the engine bears in any window. A share below one
+    /// query is sampled. Cost: an engine that warms up late gets more.
     pub(super) fn slow_start_probability(&self, engine: &Engine, work: f64) -> f64 {
         let warming_since = engine.started.filter(|_| self.is_warming_up(engine));
         let Some(started) = warming_since else {
             return 1.0;
         };
-        let state = &self.state;
-        let start = state.now - state.settings.rules.overload_window;
-        let bearable = state.bearable_queries(engine, started, work);
-        let processes = state.processes.max_since(start);
-        let dispatchers = f64::from(state.settings.dispatchers) * processes;
-        let budget = SLOW_START_SAFETY_FACTOR * bearable / dispatchers;
-        let mean = ((4.0 + bearable).sqrt() - 2.0).powi(2) / dispatchers;
-        let used = engine.slow_start_usage.queries_after(start, work);
-        let is_usage_known = start.max(started) >= state.timers.started_at();
-        if budget >= 1.0 {
-            // Before this process began another may have had its part: as much of what it left.
-            // Cost: slow starts.
-            let usable_part = match is_usage_known {
-                true => 1.0,
-                false => 1.0 - SLOW_START_SAFETY_FACTOR,
+        let share = self.slow_start_share(engine, started, work);
+        let window_start = self.overload_window_start();
+        let used = engine.slow_start_usage.queries_after(window_start, work);
+        // Before this process began another may have had its share.
+        let is_usage_known = window_start.max(started) >= self.state.timers.started_at();
+        if share.whole >= 1.0 {
+            let usable = match is_usage_known {
+                true => share.whole,
+                false => share.after_restart,
             };
-            f64::from(used.sent + 1.0 <= budget * usable_part)
-        } else if is_usage_known && used.sampled < SAMPLED_FRACTION * mean {
-            (mean - used.sampled).min(1.0)
+            f64::from(used.sent + 1.0 <= usable)
+        } else if is_usage_known && used.sampled < SAMPLED_FRACTION * share.sampled_mean {
+            (share.sampled_mean - used.sampled).min(1.0)
         } else {
             0.0
         }
     }
 
+    fn overload_window_start(&self) -> Millis {
+        self.state.now - self.state.settings.rules.overload_window
+    }
+
+    /// Two bounds hold at once: what the engine bears, with a margin, is shared by the dispatchers
+    /// that are expected, and the limit beyond which it fails by all that may run. By the expected
+    /// number alone a fleet of which the configuration names half overloaded the engine.
+    fn slow_start_share(&self, engine: &Engine, started: Millis, work: f64) -> SlowStartShare {
+        let state = &self.state;
+        let window_start = self.overload_window_start();
+        let processes = state.processes.max_since(window_start);
+        let expected_count = state.fleet_size.expected() * processes;
+        let possible_count = state.fleet_size.upper_bound(state.now) * processes;
+
+        let bearable = state.bearable_queries(engine, started, work, state.now);
+        let expected_whole = SLOW_START_SAFETY_FACTOR * bearable / expected_count;
+        let expected_mean = largest_mean(bearable) / expected_count;
+
+        let limit = self.overload_limit_of(engine, started, work);
+        let possible_whole = LIMIT_SAFETY_FACTOR * limit / possible_count;
+        let possible_mean = largest_mean(limit) / possible_count;
+
+        let whole = expected_whole.min(possible_whole);
+        let left_if_expected = (1.0 - SLOW_START_SAFETY_FACTOR) * expected_whole;
+        SlowStartShare {
+            whole,
+            after_restart: left_if_expected.min(possible_whole - whole),
+            sampled_mean: expected_mean.min(possible_mean),
+        }
+    }
+
+    /// Queries of this work beyond which the engine fails in the window that ends now. It counts
+    /// work, and allows for chance by queries of mean work: heavier ones have no larger allowance.
+    fn overload_limit_of(&self, engine: &Engine, started: Millis, work: f64) -> f64 {
+        let state = &self.state;
+        let mean_work = state.mean_work.mean_or(work).min(work);
+        let window_start = self.overload_window_start();
+        let bearable = state.bearable_queries(engine, started, mean_work, window_start);
+        overload_limit(bearable) * mean_work / work
+    }
+
     /// Decides at random whether a query of this work goes there: what it brings on average is
     /// spent either way.
     pub(super) fn sample_admission(&mut self, engine: EngineIndex, work: f64) -> bool {
@@ -74,9 +146,9 @@
         let Some(started) = engine.started.filter(|_| self.is_warming_up(engine)) else {
             return false;
         };
-        let window_start = state.now - state.settings.rules.overload_window;
-        let bearable = state.bearable_queries(engine, started, work);
-        let part = bearable / f64::from(state.settings.dispatchers);
+        let window_start = self.overload_window_start();
+        let bearable = state.bearable_queries(engine, started, work, state.now);
+        let part = bearable / state.fleet_size.expected();
         let sent_before = engine
             .slow_start_usage
             .queries_after(window_start.max(started), work)
@@ -90,6 +162,19 @@
         self.state.slow_start_overruns
     }
 
+    /// Takes over what has been heard of how many dispatchers run.
+    pub fn observe_fleet(&mut self, evidence: FleetEvidence) {
+        self.state.fleet_size.observe(evidence);
+    }
+
+    /// How many dispatchers are taken to run: as expected, and at most.
+    pub(super) fn fleet_size(&self) -> FleetSizeRange {
+        FleetSizeRange {
+            expected: self.state.fleet_size.expected(),
+            at_most: self.state.fleet_size.upper_bound(self.state.now),
+        }
+    }
+
     /// So many processes make the decisions of this dispatcher now, and share what a warming engine
     /// may get.
     pub fn set_process_count(&mut self, processes: u32) {
--- a/src/decision/tests/slow_start.rs
+++ b/src/decision/tests/slow_start.rs
@@ -1,6 +1,7 @@
 //! The budget of a warming engine.
 
 use super::{controller, entry, list};
+use crate::decision::model::FleetEvidence;
 use crate::decision::model::slow_start_usage::SlowStartUsage;
 use crate::decision::slow_start::SLOW_START_SAFETY_FACTOR;
 
@@ -33,3 +34,85 @@
         controller.state.engines[new].slow_start_usage = SlowStartUsage::default();
     }
 }
+
+/// The probability of a first query of this work at an engine that starts now.
+fn first_probability(dispatchers: u32, evidence: Option<FleetEvidence>, work: f64) -> f64 {
+    let mut settings = super::settings();
+    settings.dispatchers = dispatchers;
+    let mut controller = crate::decision::controller::Controller::new(settings, 1).unwrap();
+    list(&mut controller, 10.0, vec![entry("new", Some(10.0))]);
+    if let Some(evidence) = evidence {
+        controller.observe_fleet(evidence);
+    }
+    let new = controller.state.engines.find("new").unwrap();
+    controller.slow_start_probability(&controller.state.engines[new], work)
+}
+
+/// Work of which a starting engine bears so many queries: 3 x 8 cores x 1 s x 0.3 of its capacity.
+fn work_for(queries: f64) -> f64 {
+    3.0 * 8.0 * 1000.0 * 0.3 / queries
+}
+
+/// What every dispatcher of a fleet sends in one window, if each sends its share.
+fn sum_of(running: u32, dispatchers: u32, evidence: Option<FleetEvidence>, work: f64) -> f64 {
+    f64::from(running) * first_probability(dispatchers, evidence, work)
+}
+
+/// A configuration that names 150 of 300 dispatchers: nothing that is heard corrects it, so that each keeps to what
+/// twice as many as configured may send.
+#[test]
+fn a_fleet_of_twice_the_configured_size_stays_under_the_limit_in_the_mean() {
+    let work = work_for(100.0);
+    let limit = 100.0 + 2.0 * 10.0 + 2.0;
+    let sum = sum_of(300, 150, None, work);
+    let deviations = 4.0 * sum.sqrt();
+    assert!(sum + deviations <= limit + 1e-9, "{sum} of {limit}");
+    assert!(
+        sum > 0.5 * limit,
+        "{sum} of {limit}: it is used nevertheless"
+    );
+}
+
+#[test]
+fn a_confirmed_number_gives_each_dispatcher_more_than_an_unconfirmed_one() {
+    let work = work_for(100.0);
+    let confirmed = FleetEvidence {
+        at_least: 0,
+        confirmed_until: Some(1000.0),
+    };
+    let (with, without) = (
+        sum_of(150, 150, Some(confirmed), work),
+        sum_of(150, 150, None, work),
+    );
+    assert!(with > 1.2 * without, "{with} and {without}");
+    assert!(with + 4.0 * with.sqrt() <= 100.0 + 1e-9, "{with}");
+}
+
+#[test]
+fn dispatchers_that_are_heard_beyond_the_configured_number_share_as_well() {
+    let work = work_for(100.0);
+    let heard = FleetEvidence {
+        at_least: 600,
+        confirmed_until: None,
+    };
+    let sum = sum_of(600, 150, Some(heard), work);
+    assert!(sum + 4.0 * sum.sqrt() <= 100.0 + 1e-9, "{sum}");
+}
+
+/// The limit counts queries of mean work: rare heavy queries have no larger allowance for chance than the others.
+#[test]
+fn heavy_queries_have_the_allowance_of_mean_ones() {
+    let mut settings = super::settings();
+    settings.dispatchers = 10;
+    let mut controller = crate::decision::controller::Controller::new(settings, 1).unwrap();
+    list(&mut controller, 10.0, vec![entry("new", Some(10.0))]);
+    let new = controller.state.engines.find("new").unwrap();
+    let heavy = work_for(2.0);
+    let probability = |controller: &super::Controller| {
+        controller.slow_start_probability(&controller.state.engines[new], heavy)
+    };
+    let alone = probability(&controller);
+    (0..100).for_each(|_| controller.state.mean_work.add(heavy / 100.0, 1.0));
+    let among_light = probability(&controller);
+    assert!(among_light <= alone, "{among_light} and {alone}");
+}
--- a/src/dispatch/gossip_driver.rs
+++ b/src/dispatch/gossip_driver.rs
@@ -28,8 +28,18 @@
         Some(router) => router.join_gossip(peers.budget, Box::new(sender)),
         None => return,
     }
-    let peers = peers.members.iter().copied().collect();
-    receive(&router, &socket, &peers).await;
+    let sources = Sources {
+        own: peers.listen,
+        listed: peers.members.iter().copied().collect(),
+    };
+    receive(&router, &socket, &sources).await;
+}
+
+/// The addresses that the configuration lists for the dispatchers of the tier.
+struct Sources {
+    /// What this dispatcher sends from, another process of it as well.
+    own: SocketAddr,
+    listed: HashSet<SocketAddr>,
 }
 
 /// Binds the address, as soon as it is free. Only the first failure is logged.
@@ -53,7 +63,7 @@
 async fn receive<U: Upstream>(
     router: &Weak<RequestRouter<U>>,
     socket: &UdpSocket,
-    peers: &HashSet<SocketAddr>,
+    sources: &Sources,
 ) {
     // One byte more than a message may hold, so that a longer one can be told from a full one.
     let mut buffer = [0; MAX_MESSAGE_BYTES + 1];
@@ -63,15 +73,15 @@
             return;
         };
         match received {
-            Ok((_, sender)) if !peers.contains(&sender) => {
-                router.record_foreign_message();
+            Ok((size, sender)) if !sources.listed.contains(&sender) => {
+                router.record_unlisted_peer(sender, &buffer[..size]);
                 log_line!("peer {sender}: not listed, its message is ignored");
             }
-            Ok((size, sender)) => {
-                if let Err(error) = router.receive_gossip(&buffer[..size]) {
-                    log_line!("peer {sender}: {error}; its message is ignored");
-                }
-            }
+            Ok((size, sender)) => match router.receive_gossip(&buffer[..size]) {
+                Ok(()) if sender == sources.own => {}
+                Ok(()) => router.record_listed_peer(sender),
+                Err(error) => log_line!("peer {sender}: {error}; its message is ignored"),
+            },
             // The error of an earlier datagram that could not be delivered.
             Err(_) => tokio::time::sleep(SOCKET_RETRY_DELAY).await,
         }
--- a/src/dispatch/request_router.rs
+++ b/src/dispatch/request_router.rs
@@ -13,6 +13,7 @@
 use crate::log_line;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -226,9 +227,18 @@
         Ok(())
     }
 
-    /// Counts a gossip message whose sender is not a peer.
-    pub fn record_foreign_message(&self) {
-        self.core.borrow_mut().record_foreign_message();
+    /// A listed peer was heard.
+    pub fn record_listed_peer(&self, peer: SocketAddr) {
+        self.core
+            .borrow_mut()
+            .record_listed_peer(process_time_millis(), peer);
+    }
+
+    /// Counts a gossip message whose sender is not listed.
+    pub fn record_unlisted_peer(&self, peer: SocketAddr, message: &[u8]) {
+        self.core
+            .borrow_mut()
+            .record_unlisted_peer(process_time_millis(), peer, message);
     }
 
     /// The earliest time at which a request that is read now can have arrived.
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -6,10 +6,12 @@
 //! dispatcher or by another, so that the whole tier sends no more than a few messages a second for each engine, however
 //! many dispatchers there are. Messages are paid from a credit that each request adds a little to.
 
+mod fleet_census;
 mod message;
 #[cfg(test)]
 mod tests;
 
+pub use fleet_census::FleetCensus;
 pub use message::{DecodeError, LoadReportMessage, MAX_MESSAGE_BYTES};
 
 use crate::decision::model::Millis;
@@ -143,6 +145,11 @@
         Ok(Some(PeerReport { engine, report }))
     }
 
+    /// Whether a dispatcher of these settings may have sent this.
+    pub fn is_readable(&self, message: &[u8]) -> bool {
+        message::decode(message, self.budget.report_fields).is_ok()
+    }
+
     /// Whether exactly one listed engine has the hash.
     fn is_unambiguous(&self, hash: u32) -> bool {
         self.engines
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -321,6 +321,67 @@
     program.ends_well();
 }
 
+/// A dispatcher of two by its configuration hears a peer that is not listed: three run at least, and what all may send
+/// a warming engine is divided by no fewer. Noise from elsewhere shows no dispatcher.
+#[test]
+fn a_peer_that_is_not_listed_counts_as_a_dispatcher() {
+    let listed = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let at = listed.local_addr().unwrap();
+    let free = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let own = free.local_addr().unwrap();
+    drop(free);
+    let config = config(None, "127.0.0.1:1")
+        .replace(
+            r#""ceilings":{"#,
+            r#""feedback":{"fields":["rif","x0"]},"ceilings":{"peer_messages":true,"#,
+        )
+        .replace(
+            r#""fleet_size":1"#,
+            r#""fleet_size":2,"deductions":{"peer":0.01}"#,
+        )
+        .replace(
+            r#""seed":"7""#,
+            &format!(
+                r#""seed":"7","peer_listen":"{own}","peers":["{own}","{at}"],"peers_all":"{at}""#
+            ),
+        );
+    let program = Program::run("census", &config, &[]);
+    let dispatchers = || {
+        let text = program.call("GET", "/_invariants");
+        let number = |name: &str| {
+            let line = text.lines().find_map(|line| line.strip_prefix(name));
+            line.unwrap_or_else(|| panic!("{name} in {text}"))
+                .to_string()
+        };
+        (
+            number("dispatchers.expected="),
+            number("dispatchers.at_most="),
+        )
+    };
+    let soon = |expected: (&str, &str)| {
+        let expected = (expected.0.to_string(), expected.1.to_string());
+        let until = std::time::Instant::now() + Duration::from_secs(5);
+        while dispatchers() != expected && std::time::Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        assert_eq!(dispatchers(), expected);
+    };
+    soon(("2", "4"));
+    // A report of an engine that is not listed here is a message of a dispatcher all the same.
+    let message = [b'r', 1, 2, 3, 10, 10];
+    for _ in 0..20 {
+        listed.send_to(&message, own).unwrap();
+    }
+    soon(("2", "2"));
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    stranger.send_to(b"noise!", own).unwrap();
+    assert!(program.says("is ignored").contains("not listed"));
+    soon(("2", "2"));
+    stranger.send_to(&message, own).unwrap();
+    soon(("3", "4"));
+    program.ends_well();
+}
+
 /// A new process beside the old: both follow an operator's call to either, no client is refused, what the old
 /// one has is answered, and it takes no more.
 fn takes_over(
--- a/tests/slow_start_budget.rs
+++ b/tests/slow_start_budget.rs
@@ -683,6 +683,11 @@
     );
 }
 
+/// What happened: `fleet_size` named 150 of 300 dispatchers, and an engine in slow start got 1.23 times what it bears in a
+/// window, all of it from dispatchers that knew of the start. Why: each kept to a 150th of the engine's budget, for the
+/// configured number was taken for the true one. What showed it: the line of this test (`largest 1.230`), the same with
+/// engines whose answers tell no load at 2 to 300 dispatchers (1.12 to 1.61), and that it passes with `fleet_size` 300.
+/// No answer of the engine can tell it in time: the first window is over the line before most dispatchers have one.
 #[test]
 fn twice_as_many_dispatchers_as_configured_in_a_large_fleet_with_small_requests() {
     let over = play(
@@ -704,3 +709,58 @@
     c.reports = true;
     c
 }
+
+/// So many requests of each dispatcher wait at any time that it sends whatever it may, and answers tell no load.
+fn twice_without_load_reports(n: u32, work: f64, rng: &mut Rand64) -> Case {
+    let mut c = twice(n, work, rng);
+    c.reports = false;
+    c.dispatchers.iter_mut().for_each(|d| d.1.standing = 64);
+    c
+}
+
+/// The share of a dispatcher that is not drawn by lot: a configured number of half the truth alone overloads the engine
+/// where its answers tell no load.
+#[test]
+fn twice_as_many_dispatchers_as_configured_without_load_reports() {
+    run("twice, no reports", twice_without_load_reports);
+}
+
+#[test]
+fn twice_as_many_dispatchers_as_configured_in_a_burst_after_idle() {
+    run("twice, burst", |n, w, rng| {
+        let mut c = twice_without_load_reports(n, w, rng);
+        let at = middle(rng);
+        c.dispatchers.iter_mut().for_each(|d| d.1.from = at);
+        c
+    });
+}
+
+#[test]
+fn twice_as_many_dispatchers_as_configured_restarted_in_the_middle() {
+    run("twice, all restarted", |n, w, rng| {
+        let mut c = restarted(1.0, 500.0)(n, w, rng);
+        c.settings.dispatchers = n.div_ceil(2);
+        c.dispatchers.iter_mut().for_each(|d| d.1.standing = 64);
+        c
+    });
+}
+
+#[test]
+fn twice_as_many_dispatchers_as_configured_with_unequal_work() {
+    run("twice, unequal work", |n, w, rng| {
+        let mut c = unequal_work(n, w, rng);
+        c.settings.dispatchers = n.div_ceil(2);
+        c.dispatchers.iter_mut().for_each(|d| d.1.standing = 64);
+        c
+    });
+}
+
+/// Ten times as many are configured as run: each keeps to a part that is too small, and the line holds.
+#[test]
+fn a_tenth_of_the_configured_dispatchers_run() {
+    run("a tenth run", |n, w, rng| {
+        let mut c = case(n, w, rng);
+        c.settings.dispatchers = 10 * n;
+        c
+    });
+}
