Let a starting dispatcher learn from its peers how old engines are

Cause: no wall clock may be trusted with an age, and when a start was heard of is lost with the process.

Change: a dispatcher asks a random listed peer about each start that it hears of, at once, after 0.5 s and after 2.5 s; a peer answers with the time since it heard of the same start, on its monotonic clock. Why it holds: the engine is at least that old, the way of the message only adds to it, and a start is named by engine and told time, so an age of an earlier start counts for nothing. Wall clocks take no part; tests/wall_clock is unchanged.

Hashes and seven-bit numbers of messages stand in one module now.

--- a/crates/testbed/src/platform/settings.rs
+++ b/crates/testbed/src/platform/settings.rs
@@ -45,6 +45,8 @@
     pub overload_multiple: f64,
     /// In milliseconds.
     pub overload_window: f64,
+    /// Where each dispatcher hears its peers, by rank; empty: nowhere.
+    pub peers: Vec<SocketAddr>,
 }
 
 impl Default for Settings {
@@ -57,6 +59,7 @@
             warm_up_period: 9000.0,
             overload_multiple: 4.0,
             overload_window: 1500.0,
+            peers: vec![],
         }
     }
 }
@@ -104,14 +107,32 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "journal": journal.to_string(),
             "known": known,
-            "peer_listen": "127.0.0.1:0",
-            "peers": [],
+            "peer_listen": self.peer_listen(rank).to_string(),
+            "peers": self.peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
             "peers_all": "127.0.0.1:9",
             "settings": self.json(rank),
         })
         .to_string()
     }
 
+    fn peer_listen(&self, rank: usize) -> SocketAddr {
+        let unlisted = SocketAddr::from(([127, 0, 0, 1], 0));
+        self.peers.get(rank).copied().unwrap_or(unlisted)
+    }
+
+    /// Addresses on loopback that are free now, for the peers.
+    ///
+    /// # Errors
+    /// The machine has none.
+    pub fn free_peer_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+        let bind = |_| std::net::UdpSocket::bind("127.0.0.1:0");
+        let sockets: Vec<_> = (0..count).map(bind).collect::<Result<_, _>>()?;
+        sockets
+            .iter()
+            .map(std::net::UdpSocket::local_addr)
+            .collect()
+    }
+
     /// The class of this name.
     pub fn class(&self, name: &str) -> Option<&Class> {
         self.classes.iter().find(|class| class.name == name)
--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -54,6 +54,14 @@
         effective
     }
 
+    /// An engine's listed start was at this time at the latest.
+    pub(super) fn learn_start(&mut self, engine: &str, latest: Millis) {
+        let entry = self.entries.get_mut(engine);
+        if let Some(started) = entry.and_then(|entry| entry.started.as_mut()) {
+            *started = started.min(latest);
+        }
+    }
+
     /// The engine is listed.
     pub(super) fn is_listed(&self, engine: &str) -> bool {
         self.entries.contains_key(engine)
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -101,6 +101,21 @@
         Ok(())
     }
 
+    /// Pays for a gossip message of this length to one peer, if there is credit for it.
+    pub fn pay_for_one_peer(&mut self, message_bytes: usize) -> bool {
+        let gossip = self.gossip.as_mut();
+        gossip.is_some_and(|gossip| gossip.pay_for_one_peer(message_bytes))
+    }
+
+    /// The present process of an engine has started at this time at the latest, earlier than was known.
+    pub fn learn_engine_start(&mut self, engine: &str, started: Millis) {
+        self.endpoints.learn_start(engine, started);
+        let entry = self.endpoints.effective_entry(engine);
+        if let Some(started) = entry.and_then(|entry| entry.started) {
+            self.policy.learn_engine_start(engine, started);
+        }
+    }
+
     /// A listed peer was heard: what it sent could be read.
     pub fn record_listed_peer(&mut self, now: Millis, peer: SocketAddr) {
         if let Some(census) = &mut self.census {
--- a/src/decision/facade.rs
+++ b/src/decision/facade.rs
@@ -154,6 +154,11 @@
         self.controller.observe_fleet(evidence);
     }
 
+    /// The present process of an engine has started at this time at the latest.
+    pub fn learn_engine_start(&mut self, engine: &str, latest: Millis) {
+        self.controller.learn_engine_start(engine, latest);
+    }
+
     /// How many dispatchers are taken to run.
     pub fn fleet_size(&self) -> FleetSizeRange {
         self.controller.fleet_size()
--- a/src/decision/model/endpoint_list.rs
+++ b/src/decision/model/endpoint_list.rs
@@ -42,7 +42,7 @@
     ready_zones: BTreeSet<Option<usize>>,
     zone_count: usize,
     thread_budget: f64,
-    /// The latest start of an engine in service.
+    /// No engine in service has started later.
     latest_start: Millis,
 }
 
@@ -231,6 +231,14 @@
         median
     }
 
+    /// The engine's present process has started at this time at the latest.
+    pub(crate) fn learn_start(&mut self, index: EngineIndex, latest: Millis) {
+        // The summary's latest start stays an upper bound, until the next change of the list.
+        if let Some(started) = &mut self.engines[index].started {
+            *started = started.min(latest);
+        }
+    }
+
     /// Records that an engine responds; after a silence longer than `pause` it is responsive anew.
     pub(crate) fn record_activity(&mut self, index: EngineIndex, now: Millis, pause: Millis) {
         self.engines[index].record_activity(now, pause);
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -162,6 +162,14 @@
         self.state.slow_start_overruns
     }
 
+    /// The present process of an engine has started at this time at the latest: it is older than
+    /// was known, and bears more.
+    pub fn learn_engine_start(&mut self, name: &str, latest: Millis) {
+        if let Some(index) = self.state.engines.find(name) {
+            self.state.engines.learn_start(index, latest);
+        }
+    }
+
     /// Takes over what has been heard of how many dispatchers run.
     pub fn observe_fleet(&mut self, evidence: FleetEvidence) {
         self.state.fleet_size.observe(evidence);
--- a/src/dispatch/endpoints.rs
+++ b/src/dispatch/endpoints.rs
@@ -7,6 +7,7 @@
 use crate::dispatch::request_router::RequestRouter;
 use crate::dispatch::start_times::Now;
 use crate::dispatch::upstream::Upstream;
+use crate::gossip::{AgeMessage, EngineAge, StartId};
 use crate::log_line;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -56,6 +57,39 @@
         (entries, Change { update, engines })
     }
 
+    /// A question to a peer about the ages of engines, if one is due.
+    pub fn age_question(&self) -> Option<Vec<u8>> {
+        let now = process_time_millis();
+        let starts = self.start_times.borrow_mut().take_questions(now);
+        (!starts.is_empty()).then(|| AgeMessage::Question(starts).encode())
+    }
+
+    /// The answer to a peer's question about the ages of engines, if there is credit for it.
+    pub fn answer_age_question(&self, starts: &[StartId]) -> Option<Vec<u8>> {
+        let ages = self
+            .start_times
+            .borrow()
+            .ages(process_time_millis(), starts);
+        if ages.is_empty() {
+            return None;
+        }
+        let answer = AgeMessage::Answer(ages).encode();
+        let is_paid = self.core.borrow_mut().pay_for_one_peer(answer.len());
+        is_paid.then_some(answer)
+    }
+
+    /// Takes over a peer's answer about the ages of engines.
+    pub fn learn_engine_ages(&self, ages: Vec<EngineAge>) {
+        let now = process_time_millis();
+        let mut start_times = self.start_times.borrow_mut();
+        let mut core = self.core.borrow_mut();
+        for age in ages {
+            if let Some((engine, latest)) = start_times.learn(now, age) {
+                core.learn_engine_start(engine, latest);
+            }
+        }
+    }
+
     /// The engine with numbers in place of names; names that are not configured have none.
     fn engine_entry(&self, engine: &Engine, started: Option<Millis>) -> EngineEntry {
         let number = |names: &[String], name: &Option<String>| {
--- a/src/dispatch/gossip_driver.rs
+++ b/src/dispatch/gossip_driver.rs
@@ -1,10 +1,11 @@
 //! Gossip between the dispatchers of a tier, over UDP: datagrams may be late or lost. Their content is
 //! [`crate::gossip`]'s.
 
+use crate::clock::process_time_millis;
 use crate::config::GossipSettings;
 use crate::dispatch::request_router::RequestRouter;
 use crate::dispatch::upstream::Upstream;
-use crate::gossip::MAX_MESSAGE_BYTES;
+use crate::gossip::{AgeMessage, MAX_MESSAGE_BYTES};
 use crate::log_line;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -12,6 +13,9 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
+/// The least time between two questions about the ages of engines.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The pause after a failure of the socket: another process of this dispatcher may still hold the address.
 const SOCKET_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -32,7 +36,10 @@
         own: peers.listen,
         listed: peers.members.iter().copied().collect(),
     };
-    receive(&router, &socket, &sources).await;
+    tokio::join!(
+        receive(&router, &socket, &sources),
+        ask_for_ages(&router, &socket, &sources),
+    );
 }
 
 /// The addresses that the configuration lists for the dispatchers of the tier.
@@ -42,6 +49,16 @@
     listed: HashSet<SocketAddr>,
 }
 
+impl Sources {
+    /// The listed addresses of the other dispatchers.
+    fn others(&self) -> Vec<SocketAddr> {
+        let listed = self.listed.iter().copied();
+        let mut others: Vec<SocketAddr> = listed.filter(|address| *address != self.own).collect();
+        others.sort_unstable();
+        others
+    }
+}
+
 /// Binds the address, as soon as it is free. Only the first failure is logged.
 async fn bind(address: SocketAddr) -> UdpSocket {
     let mut is_logged = false;
@@ -77,13 +94,54 @@
                 router.record_unlisted_peer(sender, &buffer[..size]);
                 log_line!("peer {sender}: not listed, its message is ignored");
             }
-            Ok((size, sender)) => match router.receive_gossip(&buffer[..size]) {
-                Ok(()) if sender == sources.own => {}
-                Ok(()) => router.record_listed_peer(sender),
-                Err(error) => log_line!("peer {sender}: {error}; its message is ignored"),
-            },
+            Ok((size, sender)) => {
+                let message = &buffer[..size];
+                match AgeMessage::decode(message) {
+                    Some(AgeMessage::Question(starts)) => {
+                        if let Some(answer) = router.answer_age_question(&starts) {
+                            let _ = socket.try_send_to(&answer, sender);
+                        }
+                    }
+                    Some(AgeMessage::Answer(ages)) => router.learn_engine_ages(ages),
+                    None => receive_report(&router, sources, sender, message),
+                }
+            }
             // The error of an earlier datagram that could not be delivered.
             Err(_) => tokio::time::sleep(SOCKET_RETRY_DELAY).await,
         }
     }
 }
+
+/// A listed peer's load report.
+fn receive_report<U: Upstream>(
+    router: &Rc<RequestRouter<U>>,
+    sources: &Sources,
+    sender: SocketAddr,
+    message: &[u8],
+) {
+    match router.receive_gossip(message) {
+        Ok(()) if sender == sources.own => {}
+        Ok(()) => router.record_listed_peer(sender),
+        Err(error) => log_line!("peer {sender}: {error}; its message is ignored"),
+    }
+}
+
+/// Asks peers for the ages of engines, a random peer each time, until the router is dropped.
+async fn ask_for_ages<U: Upstream>(
+    router: &Weak<RequestRouter<U>>,
+    socket: &UdpSocket,
+    sources: &Sources,
+) {
+    let others: Vec<SocketAddr> = sources.others();
+    if others.is_empty() {
+        return;
+    }
+    let mut random = oorandom::Rand64::new(process_time_millis().to_bits().into());
+    while let Some(question) = router.upgrade().map(|router| router.age_question()) {
+        if let Some(question) = question {
+            let peer = random.rand_range(0..others.len() as u64) as usize;
+            let _ = socket.try_send_to(&question, others[peer]);
+        }
+        tokio::time::sleep(QUESTION_INTERVAL).await;
+    }
+}
--- a/src/dispatch/start_times.rs
+++ b/src/dispatch/start_times.rs
@@ -3,15 +3,21 @@
 //! Discovery tells an engine's start as a Unix time of another machine. Neither that clock nor this machine's is known to be
 //! right: both may be stepped, before this process began or since. An engine that is taken for older than it is gets more
 //! than it bears, so its age is what two wrong clocks leave certain: it counts as started when its start was first heard of,
-//! unless the start is longer ago than any clock error.
+//! unless the start is longer ago than any clock error, or a peer has known of it for longer. Peers are asked a few times
+//! for each start: their ages are spans of real time.
 
 use crate::decision::model::{EngineState, ListUpdate, Millis};
+use crate::gossip::{EngineAge, MAX_STARTS, StartId};
 use crate::membership::Change;
 use std::collections::{HashMap, HashSet};
 
 /// The wall clocks of two machines differ by at most this: each may be off by an hour.
 const MAX_CLOCK_ERROR_MS: Millis = 7_200_000.0;
 
+/// Times after which peers are asked for the age of a start, each after the one before, in ms: the first may have been
+/// asked when it did not know the start either.
+const QUESTION_DELAYS_MS: [Millis; 3] = [0.0, 500.0, 2000.0];
+
 /// The time on both clocks of this process.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Now {
@@ -35,21 +41,45 @@
 struct Start {
     /// As discovery tells it: it identifies the start.
     told: Millis,
+    id: StartId,
     time: StartTime,
+    /// Questions to peers that have been asked.
+    questions: usize,
+    /// When the next one is due, if there is one.
+    next_question_at: Millis,
+}
+
+impl Start {
+    fn has_questions_left(&self) -> bool {
+        self.questions < QUESTION_DELAYS_MS.len()
+    }
+
+    fn is_question_due(&self, now: Millis) -> bool {
+        self.has_questions_left() && now >= self.next_question_at
+    }
+
+    fn record_question(&mut self, now: Millis) {
+        self.questions += 1;
+        let delay = QUESTION_DELAYS_MS.get(self.questions);
+        self.next_question_at = now + delay.copied().unwrap_or(f64::INFINITY);
+    }
 }
 
 /// The starts of all listed engines.
 #[derive(Debug, Default)]
 pub(super) struct StartTimes {
     by_engine: HashMap<String, Start>,
+    /// The engines by the starts that are meant among peers.
+    engines: HashMap<StartId, String>,
+    /// Some start may have a question left.
+    has_questions: bool,
 }
 
 impl StartTimes {
     /// When this start was, on the clock of the process. The same start keeps its time.
     pub(super) fn locate(&mut self, now: Now, engine: &str, told: Millis) -> StartTime {
-        if let Some(start) = self.by_engine.get(engine)
-            && start.told == told
-        {
+        let known = self.by_engine.get(engine);
+        if let Some(start) = known.filter(|start| start.told == told) {
             return start.time;
         }
         let apparent_age = now.wall_clock_ms - told;
@@ -57,20 +87,80 @@
             estimate: now.process_ms - apparent_age.max(0.0),
             latest: now.process_ms - (apparent_age - MAX_CLOCK_ERROR_MS).max(0.0),
         };
-        self.by_engine
-            .insert(engine.to_string(), Start { told, time });
+        self.insert(
+            engine,
+            Start {
+                told,
+                id: StartId::new(engine, told),
+                time,
+                questions: 0,
+                next_question_at: now.process_ms + QUESTION_DELAYS_MS[0],
+            },
+        );
         time
     }
 
+    fn insert(&mut self, engine: &str, start: Start) {
+        if let Some(replaced) = self.by_engine.insert(engine.to_string(), start) {
+            self.engines.remove(&replaced.id);
+        }
+        self.engines.insert(start.id, engine.to_string());
+        self.has_questions = true;
+    }
+
+    /// Starts that a peer is to be asked about now, one message's worth.
+    pub(super) fn take_questions(&mut self, now: Millis) -> Vec<StartId> {
+        if !self.has_questions {
+            return vec![];
+        }
+        let starts = self.by_engine.values_mut();
+        let due = starts.filter(|start| start.is_question_due(now));
+        let mut asked = vec![];
+        for start in due.take(MAX_STARTS) {
+            start.record_question(now);
+            asked.push(start.id);
+        }
+        self.has_questions = self.by_engine.values().any(Start::has_questions_left);
+        asked
+    }
+
+    /// How old these are at least, as far as they are known here.
+    pub(super) fn ages(&self, now: Millis, asked: &[StartId]) -> Vec<EngineAge> {
+        let known = asked.iter().filter_map(|id| {
+            let start = self.by_engine.get(self.engines.get(id)?)?;
+            Some(EngineAge {
+                start: *id,
+                at_least: now - start.time.latest,
+            })
+        });
+        known.collect()
+    }
+
+    /// Takes over a peer's word that an engine is older than is known here: the engine, and the latest time of its start.
+    pub(super) fn learn(&mut self, now: Millis, age: EngineAge) -> Option<(&str, Millis)> {
+        let engine = self.engines.get(&age.start)?;
+        let start = self.by_engine.get_mut(engine)?;
+        let latest = now - age.at_least;
+        if latest >= start.time.latest {
+            return None;
+        }
+        start.time.latest = latest;
+        Some((engine, latest))
+    }
+
     /// Forgets the engines that a change removes.
     pub(super) fn forget_removed(&mut self, change: &Change) {
         if change.update != ListUpdate::Patch {
             let listed: HashSet<&str> = change.engines.iter().map(|e| e.id.as_str()).collect();
             self.by_engine.retain(|id, _| listed.contains(id.as_str()));
+            self.engines
+                .retain(|_, engine| listed.contains(engine.as_str()));
         }
         for engine in &change.engines {
-            if engine.state == EngineState::Gone {
-                self.by_engine.remove(&engine.id);
+            if engine.state == EngineState::Gone
+                && let Some(start) = self.by_engine.remove(&engine.id)
+            {
+                self.engines.remove(&start.id);
             }
         }
     }
--- a/src/dispatch/start_times/tests.rs
+++ b/src/dispatch/start_times/tests.rs
@@ -1,7 +1,8 @@
 //! Starts of engines under clocks that are right, wrong and stepped.
 
-use super::{MAX_CLOCK_ERROR_MS, Now, StartTimes};
+use super::{MAX_CLOCK_ERROR_MS, Now, QUESTION_DELAYS_MS, StartTimes};
 use crate::decision::model::{EngineState, ListUpdate};
+use crate::gossip::{EngineAge, MAX_STARTS, StartId};
 use crate::membership::{Change, Engine};
 
 const HOUR_MS: f64 = 3_600_000.0;
@@ -86,3 +87,69 @@
     });
     assert_eq!(starts.by_engine.len(), 1);
 }
+
+/// A dispatcher that has just started takes every engine for cold that started lately. A peer that heard of the start
+/// knows better, whatever the wall clocks say.
+#[test]
+fn a_peer_that_has_known_a_start_for_longer_makes_the_engine_older() {
+    const HEARD: f64 = 1e12;
+    for error in [-HOUR_MS, 0.0, HOUR_MS] {
+        let mut peer = StartTimes::default();
+        peer.locate(at(HEARD, -error), "e", HEARD);
+        let mut starts = StartTimes::default();
+        let began = HEARD + 20_000.0;
+        assert_eq!(starts.locate(at(began, error), "e", HEARD).latest, began);
+        let asked = starts.take_questions(began);
+        let ages = peer.ages(began + 3.0, &asked);
+        assert_eq!(ages.len(), 1);
+        let learned = starts.learn(began + 6.0, ages[0]);
+        assert_eq!(learned, Some(("e", HEARD + 3.0)));
+        let again = starts.locate(at(began + 1000.0, error), "e", HEARD);
+        assert_eq!(again.latest, HEARD + 3.0, "the same start keeps its time");
+    }
+}
+
+#[test]
+fn a_peer_that_knows_less_or_another_start_changes_nothing() {
+    let mut starts = StartTimes::default();
+    let latest = starts.locate(at(1e12, 0.0), "e", 9e11).latest;
+    let age = |start, at_least| EngineAge { start, at_least };
+    let known = StartId::new("e", 9e11);
+    assert_eq!(starts.learn(1e12 + 500.0, age(known, 400.0)), None);
+    let earlier_start = StartId::new("e", 8e11);
+    assert_eq!(starts.learn(1e12 + 500.0, age(earlier_start, 1e9)), None);
+    assert_eq!(starts.locate(at(1e12, 0.0), "e", 9e11).latest, latest);
+    assert_eq!(starts.ages(1e12, &[earlier_start]), []);
+}
+
+/// After a restart that the peer has not heard of, its age is that of the process before.
+#[test]
+fn a_restart_voids_what_was_learned_of_the_start_before() {
+    let mut starts = StartTimes::default();
+    starts.locate(at(1e12, 0.0), "e", 9e11);
+    let restarted = at(1e12 + 5000.0, 0.0);
+    starts.locate(restarted, "e", 1e12 + 4000.0);
+    let old = EngineAge {
+        start: StartId::new("e", 9e11),
+        at_least: 1e9,
+    };
+    assert_eq!(starts.learn(1e12 + 5100.0, old), None);
+}
+
+#[test]
+fn each_start_is_asked_about_a_few_times_a_message_at_a_time() {
+    let mut starts = StartTimes::default();
+    let count = MAX_STARTS + 5;
+    for engine in 0..count {
+        starts.locate(at(1e12, 0.0), &format!("e{engine}"), 1e12);
+    }
+    assert_eq!(starts.take_questions(1e12).len(), MAX_STARTS);
+    assert_eq!(starts.take_questions(1e12).len(), 5);
+    assert_eq!(starts.take_questions(1e12).len(), 0);
+    let mut asked = count;
+    for step in 1..1000 {
+        asked += starts.take_questions(1e12 + f64::from(step) * 100.0).len();
+    }
+    assert_eq!(asked, count * QUESTION_DELAYS_MS.len());
+    assert!(!starts.has_questions);
+}
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -15,21 +15,16 @@
 //! | 64 to 103 | 1 to 40, by 1: counts |
 //! | 104 to 127 | each a tenth more than the one before, from 44 to 394 |
 
+use super::seven_bit::{self, HASH_BYTES, decode_number, encode_number};
+
 /// The longest message of the protocol, in bytes; the peers' messages are charged by it.
 pub const MAX_MESSAGE_BYTES: usize = 256;
 /// The kind of a load report.
 const LOAD_REPORT_KIND: u8 = b'r';
 /// The kind and the engine's hash, in bytes.
-const HEADER_BYTES: usize = 4;
+const HEADER_BYTES: usize = 1 + HASH_BYTES;
 /// Values that a message can hold.
 const MAX_REPORT_FIELDS: usize = 16;
-/// Payload bits of a byte, and their mask.
-const BITS_PER_BYTE: u32 = 7;
-const BYTE_MASK: u32 = 0x7f;
-/// Bits of an engine's hash, and their mask.
-const HASH_BITS: u32 = 3 * BITS_PER_BYTE;
-const HASH_MASK: u32 = (1 << HASH_BITS) - 1;
-
 /// The highest step of the linear scale of shares, its value and the distance of two steps.
 const LAST_SHARE_STEP: f64 = 63.0;
 const MAX_SHARE: f64 = 1.26;
@@ -69,14 +64,9 @@
     ByteOutOfRange,
 }
 
-/// 21 bits that stand for an engine's name: 32-bit FNV-1a, folded.
+/// 21 bits that stand for an engine's name.
 pub(crate) fn engine_hash(engine: &str) -> u32 {
-    const FNV_OFFSET_BASIS: u32 = 0x811c_9dc5;
-    const FNV_PRIME: u32 = 0x0100_0193;
-    let hash = engine.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
-    });
-    (hash ^ hash >> HASH_BITS) & HASH_MASK
+    seven_bit::hash(engine.bytes())
 }
 
 /// The message; none if the report has other than `report_fields` values, or one that no engine has.
@@ -85,9 +75,7 @@
         return None;
     }
     let mut message = vec![LOAD_REPORT_KIND];
-    for shift in [2 * BITS_PER_BYTE, BITS_PER_BYTE, 0] {
-        message.push((engine_hash >> shift & BYTE_MASK) as u8);
-    }
+    message.extend(encode_number::<HASH_BYTES>(engine_hash));
     for value in report {
         message.push(encode_value(*value)?);
     }
@@ -115,9 +103,7 @@
     if !message.is_ascii() {
         return Err(DecodeError::ByteOutOfRange);
     }
-    let engine_hash = message[1..HEADER_BYTES]
-        .iter()
-        .fold(0, |hash, byte| hash << BITS_PER_BYTE | u32::from(*byte));
+    let engine_hash = decode_number(&message[1..HEADER_BYTES]);
     let report = message[HEADER_BYTES..]
         .iter()
         .map(|step| decode_value(*step))
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -6,11 +6,14 @@
 //! dispatcher or by another, so that the whole tier sends no more than a few messages a second for each engine, however
 //! many dispatchers there are. Messages are paid from a credit that each request adds a little to.
 
+mod engine_ages;
 mod fleet_census;
 mod message;
+mod seven_bit;
 #[cfg(test)]
 mod tests;
 
+pub use engine_ages::{AgeMessage, EngineAge, MAX_STARTS, StartId};
 pub use fleet_census::FleetCensus;
 pub use message::{DecodeError, LoadReportMessage, MAX_MESSAGE_BYTES};
 
@@ -22,6 +25,8 @@
 const MIN_BROADCAST_INTERVAL_MS: Millis = 300.0;
 /// Points of a request's value, in 100, that messages may cost for each admitted request.
 const CREDIT_PER_REQUEST: f64 = 0.2;
+/// Points that may be owed for messages to single peers.
+const MAX_DEBT: f64 = 10.0;
 /// Requests whose credit may be saved up.
 const MAX_SAVED_REQUESTS: f64 = 50.0;
 
@@ -145,6 +150,16 @@
         Ok(Some(PeerReport { engine, report }))
     }
 
+    /// Pays for a message of this length to one peer, if there is credit for it: a dispatcher without traffic has some too.
+    pub fn pay_for_one_peer(&mut self, message_bytes: usize) -> bool {
+        let cost = self.cost_for_one_peer(message_bytes);
+        let is_affordable = cost <= self.credit + MAX_DEBT;
+        if is_affordable {
+            self.credit -= cost;
+        }
+        is_affordable
+    }
+
     /// Whether a dispatcher of these settings may have sent this.
     pub fn is_readable(&self, message: &[u8]) -> bool {
         message::decode(message, self.budget.report_fields).is_ok()
@@ -167,6 +182,10 @@
     /// Points that the message costs at all peers.
     fn cost(&self, message: &[u8]) -> f64 {
         let peers = f64::from(self.budget.dispatchers - 1);
-        self.budget.message_price * message.len() as f64 / MAX_MESSAGE_BYTES as f64 * peers
+        self.cost_for_one_peer(message.len()) * peers
+    }
+
+    fn cost_for_one_peer(&self, message_bytes: usize) -> f64 {
+        self.budget.message_price * message_bytes as f64 / MAX_MESSAGE_BYTES as f64
     }
 }
