Answer a MySQL command that ends its session, and count sessions closed unanswered

Callers saw: a command that breaks off, or a statement behind which over 64 KB were sent early, ended the session without a word, so that nobody could tell whether the statement had run.

Cause: an error of a packet's content was handled as a failure of the connection, and a connection that has failed is just closed.

Change: such an error is answered with 1835 before the session ends, unless the connection itself has failed. A session dropped while it owes an answer, with nothing left unwritten, counts closed_unanswered and logs it; at the process's end each frontend tells what else is uncounted. Why it holds: every way out of a command passes this one place or the drop.

Elsewhere: the platform's frontend answers unreadable frames already; logins are no commands.

--- a/src/frontend/frames/mod.rs
+++ b/src/frontend/frames/mod.rs
@@ -124,6 +124,11 @@
         self.connections.get()
     }
 
+    /// Requests that are read and unanswered.
+    pub fn unanswered_requests(&self) -> usize {
+        self.router.unanswered_requests()
+    }
+
     /// A connection that ends may stay until its client has taken what was written: while clients hold no more than half of
     /// the descriptors.
     fn may_linger(&self) -> bool {
--- a/src/frontend/mysql/session.rs
+++ b/src/frontend/mysql/session.rs
@@ -5,6 +5,7 @@
 use super::prepared_statements::StatementRegistry;
 use super::sticky::StickyHold;
 use super::{BusyGuard, Frontend, SessionEntry, StatementUpstream};
+use crate::core::Violation;
 use crate::protocol::mysql::error::{SqlError, code};
 use crate::protocol::mysql::packet::{COM_QUIT, PacketError, ResultFormat};
 use crate::protocol::mysql::session::SessionState;
@@ -52,11 +53,19 @@
     /// The engine connection that a sticky session holds.
     pub(super) sticky: Option<StickyHold<'a, U>>,
     pub(super) statements: StatementRegistry,
+    /// A command has been read and its answer is not complete.
+    owes_answer: bool,
 }
 
 impl<U: StatementUpstream> Drop for Session<'_, U> {
     fn drop(&mut self) {
         self.frontend.sessions.borrow_mut().remove(&self.number);
+        // A client that does not take what is written for it is not waiting for the dispatcher.
+        if self.owes_answer && self.wire.is_flushed() {
+            self.frontend
+                .router
+                .record_violation(Violation::ClosedUnanswered);
+        }
     }
 }
 
@@ -81,6 +90,7 @@
             last_error: None,
             sticky: None,
             statements: StatementRegistry::default(),
+            owes_answer: false,
         };
         session.register();
         session
@@ -141,8 +151,24 @@
 
     async fn answer(&mut self, command: Bytes) -> Result<(), SessionEnd> {
         let _busy = BusyGuard::new(&self.frontend.busy);
+        self.owes_answer = true;
         self.downstream.begin_command();
-        self.run_command(command).await
+        let mut end = self.run_command(command).await;
+        if let Err(SessionEnd::Broken(error)) = end {
+            end = self.reject_broken(error).await;
+        }
+        // The client has its answer, or has gone.
+        self.owes_answer = false;
+        end
+    }
+
+    /// Ends a session that cannot go on in the middle of a command. The command has been read, so its client is told,
+    /// unless its connection has failed.
+    async fn reject_broken(&mut self, error: PacketError) -> Result<(), SessionEnd> {
+        if !matches!(error, PacketError::Io(_) | PacketError::ClientDisconnected) {
+            reject(&mut self.wire, code::ER_MALFORMED_PACKET, error.to_string()).await?;
+        }
+        Err(error.into())
     }
 
     /// Ends a session whose client sent something that is no command.
--- a/src/server/graceful_shutdown.rs
+++ b/src/server/graceful_shutdown.rs
@@ -67,6 +67,8 @@
     fn close_when_idle(&self);
     /// Connections that may still be owed something.
     fn unfinished(&self) -> usize;
+    /// Requests that are read and unanswered, other than those that connections count themselves when they end.
+    fn uncounted_requests(&self) -> usize;
 }
 
 impl<U: Upstream<Work = Work, Output = Buffer>> Drain for frames::Frontend<U> {
@@ -81,6 +83,10 @@
     fn unfinished(&self) -> usize {
         self.connection_count()
     }
+
+    fn uncounted_requests(&self) -> usize {
+        self.unanswered_requests()
+    }
 }
 
 impl<U: Upstream<Work = MysqlWork, Output = Output>> Drain for mysql::Frontend<U> {
@@ -94,6 +100,11 @@
     fn unfinished(&self) -> usize {
         self.busy()
     }
+
+    /// Each session counts its own.
+    fn uncounted_requests(&self) -> usize {
+        0
+    }
 }
 
 /// Waits for SIGTERM and shuts down. With a listening socket that another process holds as well no more clients are
@@ -130,7 +141,7 @@
     {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    for _ in 0..router.unanswered_requests() {
+    for _ in 0..frontend.uncounted_requests() {
         router.record_violation(Violation::ClosedUnanswered);
     }
     log_line!("stopped after {} ms", began.elapsed().as_millis());
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -656,3 +656,71 @@
         assert_eq!(parse_err_packet(&packet(&mut queued).await).code, 1053);
     });
 }
+
+/// What happened: a command that breaks off, or more sent early than is read ahead, ended its session without a word; the
+/// client could not tell whether its statement had run. Why: such faults were taken for failures of the connection.
+#[test]
+fn a_command_that_ends_its_session_is_answered_first() {
+    on_one_thread(async {
+        let (router, client, _, mut seen) = set_up().await;
+        let mut w = log_in(client.address, "ann", "secret").await.unwrap();
+        command(&mut w, COM_CHANGE_USER, &[b"ann\0\x14only a part"]).await;
+        let told = tokio::time::timeout(Duration::from_secs(2), w.next()).await;
+        let told = told.unwrap().expect("an answer before the end").unwrap();
+        assert_eq!(parse_err_packet(&told).code, 1835, "it breaks off");
+        assert!(w.next().await.is_none(), "and the session ends");
+
+        let mut w = log_in(client.address, "ann", "secret").await.unwrap();
+        command(&mut w, COM_QUERY, &[b"select n from sales_17.orders"]).await;
+        let held = seen.recv().await.unwrap();
+        for _ in 0..30 {
+            let early = [
+                b"select n from sales_17.orders /* ",
+                &[b'x'; 4000][..],
+                b"*/",
+            ];
+            command(&mut w, COM_QUERY, &early).await;
+        }
+        w.codec_mut().sequence = 1;
+        let told = tokio::time::timeout(Duration::from_secs(2), w.next()).await;
+        let told = told.unwrap().expect("an answer before the end").unwrap();
+        assert_eq!(parse_err_packet(&told).code, 1835, "too much sent early");
+        assert_eq!(router.unanswered_requests(), 0, "the statement is given up");
+        drop(held);
+        let counts = router.invariants();
+        assert!(
+            counts.contains("violations.closed_unanswered=0"),
+            "{counts}"
+        );
+    });
+}
+
+/// The process ends with a statement at an engine: the connection that closes over it is counted and told in the log.
+#[test]
+fn a_session_that_ends_with_a_command_unanswered_is_counted() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let local = tokio::task::LocalSet::new();
+    let (router, w, held) = local.block_on(&runtime, async {
+        let (router, client, _, mut seen) = set_up().await;
+        let mut w = log_in(client.address, "ann", "secret").await.unwrap();
+        command(&mut w, COM_QUERY, &[b"select n from sales_17.orders"]).await;
+        let held = seen.recv().await.unwrap();
+        (router, w, held)
+    });
+    let counted = |router: &RequestRouter<MysqlUpstream>| {
+        let text = router.invariants();
+        text.lines()
+            .find_map(|line| line.strip_prefix("violations.closed_unanswered="))
+            .map(ToString::to_string)
+    };
+    assert_eq!(counted(&router), Some("0".into()));
+    {
+        let _runtime = runtime.enter();
+        drop(local);
+    }
+    assert_eq!(counted(&router), Some("1".into()));
+    drop((w, held));
+}
