Keep what follows from the engine list up to date by the engine that changes

Seen: one list event with 256 requests open cost 44 us before 1,000 engines and 1.8 ms before 16,000, most of it in the query after it; a whole list of 16,000 took 82 ms on the one thread. A release of such a fleet is thousands of events.

Cause: engines in service, zones, thread budget, own order and median ranks were computed once a list, so each event made them void and the next decision paid for all; a new engine walked all others for a free index, which made a whole list cost the square of its length; the engines of all open requests were collected for every event.

Change: the figures follow the one engine that changes, free indices are kept, the open requests' engines are collected when asked for. A median rank stays until 1/128 of the engines have changed. Why it holds: nothing left on the way of an event walks the list, and below 128 engines all is exact; 8,000 random changes equal a walk over all engines.

--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -16,6 +16,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use testbed::fakes::registry::{Instance, Node, Rules};
+use testbed::measurements::list_events::list_events;
 use testbed::measurements::membership::{self, Subject};
 use testbed::measurements::sessions;
 use testbed::measurements::spool::{self, Spooling};
@@ -217,6 +218,15 @@
         #[arg(long, default_value_t = 10_000)]
         statements: usize,
     },
+    /// What a change of one engine costs the decision module, and the query after it.
+    ListEvents {
+        #[arg(long, default_value_t = 16_000)]
+        engines: usize,
+        #[arg(long, default_value_t = 256)]
+        open: u64,
+        #[arg(long, default_value_t = 400)]
+        events: usize,
+    },
     /// A start with every registry away.
     Start {
         #[command(flatten)]
@@ -357,6 +367,11 @@
                 Measure::Sessions { which, statements } => {
                     sessions::sessions(&which.subject(), statements).await?
                 }
+                Measure::ListEvents {
+                    engines,
+                    open,
+                    events,
+                } => list_events(engines, open, events)?,
                 Measure::Start { which } => membership::start_alone(&which.subject()).await?,
             };
             println!("{line}");
--- a/crates/testbed/src/measurements/mod.rs
+++ b/crates/testbed/src/measurements/mod.rs
@@ -1,5 +1,6 @@
-//! Measurements of a dispatcher's program: membership, spooled results and sessions.
+//! Measurements of a dispatcher's program: membership, spooled results and sessions; and of its decision module.
 
+pub mod list_events;
 pub mod membership;
 pub mod sessions;
 pub mod spool;
--- a/src/decision/model/endpoint_list.rs
+++ b/src/decision/model/endpoint_list.rs
@@ -1,6 +1,7 @@
 //! The engines that are known, by index and by name, as the engine list gives them.
 
 use super::endpoint::Engine;
+use super::endpoint_summary::{EndpointSummary, OwnOrder};
 use super::in_flight_attempt::InFlightAttempt;
 use super::request::Probes;
 use super::{EngineEntry, EngineState, ListUpdate, Millis, QueryId, Settings};
@@ -14,9 +15,20 @@
 /// Position of an engine in the [`EndpointList`]: it stays while a request refers to it.
 pub(crate) type EngineIndex = usize;
 
-/// Medians that are remembered for one engine list.
+/// Medians that are remembered.
 const MAX_CACHED_MEDIANS: usize = 256;
 
+/// Changed engines, as a part of those in service, from which a median is computed anew. Half of this
+/// part at most is in the wrong half; below so many engines every change counts.
+const MEDIAN_STALENESS_DIVISOR: usize = 128;
+
+/// A median rank, and the number of changes to the list when it was computed.
+#[derive(Clone, Copy, Debug)]
+struct CachedMedian {
+    rank: u64,
+    computed_at: usize,
+}
+
 /// The engines that are known.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointList {
@@ -25,46 +37,18 @@
     last_response: Option<Millis>,
     /// Engines with an attempt in flight.
     busy: BTreeSet<EngineIndex>,
-    /// What follows from the engine list alone, once it was asked for.
-    summary: OnceCell<ListSummary>,
+    /// Engines that are gone, whose index may be used again.
+    gone: BTreeSet<EngineIndex>,
+    /// Engines that changes have named so far.
+    changes: usize,
+    /// What follows from all engines together, once it was asked for.
+    summary: OnceCell<EndpointSummary>,
     /// Median ranks by salt, as far as they were asked for.
-    medians: RefCell<BTreeMap<u64, u64>>,
+    medians: RefCell<BTreeMap<u64, CachedMedian>>,
     /// Engines that have responded.
     responsive: BTreeSet<EngineIndex>,
     /// The engines in service in the dispatcher's own order, once it was asked for.
-    own_order: OnceCell<Vec<EngineIndex>>,
-}
-
-/// What follows from the engine list alone: computed once for each list, for decisions ask for it all the time.
-#[derive(Debug)]
-struct ListSummary {
-    ready: Vec<EngineIndex>,
-    ready_zones: BTreeSet<Option<usize>>,
-    zone_count: usize,
-    thread_budget: f64,
-    /// No engine in service has started later.
-    latest_start: Millis,
-}
-
-impl ListSummary {
-    fn new(engines: &[Engine]) -> Self {
-        let is_ready = |&index: &EngineIndex| engines[index].is_ready();
-        let ready: Vec<EngineIndex> = (0..engines.len()).filter(is_ready).collect();
-        let zones: BTreeSet<_> = engines.iter().map(|engine| engine.zone).collect();
-        ListSummary {
-            latest_start: ready
-                .iter()
-                .filter_map(|&index| engines[index].started)
-                .fold(f64::MIN, f64::max),
-            ready_zones: ready.iter().map(|&index| engines[index].zone).collect(),
-            zone_count: zones.len(),
-            thread_budget: ready
-                .iter()
-                .map(|&index| engines[index].thread_budget)
-                .sum(),
-            ready,
-        }
-    }
+    own_order: OnceCell<OwnOrder>,
 }
 
 impl EndpointList {
@@ -79,14 +63,10 @@
         settings: &Settings,
         is_referenced: impl Fn(EngineIndex) -> bool,
     ) {
-        self.summary.take();
-        self.own_order.take();
-        self.medians.get_mut().clear();
         if update != ListUpdate::Patch {
-            for engine in &mut self.engines {
-                engine.state = EngineState::Gone;
-            }
+            self.forget_all();
         }
+        self.changes += entries.len();
         // Known ones first: an index is reused only if its engine is not in this list.
         let is_known = |entry: &EngineEntry| self.by_name.contains_key(&entry.engine);
         let (known, new): (Vec<_>, Vec<_>) = entries.into_iter().partition(is_known);
@@ -98,7 +78,19 @@
         }
     }
 
+    /// Every engine is gone until it is listed again.
+    fn forget_all(&mut self) {
+        self.summary.take();
+        self.own_order.take();
+        self.medians.get_mut().clear();
+        self.gone = self.indices().collect();
+        for engine in &mut self.engines {
+            engine.state = EngineState::Gone;
+        }
+    }
+
     fn update(&mut self, index: EngineIndex, entry: &EngineEntry, settings: &Settings) {
+        self.exclude(index);
         let engine = &mut self.engines[index];
         if entry.started.is_some() && entry.started != engine.started {
             engine.restart(entry, settings);
@@ -106,6 +98,7 @@
         } else {
             engine.update(entry, settings);
         }
+        self.include(index);
     }
 
     fn insert(
@@ -115,18 +108,46 @@
         is_referenced: &impl Fn(EngineIndex) -> bool,
     ) {
         let engine = Engine::new(entry, settings);
-        let is_unused = |&index: &EngineIndex| {
-            self.engines[index].state == EngineState::Gone && !is_referenced(index)
-        };
-        let index = self.indices().find(is_unused).unwrap_or(self.engines.len());
+        let mut gone = self.gone.iter().copied();
+        let index = gone.find(|&index| !is_referenced(index));
+        let index = index.unwrap_or(self.engines.len());
         self.by_name.insert(entry.engine.clone(), index);
         if index == self.engines.len() {
             self.engines.push(engine);
         } else {
+            self.exclude(index);
             let replaced = std::mem::replace(&mut self.engines[index], engine);
             self.responsive.remove(&index);
             self.by_name.remove(&replaced.name);
         }
+        self.include(index);
+    }
+
+    /// Takes an engine out of what is known of all together, before it changes.
+    fn exclude(&mut self, index: EngineIndex) {
+        if let Some(summary) = self.summary.get_mut() {
+            summary.remove(index, &self.engines[index]);
+        }
+        if let Some(own_order) = self.own_order.get_mut() {
+            own_order.remove(index, &self.engines);
+        }
+        self.gone.remove(&index);
+    }
+
+    /// Counts an engine that has changed.
+    fn include(&mut self, index: EngineIndex) {
+        let engine = &self.engines[index];
+        if let Some(summary) = self.summary.get_mut() {
+            summary.add(index, engine);
+        }
+        if let Some(own_order) = self.own_order.get_mut()
+            && engine.is_ready()
+        {
+            own_order.add(index, &self.engines);
+        }
+        if engine.state == EngineState::Gone {
+            self.gone.insert(index);
+        }
     }
 
     /// The engine of this id.
@@ -150,13 +171,14 @@
         self.engines.iter_mut()
     }
 
-    fn summary(&self) -> &ListSummary {
-        self.summary.get_or_init(|| ListSummary::new(&self.engines))
+    fn summary(&self) -> &EndpointSummary {
+        self.summary
+            .get_or_init(|| EndpointSummary::new(&self.engines))
     }
 
     /// The indices of the engines in service, in order.
     pub(crate) fn ready_indices(&self) -> &[EngineIndex] {
-        &self.summary().ready
+        self.summary().ready()
     }
 
     /// The engines in service.
@@ -175,20 +197,16 @@
         warming_since: Millis,
         max_warming: usize,
     ) -> impl Iterator<Item = EngineIndex> {
-        let own_order = self.own_order.get_or_init(|| {
-            let mut order = self.ready_indices().to_vec();
-            order.sort_by_cached_key(|&index| {
-                let engine = &self.engines[index];
-                (engine.zone != zone, engine.rank(salt))
-            });
-            order
-        });
+        let own_order = self
+            .own_order
+            .get_or_init(|| OwnOrder::new(zone, salt, self.ready_indices(), &self.engines))
+            .as_slice();
         let is_warming = move |index: &EngineIndex| {
             let started = self.engines[*index].started;
             started.is_some_and(|started| started > warming_since)
         };
-        let has_warming = self.summary().latest_start > warming_since;
-        let searched = if has_warming { &own_order[..] } else { &[] };
+        let has_warming = self.summary().latest_start() > warming_since;
+        let searched = if has_warming { own_order } else { &[] };
         let warming = searched.iter().copied().filter(is_warming);
         let is_ready = |index: &EngineIndex| self.engines[*index].is_ready();
         let responsive = self.responsive.iter().copied().filter(is_ready);
@@ -203,22 +221,25 @@
 
     /// The zones in which an engine is in service.
     pub(crate) fn ready_zones(&self) -> impl Iterator<Item = Option<usize>> {
-        self.summary().ready_zones.iter().copied()
+        self.summary().ready_zones()
     }
 
     /// This dispatcher's part of the threads that all engines in service bear.
     pub(crate) fn thread_budget(&self) -> f64 {
-        self.summary().thread_budget
+        self.summary().thread_budget()
     }
 
     /// The median rank of the engines in service: it divides them in halves that all dispatchers
     /// know.
     pub(crate) fn median_rank(&self, salt: u64) -> u64 {
         let mut medians = self.medians.borrow_mut();
-        if let Some(median) = medians.get(&salt) {
-            return *median;
+        let max_changes = self.ready_indices().len() / MEDIAN_STALENESS_DIVISOR;
+        if let Some(median) = medians.get(&salt)
+            && self.changes - median.computed_at <= max_changes
+        {
+            return median.rank;
         }
-        if medians.len() >= MAX_CACHED_MEDIANS {
+        if medians.len() >= MAX_CACHED_MEDIANS && !medians.contains_key(&salt) {
             medians.clear();
         }
         let mut ranks: Vec<u64> = self.ready().map(|engine| engine.rank(salt)).collect();
@@ -227,7 +248,11 @@
             true => 0,
             false => *ranks.select_nth_unstable(middle).1,
         };
-        medians.insert(salt, median);
+        let cached = CachedMedian {
+            rank: median,
+            computed_at: self.changes,
+        };
+        medians.insert(salt, cached);
         median
     }
 
@@ -286,7 +311,7 @@
 
     /// Zones in which an engine is or was listed.
     pub(crate) fn zone_count(&self) -> usize {
-        self.summary().zone_count
+        self.summary().zone_count()
     }
 
     /// Threads that this dispatcher's attempts use at all engines.
--- a/src/decision/model/mod.rs
+++ b/src/decision/model/mod.rs
@@ -13,6 +13,7 @@
 pub(super) mod cost_estimator;
 pub(super) mod endpoint;
 pub(super) mod endpoint_list;
+pub(super) mod endpoint_summary;
 pub(super) mod fleet_size;
 pub(super) mod in_flight_attempt;
 pub(super) mod load_report;
--- a/src/decision/model/state.rs
+++ b/src/decision/model/state.rs
@@ -15,6 +15,7 @@
 use super::token_bucket::TokenBucket;
 use super::utilization::{FULL_UTILIZATION, Utilization};
 use super::{ClassId, EngineEntry, ListUpdate, Millis, Query, QueryId, Settings};
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Seconds of its quota that a tenant may save up.
@@ -98,10 +99,15 @@
 
     /// Applies an update of the engine list.
     pub(crate) fn apply_engine_list(&mut self, update: ListUpdate, entries: Vec<EngineEntry>) {
-        let requests = self.requests.values();
-        let referenced: BTreeSet<EngineIndex> =
-            requests.flat_map(PendingRequest::engines).collect();
-        let is_referenced = |engine| referenced.contains(&engine);
+        let requests = &self.requests;
+        let referenced: OnceCell<BTreeSet<EngineIndex>> = OnceCell::new();
+        let is_referenced = |engine| {
+            let referenced = referenced.get_or_init(|| {
+                let requests = requests.values();
+                requests.flat_map(PendingRequest::engines).collect()
+            });
+            referenced.contains(&engine)
+        };
         self.engines
             .apply(update, entries, &self.settings, is_referenced);
     }
