--- a/crates/testbed/src/clients/mysql.rs
+++ b/crates/testbed/src/clients/mysql.rs
@@ -255,6 +255,24 @@
         self.rows(columns).await
     }
 
+    /// The error that a server sends of its own accord, such as that it shuts down: where an answer was awaited, it is out
+    /// of order.
+    ///
+    /// # Errors
+    /// The connection's.
+    pub async fn notice(&mut self) -> Result<SqlError, PacketError> {
+        self.wire.codec_mut().sequence = 0;
+        // The stream rests once after an error; the packet is still there.
+        if let Some(unexpected) = self.wire.next().await {
+            return unexpected.map(|packet| parse_err_packet(&packet));
+        }
+        let packet = self.next().await?;
+        match packet.first() {
+            Some(0xff) => Ok(parse_err_packet(&packet)),
+            _ => Err(PacketError::OutOfOrder),
+        }
+    }
+
     /// Rows up to their end.
     ///
     /// # Errors
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fakes;
 pub mod fixture;
 pub mod measurements;
+pub mod mysql_soak;
 pub mod platform;
 pub mod program;
 pub mod random;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -20,6 +20,7 @@
 use testbed::measurements::membership::{self, Subject};
 use testbed::measurements::sessions;
 use testbed::measurements::spool::{self, Spooling};
+use testbed::mysql_soak;
 use testbed::platform::soak;
 use tokio::task::LocalSet;
 
@@ -60,6 +61,8 @@
     },
     /// Dispatchers on the platform under random faults that overlap, a line for each seed.
     Soak(Soak),
+    /// The same on the MySQL frontend.
+    MysqlSoak(Soak),
     /// Measures a program's membership; a line of JSON each.
     #[command(subcommand)]
     Measure(Measure),
@@ -88,8 +91,8 @@
 
 impl Soak {
     /// Plays all seeds; fails if one is not clean.
-    fn run(&self) -> Result<(), Error> {
-        let jobs: Vec<_> = (0..self.jobs).map(|job| self.job(job)).collect();
+    fn run(&self, play: PlaySeed) -> Result<(), Error> {
+        let jobs: Vec<_> = (0..self.jobs).map(|job| self.job(job, play)).collect();
         let clean = jobs.into_iter().map(|job| job.join().unwrap_or(false));
         match clean.fold(true, |all, clean| all & clean) {
             true => Ok(()),
@@ -98,7 +101,7 @@
     }
 
     /// Plays every `jobs`-th seed on a thread of its own; true if all were clean.
-    fn job(&self, job: u64) -> std::thread::JoinHandle<bool> {
+    fn job(&self, job: u64, play: PlaySeed) -> std::thread::JoinHandle<bool> {
         let seeds = (self.first + job..self.first + self.seeds).step_by(self.jobs as usize);
         let program = self.program.clone();
         let span = Duration::from_secs(self.seconds);
@@ -106,13 +109,29 @@
         std::thread::spawn(move || {
             let mut all_clean = true;
             for seed in seeds {
-                all_clean &= play_seed(&program, seed, span, logs);
+                all_clean &= play(&program, seed, span, logs);
             }
             all_clean
         })
     }
 }
 
+/// Plays a seed with so long faults, and prints what it came to; true if it was clean.
+type PlaySeed = fn(&std::path::Path, u64, Duration, bool) -> bool;
+
+fn play_mysql_seed(program: &std::path::Path, seed: u64, span: Duration, _: bool) -> bool {
+    match mysql_soak::play(program, seed, span) {
+        Ok(outcome) => {
+            println!("seed {seed}: {}", outcome.summary());
+            outcome.is_clean()
+        }
+        Err(error) => {
+            println!("seed {seed}: {error}");
+            false
+        }
+    }
+}
+
 fn play_seed(program: &std::path::Path, seed: u64, span: Duration, logs: bool) -> bool {
     let scale = soak::Scale::draw(seed, span);
     match soak::play(program, seed, scale) {
@@ -254,8 +273,10 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    if let What::Soak(soak) = &cli.what {
-        return report(soak.run());
+    match &cli.what {
+        What::Soak(soak) => return report(soak.run(play_seed)),
+        What::MysqlSoak(soak) => return report(soak.run(play_mysql_seed)),
+        _ => {}
     }
     let run = || -> Result<(), Error> {
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -279,7 +300,8 @@
 async fn run(what: What) -> Result<(), Error> {
     match what {
         // Has runtimes of its own.
-        What::Soak(soak) => soak.run()?,
+        What::Soak(soak) => soak.run(play_seed)?,
+        What::MysqlSoak(soak) => soak.run(play_mysql_seed)?,
         What::Registry {
             port,
             nodes,
--- a/crates/testbed/src/platform/dispatcher.rs
+++ b/crates/testbed/src/platform/dispatcher.rs
@@ -40,6 +40,19 @@
             false => Err(ProgramError::Unanswered("cc".into())),
         }
     }
+
+    /// The environment of a process under the shim, which reads its faults from this file.
+    pub fn environment(
+        &self,
+        faults: &Path,
+        initial: Faults,
+    ) -> Result<[(&'static str, PathBuf); 2], ProgramError> {
+        std::fs::write(faults, initial.bytes())?;
+        Ok([
+            ("LD_PRELOAD", self.library.clone()),
+            ("SHIM_FAULTS", faults.to_path_buf()),
+        ])
+    }
 }
 
 /// What a shim does to one process. Written to a file that the process maps.
@@ -52,12 +65,24 @@
 }
 
 impl Faults {
+    /// Steps of a wall clock, in milliseconds.
+    pub const CLOCK_STEPS_MS: [i64; 5] = [-3_600_000, -5000, 0, 5000, 3_600_000];
+
     fn bytes(self) -> [u8; 16] {
         let mut bytes = [0; 16];
         bytes[..8].copy_from_slice(&(self.clock_offset_ms * 1_000_000).to_le_bytes());
         bytes[8..12].copy_from_slice(&self.call_failures_per_million.to_le_bytes());
         bytes
     }
+
+    /// Changes what the shim of the process that reads this file does.
+    pub fn write(self, file: &Path) -> std::io::Result<()> {
+        use std::io::{Seek, Write};
+        // In place: the process maps this file.
+        let mut file = std::fs::OpenOptions::new().write(true).open(file)?;
+        file.rewind()?;
+        file.write_all(&self.bytes())
+    }
 }
 
 /// A process of the dispatcher. It is killed when the handle is dropped.
@@ -90,10 +115,7 @@
             .stderr(Stdio::piped())
             .kill_on_drop(true);
         if let Some((shim, initial)) = shim {
-            std::fs::write(&faults, initial.bytes())?;
-            command
-                .env("LD_PRELOAD", &shim.library)
-                .env("SHIM_FAULTS", &faults);
+            command.envs(shim.environment(&faults, initial)?);
         }
         let mut child = command.spawn()?;
         let log: Rc<RefCell<Vec<(Instant, String)>>> = Rc::default();
@@ -157,11 +179,7 @@
 
     /// Changes what its shim does.
     pub fn set_faults(&self, faults: Faults) -> Result<(), ProgramError> {
-        use std::io::{Seek, Write};
-        // In place: the process maps this file.
-        let mut file = std::fs::OpenOptions::new().write(true).open(&self.faults)?;
-        file.rewind()?;
-        Ok(file.write_all(&faults.bytes())?)
+        Ok(faults.write(&self.faults)?)
     }
 
     /// Its process's id, while it lives.
@@ -171,9 +189,7 @@
 
     /// Sends a signal by its name: `TERM`, `HUP`, `KILL`, `STOP`, `CONT`.
     pub async fn signal(&self, name: &str) {
-        if let Some(id) = self.id() {
-            send_signal(id, name).await;
-        }
+        send_signal(self.id(), name).await;
     }
 
     /// Another configuration is in its file, and it is told.
@@ -230,8 +246,11 @@
     }
 }
 
-/// Sends a signal by its name to a process that the caller has started.
-pub async fn send_signal(id: u32, name: &str) {
+/// Sends a signal by its name to a process that the caller has started, if it still has an id.
+pub async fn send_signal(id: Option<u32>, name: &str) {
+    let Some(id) = id else {
+        return;
+    };
     let _ = Command::new("kill")
         .arg(format!("-{name}"))
         .arg(id.to_string())
--- /dev/null
+++ b/crates/testbed/src/platform/soak/engine_faults.rs
@@ -0,0 +1,114 @@
+//! Faults of engines and of the journal.
+
+use super::*;
+
+impl World {
+    /// Engines hang, fail, break off, are full or reset their connections for a while.
+    pub(super) async fn engine_faults(self: Rc<Self>, mut random: Stream) {
+        loop {
+            random.pause(300.0).await;
+            let engine = self.fleet.engines[random.below(self.scale.engines)].clone();
+            let behaviour = match random.below(5) {
+                0 => Behaviour::Hanging,
+                1 => Behaviour::Failing,
+                2 => Behaviour::Truncating,
+                3 => Behaviour::Full,
+                _ => {
+                    engine.reset_connections();
+                    self.count("engine resets");
+                    continue;
+                }
+            };
+            self.count("engine misbehaves");
+            engine.behaviour.set(behaviour);
+            let span = random.between(200.0, 2500.0);
+            spawn_local(async move {
+                tokio::time::sleep(Duration::from_secs_f64(span / 1000.0)).await;
+                engine.behaviour.set(Behaviour::Serving);
+            });
+        }
+    }
+
+    /// Engines drain, crash, vanish from the list and come back cold.
+    pub(super) async fn engine_lifecycles(self: Rc<Self>, mut random: Stream) {
+        loop {
+            random.pause(900.0).await;
+            let engine = self.fleet.engines[random.below(self.scale.engines)].clone();
+            if random.chance(0.5) {
+                self.count("engine drains");
+                self.announce(&engine, Lifecycle::Draining, 0.0);
+                let notice = self.note_drain(&engine);
+                random.pause(2000.0).await;
+                self.restart(&engine).await;
+                self.records.borrow_mut().drains[notice].until = Some(Instant::now());
+            } else {
+                self.count("engine crashes");
+                engine.crash();
+                random.pause(300.0).await;
+                self.restart(&engine).await;
+            }
+        }
+    }
+
+    fn announce(&self, engine: &Rc<Engine>, lifecycle: Lifecycle, started_at_ms: f64) {
+        self.journal
+            .announce(&[instance(engine, lifecycle, started_at_ms)]);
+    }
+
+    fn journal_is_heard(&self) -> bool {
+        let is_settled = |back: Instant| back.elapsed() > RECONNECTED;
+        self.journal.mode() == Mode::Serving && self.journal_back_at.get().is_none_or(is_settled)
+    }
+
+    fn note_drain(&self, engine: &Engine) -> usize {
+        let delay = match self.journal_is_heard() {
+            true => DELIVERY,
+            false => COUNTS_AS_TOLD,
+        };
+        let mut records = self.records.borrow_mut();
+        records.drains.push(DrainNotice {
+            engine: engine.number,
+            told_at: Instant::now() + delay,
+            until: None,
+        });
+        records.drains.len() - 1
+    }
+
+    async fn restart(&self, engine: &Rc<Engine>) {
+        if engine.restart().await.is_err() {
+            self.count("restart failed");
+            return;
+        }
+        self.count("engine starts cold");
+        self.announce(engine, Lifecycle::InService, crate::now());
+        if !self.journal_is_heard() {
+            return;
+        }
+        let started_at = Instant::now();
+        let warm_up = Duration::from_secs_f64(self.settings.warm_up_period / 1000.0);
+        self.records.borrow_mut().slow_starts.push(SlowStart {
+            engine: engine.number,
+            started_at,
+            until: started_at + warm_up,
+            work_ms: engine.work.get().as_secs_f64() * 1000.0,
+        });
+    }
+
+    /// The journal falls silent or goes down for a while.
+    pub(super) async fn journal_faults(self: Rc<Self>, mut random: Stream) {
+        loop {
+            random.pause(5000.0).await;
+            let mode = match random.chance(0.5) {
+                true => Mode::Silent,
+                false => Mode::Down,
+            };
+            self.count("journal outage");
+            self.journal.set_mode(mode);
+            // Slow starts that the outage overlaps are not known to all.
+            self.records.borrow_mut().slow_starts.clear();
+            random.pause(1500.0).await;
+            self.journal.set_mode(Mode::Serving);
+            self.journal_back_at.set(Some(Instant::now()));
+        }
+    }
+}
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -77,6 +77,20 @@
         folder: &Folder,
         name: &str,
         text: &str,
+    ) -> Result<Self, ProgramError> {
+        Self::start_with(binary, folder, name, text, &[]).await
+    }
+
+    /// The same with these variables in its environment.
+    ///
+    /// # Errors
+    /// It does not start, or ends before it listens.
+    pub async fn start_with(
+        binary: &Path,
+        folder: &Folder,
+        name: &str,
+        text: &str,
+        environment: &[(&str, PathBuf)],
     ) -> Result<Self, ProgramError> {
         let file = folder.path().join(format!("{name}.toml"));
         std::fs::write(&file, text)?;
@@ -85,6 +99,7 @@
             .arg(&file)
             .env_remove("PROXY_ADMIN_ADDR")
             .env_remove("PROXY_INHERITED_FD")
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()?;
@@ -244,6 +259,11 @@
             .success())
     }
 
+    /// Its exit status, if it has ended by itself.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Ends it without a word.
     ///
     /// # Errors
--- a/crates/testbed/src/random.rs
+++ b/crates/testbed/src/random.rs
@@ -66,6 +66,12 @@
         libm::sqrt(-2.0 * libm::log(u)) * libm::cos(std::f64::consts::TAU * v)
     }
 
+    /// Waits for a span of this mean, four times the mean at most.
+    pub async fn pause(&mut self, mean_ms: f64) {
+        let span = self.exponential(mean_ms).min(4.0 * mean_ms);
+        tokio::time::sleep(std::time::Duration::from_secs_f64(span / 1000.0)).await;
+    }
+
     /// Of this mean, with this standard deviation of its logarithm.
     pub fn lognormal(&mut self, mean: f64, sigma: f64) -> f64 {
         mean * libm::exp(sigma * self.normal() - sigma * sigma / 2.0)
--- /dev/null
+++ b/tests/mysql_soak.rs
@@ -0,0 +1,23 @@
+//! A short soak of the MySQL frontend: random faults that overlap, over some processes. Many seeds are played by hand:
+//! `testbed mysql-soak` (docs/ON-CALL.md).
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::path::Path;
+use std::time::Duration;
+use testbed::mysql_soak::play;
+
+const SPAN: Duration = Duration::from_secs(8);
+
+fn assert_clean(seed: u64) {
+    let binary = Path::new(env!("CARGO_BIN_EXE_hitchwinch"));
+    let outcome = play(binary, seed, SPAN).unwrap();
+    println!("seed {seed}: {}", outcome.summary());
+    assert!(outcome.is_clean(), "seed {seed}: {}", outcome.summary());
+}
+
+#[test]
+fn random_faults_that_overlap_break_no_rule_of_the_mysql_frontend() {
+    assert_clean(2);
+    assert_clean(3);
+}
