Trust the number of MySQL dispatchers, and mind where a slow start's limit falls

Causes: the MySQL frontend has no gossip, so its number stays unconfirmed for good. The limit's allowance is larger under 30 requests, so that it falls where the growing N passes 30, and what is sent before counts in windows that begin after. The allowance went by the mean of the queries' own work and the count by that of slow starts: two measures.

--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -3,7 +3,7 @@
 use crate::core::command::{AttemptId, Command};
 use crate::core::request_core::Core;
 use crate::decision::facade::Report;
-use crate::decision::model::{EngineEntry, ListUpdate, Millis};
+use crate::decision::model::{EngineEntry, FleetEvidence, ListUpdate, Millis};
 use crate::gossip::{Broadcaster, DecodeError, FleetCensus, GossipBudget, PeerReport};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -116,6 +116,14 @@
         }
     }
 
+    /// No more dispatchers are taken to run than are configured: nothing else can tell their number.
+    pub fn trust_configured_fleet(&mut self) {
+        self.policy.observe_fleet(FleetEvidence {
+            min_dispatchers: 0,
+            confirmed_until: Some(f64::INFINITY),
+        });
+    }
+
     /// A listed peer was heard: what it sent could be read.
     pub fn record_listed_peer(&mut self, now: Millis, peer: SocketAddr) {
         if let Some(census) = &mut self.census {
--- a/src/decision/model/state.rs
+++ b/src/decision/model/state.rs
@@ -46,6 +46,8 @@
     pub(crate) mean_priority_weight: DecayingMean,
     /// Mean expected work of queries of late, ms of one thread.
     pub(crate) mean_work: DecayingMean,
+    /// Mean work of queries of late as warming engines are counted by, ms of one thread.
+    pub(crate) mean_slow_start_work: DecayingMean,
     /// Congestion window: threads in flight at all engines.
     pub(crate) window: AimdLimit,
     /// Processes that make the decisions of this dispatcher.
@@ -80,6 +82,7 @@
             utilization: Utilization::new(&settings),
             mean_priority_weight: DecayingMean::default(),
             mean_work: DecayingMean::default(),
+            mean_slow_start_work: DecayingMean::default(),
             window: AimdLimit::default(),
             processes: ProcessCount::default(),
             fleet_size: FleetSize::new(settings.dispatchers),
@@ -160,6 +163,9 @@
         let weight = class.settings.priority_weight;
         self.mean_priority_weight.add(weight, CLASS_RETENTION);
         self.mean_work.add(class.cost.work(query), CLASS_RETENTION);
+        let slow_start_work = class.cost.slow_start_work(query);
+        self.mean_slow_start_work
+            .add(slow_start_work, CLASS_RETENTION);
     }
 
     /// Records that an engine responds; after a silence longer than `pause` it is responsive anew.
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -119,10 +119,16 @@
     /// work, and allows for chance by queries of mean work: heavier ones have no larger allowance.
     fn overload_limit_of(&self, engine: &Engine, started: Millis, work: f64) -> f64 {
         let state = &self.state;
-        let mean_work = state.mean_work.mean_or(work).min(work);
-        let window_start = self.overload_window_start();
-        let bearable = state.bearable_queries(engine, started, mean_work, window_start);
-        overload_limit(bearable) * mean_work / work
+        let mean_work = state.mean_slow_start_work.mean_or(work).min(work);
+        let bearable_at = |at| state.bearable_queries(engine, started, mean_work, at);
+        let at_start = bearable_at(self.overload_window_start());
+        let mut limit = overload_limit(at_start);
+        // What is sent now counts in windows that begin up to now: their limits rise with the
+        // capacity, except where the larger allowance ends.
+        if at_start < FEW_QUERIES && bearable_at(state.now) >= FEW_QUERIES {
+            limit = limit.min(overload_limit(FEW_QUERIES));
+        }
+        limit * mean_work / work
     }
 
     /// Decides at random whether a query of this work goes there: what it brings on average is
--- a/src/decision/tests/slow_start.rs
+++ b/src/decision/tests/slow_start.rs
@@ -112,7 +112,12 @@
         controller.slow_start_probability(&controller.state.engines[new], heavy)
     };
     let alone = probability(&controller);
-    (0..100).for_each(|_| controller.state.mean_work.add(heavy / 100.0, 1.0));
+    (0..100).for_each(|_| {
+        controller
+            .state
+            .mean_slow_start_work
+            .add(heavy / 100.0, 1.0)
+    });
     let among_light = probability(&controller);
     assert!(among_light <= alone, "{among_light} and {alone}");
 }
--- a/src/server/mysql.rs
+++ b/src/server/mysql.rs
@@ -36,20 +36,8 @@
     let sighup = Signals::new(SIGHUP)?;
     let config = MysqlConfig::read(path)?;
     let pool = BufferPool::default();
-    let limits = core_limits(&config.sockets);
-    let core = Core::new(
-        config.settings.clone(),
-        process_time_millis() as u64,
-        limits,
-    )?;
     let spools = open_spools(&config)?;
-    let upstream = MysqlUpstream::new(
-        config.engine_credentials.clone(),
-        config.sockets.clone(),
-        pool.clone(),
-        spools.clone(),
-    );
-    let router = RequestRouter::new(core, config.names.clone(), upstream);
+    let router = request_router(&config, &pool, &spools)?;
     let listener = listener::listen(config.listen, config.inherited_descriptor).await?;
     let listen_address = listener.local_addr()?;
     let frontend = Frontend::new(
@@ -83,16 +71,7 @@
         max_callers: DescriptorBudget::per_process(descriptor_limit, 1).operators,
     };
     operators.listen(config.admin_address).await?;
-    let endpoints = Rc::new(RefCell::new(EndpointSource::new(
-        router.clone(),
-        config
-            .state_directory
-            .as_ref()
-            .map(|state| state.join(instance_registry::DIRECTORY)),
-        membership,
-        standing_probe(&router, &instances),
-    )));
-    endpoints.borrow_mut().follow(&config.source);
+    let endpoints = follow_endpoints(&config, &router, membership, &instances);
     spawn_local(router.clone().run_clock());
     spawn_local(process_metrics::log_periodically());
     let accepting = spawn_local(frontend.clone().accept(listener));
@@ -121,6 +100,43 @@
     Ok(())
 }
 
+fn request_router(
+    config: &MysqlConfig,
+    pool: &BufferPool,
+    spools: &Rc<Spools>,
+) -> Result<Rc<RequestRouter<MysqlUpstream>>, ServerError> {
+    let limits = core_limits(&config.sockets);
+    let seed = process_time_millis() as u64;
+    let mut core = Core::new(config.settings.clone(), seed, limits)?;
+    // There is no gossip here that could confirm the number: unconfirmed, engines would stay half used for good.
+    core.trust_configured_fleet();
+    let upstream = MysqlUpstream::new(
+        config.engine_credentials.clone(),
+        config.sockets.clone(),
+        pool.clone(),
+        spools.clone(),
+    );
+    Ok(RequestRouter::new(core, config.names.clone(), upstream))
+}
+
+/// Follows the endpoints that the configuration names.
+fn follow_endpoints(
+    config: &MysqlConfig,
+    router: &Rc<RequestRouter<MysqlUpstream>>,
+    membership: SharedMembership,
+    instances: &Rc<InstanceRegistry>,
+) -> Rc<RefCell<EndpointSource>> {
+    let state_directory = config.state_directory.as_ref();
+    let mut endpoints = EndpointSource::new(
+        router.clone(),
+        state_directory.map(|state| state.join(instance_registry::DIRECTORY)),
+        membership,
+        standing_probe(router, instances),
+    );
+    endpoints.follow(&config.source);
+    Rc::new(RefCell::new(endpoints))
+}
+
 fn open_spools(config: &MysqlConfig) -> Result<Rc<Spools>, ServerError> {
     let names = config.names.clone();
     let opened = Spools::open(&config.spool, names.classes, names.tenants);
