Bound slow starts by the limit only where more dispatchers may run than expected

Cause: the limit at the window's begin bound every slow start, also where the number of dispatchers is confirmed; on a site whose engines climb steeply that is far less than what they bear later in the window.

Change: the limit by the possible number counts only while that number is above the expected one; a confirmed fleet has the shares that it had.

--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -88,9 +88,10 @@
         self.state.now - self.state.settings.rules.overload_window
     }
 
-    /// Two bounds hold at once: what the engine bears, with a margin, is shared by the dispatchers
-    /// that are expected, and the limit beyond which it fails by all that may run. By the expected
-    /// number alone a fleet of which the configuration names half overloaded the engine.
+    /// What the engine bears, with a margin, is shared by the dispatchers that are expected. If more
+    /// may run, the limit beyond which it fails is shared by all of them too, and the smaller part
+    /// counts: by the expected number alone a fleet of which the configuration names half
+    /// overloaded the engine.
     fn slow_start_budget(&self, engine: &Engine, started: Millis, work: f64) -> SlowStartBudget {
         let state = &self.state;
         let window_start = self.overload_window_start();
@@ -102,16 +103,24 @@
         let expected_budget = SLOW_START_SAFETY_FACTOR * bearable / expected_count;
         let expected_mean = largest_mean(bearable) / expected_count;
 
+        let expected = SlowStartBudget {
+            queries: expected_budget,
+            after_restart: (1.0 - SLOW_START_SAFETY_FACTOR) * expected_budget,
+            sampled_mean: expected_mean,
+        };
+        if possible_count <= expected_count {
+            return expected;
+        }
+
         let limit = self.overload_limit_of(engine, started, work);
         let possible_budget = LIMIT_SAFETY_FACTOR * limit / possible_count;
         let possible_mean = largest_mean(limit) / possible_count;
 
-        let queries = expected_budget.min(possible_budget);
-        let unused_by_predecessor = (1.0 - SLOW_START_SAFETY_FACTOR) * expected_budget;
+        let queries = expected.queries.min(possible_budget);
         SlowStartBudget {
             queries,
-            after_restart: unused_by_predecessor.min(possible_budget - queries),
-            sampled_mean: expected_mean.min(possible_mean),
+            after_restart: expected.after_restart.min(possible_budget - queries),
+            sampled_mean: expected.sampled_mean.min(possible_mean),
         }
     }
 
