review: a list numbered by a user variable begins where another client's broke off

Seen: SET @n := 0 is answered OK and not sent to the engine, and SELECT @n := @n + 1 begins at 4, for the same session and for other users' sessions, after one list on that engine connection broke off with an error. At fault: src/upstream/mysql/executor.rs, enter_context, which trusts connection.context after a statement that assigned the variable at the engine.

A slow statement of the stand-in engine takes 1 s now, so that a busy machine does not answer before the kill.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -12,7 +12,7 @@
 if [ "$trouble" != 0 ]; then
     until_file slow || cannot_run "no engine got the posting"
     read -r name pid <"$tables/slow"
-    # The effect comes before the mark, and the answer 400 ms after it.
+    # The effect comes before the mark, and the answer 1 s after it.
     kill -KILL "$pid"
     echo "killed: $name" >>"$record"
 fi
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -65,6 +65,14 @@
 name = "till"
 password = "till"
 
+[[user]]
+name = "depot"
+password = "depot"
+
+[[user]]
+name = "kitchen"
+password = "kitchen"
+
 [[class]]
 name = "lookup"
 worth = 1.0
--- a/review/stand-ins/client.rs
+++ b/review/stand-ins/client.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for clients, one subcommand for each case; and `ports N`, which prints N free ports.
 //!
-//! `client CASE PORT FOLDER` connects to the dispatcher at 127.0.0.1:PORT as `till` with the password `till`. FOLDER
+//! `client CASE PORT FOLDER` connects to the dispatcher at 127.0.0.1:PORT. Each user's password is its name. FOLDER
 //! holds the tables of the engines. It prints what it sends and gets, and exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run.
 #[path = "wire.rs"]
@@ -47,9 +47,10 @@
         login.extend((1u32 << 24).to_le_bytes());
         login.push(45);
         login.extend([0; 23]);
-        login.extend(b"till\0");
+        login.extend(name.as_bytes());
+        login.push(0);
         login.push(20);
-        login.extend(native_password("till", &nonce));
+        login.extend(native_password(name, &nonce));
         login.extend(b"mysql_native_password\0");
         wire.write(&[login])?;
         match wire.read()?.first() {
@@ -171,22 +172,45 @@
     }
 }
 
-/// A call of a stored function that notes an event. The client sends it once.
-fn audit(port: &str, folder: &str) -> ! {
-    let mut client = Client::first(port, "till");
-    let reply = client.query("SELECT audit.log(7, 42) /* slowly */");
-    if let Ok(Reply::Error(3168, _)) = reply {
-        cannot_run("it was refused");
+/// Asks for a list of five goods that is numbered by a user variable. `None`: it broke off, and the client was told.
+fn numbered_list(client: &mut Client) -> Option<Vec<String>> {
+    match client.insist("SET @n := 0") {
+        Ok(Reply::Ok) => {}
+        other => cannot_run(&format!("{other:?}")),
     }
-    // What may still run somewhere.
-    std::thread::sleep(Duration::from_secs(2));
-    let rows = rows_of(folder, "audit", "7");
-    say(&format!("the client sent the call once; it ran {rows} times"));
-    match rows {
-        0 => cannot_run("the call never ran"),
-        1 => exit(0),
-        _ => exit(1),
+    match client.insist("SELECT @n := @n + 1 FROM goods") {
+        Ok(Reply::Rows(rows)) => Some(rows),
+        Ok(Reply::Error(..)) => None,
+        other => cannot_run(&format!("{other:?}")),
+    }
+}
+
+/// A client asks for its list, and once more if it broke off; then 100 sessions of another user ask for theirs, once
+/// each.
+fn numbers(port: &str) -> ! {
+    let expected: Vec<String> = (1..=5).map(|number| number.to_string()).collect();
+    let mut wrong = vec![];
+    let mut check = |name: &str, rows: Option<Vec<String>>| {
+        let wrong_rows = rows.filter(|rows| *rows != expected);
+        wrong.extend(wrong_rows.map(|rows| format!("{name}: SET @n := 0 was answered OK, and the numbers are {rows:?}")));
+    };
+    let mut first = Client::first(port, "till");
+    let mut rows = numbered_list(&mut first);
+    if rows.is_none() {
+        rows = numbered_list(&mut first);
+    }
+    check("till", rows);
+    drop(first);
+    for _ in 0..100 {
+        match Client::connect(port, "depot") {
+            Ok(mut other) => check("depot", numbered_list(&mut other)),
+            Err(error) => cannot_run(&format!("no connection: {error}")),
+        }
+    }
+    for line in &wrong {
+        say(line);
     }
+    exit(i32::from(!wrong.is_empty()))
 }
 
 fn troubled(statement: impl Fn() -> String) -> Option<String> {
@@ -233,11 +257,11 @@
 
 /// Usual clients beside one whose statement is not to be read.
 fn beside(port: &str, bad: Option<String>) -> ! {
-    let reader = Usual::start(port, "reader", "SELECT 1", 6.0, 10.0);
-    let writer = Usual::start(port, "writer", "INSERT INTO ledger VALUES (7, 42) /* slowly */", 6.0, 20.0);
+    let reader = Usual::start(port, "till", "SELECT 1", 6.0, 10.0);
+    let writer = Usual::start(port, "depot", "INSERT INTO ledger VALUES (7, 42) /* slowly */", 6.0, 20.0);
     std::thread::sleep(Duration::from_secs(2));
     if let Some(sql) = bad {
-        match Client::connect(port, "other") {
+        match Client::connect(port, "kitchen") {
             Ok(mut other) => {
                 let _ = other.wire.tcp.set_read_timeout(Some(Duration::from_secs(60)));
                 let _ = other.query(&sql);
@@ -266,7 +290,7 @@
             }
         }
         "posting" => posting(argument(2), argument(3)),
-        "audit" => audit(argument(2), argument(3)),
+        "numbers" => numbers(argument(2)),
         // A user variable whose value opens 16,300 parentheses, in 16.3 KB.
         "nested" => beside(argument(2), troubled(|| format!("SET @x = {}", "(".repeat(16_300)))),
         other => cannot_run(&format!("no such case: {other:?}")),
--- a/review/stand-ins/engine.rs
+++ b/review/stand-ins/engine.rs
@@ -5,8 +5,9 @@
 //!
 //! It keeps what a MySQL server keeps for a connection: session variables, temporary tables, named locks, an open
 //! transaction (whose rows are applied at COMMIT and dropped with the connection). `/*!NNNNN ... */` is executed, as
-//! MySQL does. A statement that holds the word `slowly` takes 400 ms after its effect and before its answer; the
-//! first one in the fleet writes the engine's name and process id to FOLDER/slow.
+//! MySQL does. A statement that holds the word `slowly` takes 1 s after its effect and before its answer; the
+//! first one in the fleet writes the engine's name and process id to FOLDER/slow. Where FOLDER/fail is, the next
+//! numbered list in the fleet breaks off with an error after three rows, once.
 #[path = "wire.rs"]
 mod wire;
 
@@ -38,6 +39,9 @@
 enum Answer {
     Ok,
     Row(String),
+    Rows(Vec<String>),
+    /// Rows, and then an error of the storage instead of the rest.
+    BrokenOff(Vec<String>),
     Empty,
     Error(u16, &'static str, String),
 }
@@ -131,11 +135,19 @@
                 let holder = *locks.entry(quoted()).or_insert(session.number);
                 Answer::Row(u8::from(holder == session.number).to_string())
             }
-            // A stored function of the schema `audit`, which notes an event.
-            ["select", call, ..] if call.starts_with("audit.") => {
-                let row = text.split(['(', ')']).nth(1).unwrap_or("").to_string();
-                self.insert(session, "audit", row);
-                Answer::Row("1".into())
+            // A row for each of the five goods, numbered by a user variable.
+            ["select", name, ":=", read, "+", "1", "from", "goods"] if name == read => {
+                let number = session.variables.get(*name).and_then(|value| value.parse::<i64>().ok());
+                let Some(first) = number else {
+                    return Answer::Rows(vec!["NULL".into(); 5]);
+                };
+                let rows = if self.fails() { 3 } else { 5 };
+                session.variables.insert(name.to_string(), (first + rows).to_string());
+                let numbers = (1..=rows).map(|row| (first + row).to_string()).collect();
+                match rows {
+                    5 => Answer::Rows(numbers),
+                    _ => Answer::BrokenOff(numbers),
+                }
             }
             ["select", name] if name.starts_with("@@session.") => {
                 let known = session.variables.get(name.trim_start_matches("@@session."));
@@ -223,12 +235,17 @@
         }
     }
 
+    /// Whether this statement is the one in the fleet whose storage fails: FOLDER/fail is there, once.
+    fn fails(&self) -> bool {
+        std::fs::remove_file(self.folder.join("fail")).is_ok()
+    }
+
     fn take_time(&self) {
         let path = self.folder.join("slow");
         if let Ok(mut file) = OpenOptions::new().create_new(true).write(true).open(path) {
             let _ = file.write_all(format!("{} {}\n", self.name, std::process::id()).as_bytes());
         }
-        std::thread::sleep(Duration::from_millis(400));
+        std::thread::sleep(Duration::from_secs(1));
     }
 }
 
@@ -277,6 +294,14 @@
             return vec![packet];
         }
         Answer::Row(value) => vec![value],
+        Answer::Rows(values) => values,
+        Answer::BrokenOff(values) => {
+            let mut all = packets(session, Answer::Rows(values));
+            all.pop();
+            let message = "Got error 5 - 'Input/output error' from storage engine".to_string();
+            all.extend(packets(session, Answer::Error(1030, "HY000", message)));
+            return all;
+        }
         Answer::Empty => vec![],
     };
     let mut column = vec![];
