Share the set-up of the MySQL session tests between test files

Need: further files of tests play sessions against the program. Change: the fixture of tests/mysql_sessions.rs moves to tests/session_fixture; no test changes.

--- a/tests/mysql_sessions.rs
+++ b/tests/mysql_sessions.rs
@@ -3,129 +3,14 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod session_fixture;
+
 use mysql_async::prelude::Queryable;
 use mysql_async::{Conn, IsolationLevel, OptsBuilder, TxOpts};
 use query_dispatcher::protocol::mysql::packet::{COM_QUERY, COM_RESET_CONNECTION};
-use std::path::Path;
-use std::time::Duration;
-use testbed::clients::mysql::{Session, SessionOptions, error, texts};
+use session_fixture::{query_error, query_rows, run, sleep_ms, start};
+use testbed::clients::mysql::{Session, SessionOptions, texts};
 use testbed::fakes::engine::Engine;
-use testbed::fixture;
-use testbed::program::{Folder, Program};
-use tokio::task::LocalSet;
-
-/// Runs a test on a single-threaded runtime, for at most 60 s.
-fn run(f: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let timed = async {
-        tokio::time::timeout(Duration::from_secs(60), f)
-            .await
-            .expect("the test ends within 60 s")
-    };
-    LocalSet::new().block_on(&runtime, timed)
-}
-
-async fn sleep_ms(ms: u64) {
-    tokio::time::sleep(Duration::from_millis(ms)).await;
-}
-
-/// A dispatcher process with fake engines.
-struct Fixture {
-    engines: Vec<Engine>,
-    program: Program,
-    _folder: Folder,
-}
-
-/// Starts a dispatcher with this number of engines. `top` and `tables` are added to the top level and to the
-/// end of its configuration file.
-async fn start(name: &str, engine_count: usize, top: &str, tables: &str) -> Fixture {
-    let engines = fixture::engines(engine_count, Duration::from_millis(1))
-        .await
-        .unwrap();
-    let engine_tables = engines.iter().map(|e| {
-        format!(
-            "[[engine]]\nid = {:?}\naddress = \"{}\"\n",
-            e.name(),
-            e.address()
-        )
-    });
-    let text = fixture::dispatcher_file(
-        top,
-        &format!("{}{tables}", engine_tables.collect::<String>()),
-    );
-    let folder = Folder::new(&format!("sessions-{name}")).unwrap();
-    let binary = Path::new(env!("CARGO_BIN_EXE_hitchwinch"));
-    let program = Program::start(binary, &folder, "a", &text).await.unwrap();
-    Fixture {
-        engines,
-        program,
-        _folder: folder,
-    }
-}
-
-impl Fixture {
-    async fn session(&self) -> Session {
-        Session::log_in(
-            self.program.address,
-            "guest",
-            "guest",
-            SessionOptions::default(),
-        )
-        .await
-        .unwrap()
-    }
-
-    /// Returns the statements that were committed on any engine, sorted.
-    fn committed(&self) -> Vec<String> {
-        let mut statements: Vec<String> = self.engines.iter().flat_map(Engine::committed).collect();
-        statements.sort();
-        statements
-    }
-
-    /// Returns how often engines have executed this statement.
-    fn execution_count(&self, sql: &str) -> usize {
-        self.engines
-            .iter()
-            .flat_map(Engine::executions)
-            .filter(|execution| execution.sql == sql)
-            .count()
-    }
-
-    /// Returns the engine that has executed this statement, and the other engines.
-    fn partition_by_execution(&self, sql: &str) -> (&Engine, Vec<&Engine>) {
-        let has_executed =
-            |e: &&Engine| e.executions().iter().any(|execution| execution.sql == sql);
-        let executing = self.engines.iter().find(has_executed).unwrap();
-        (
-            executing,
-            self.engines
-                .iter()
-                .filter(|e| e.name() != executing.name())
-                .collect(),
-        )
-    }
-
-    /// Calls `detach` or `attach` for an engine as an operator.
-    async fn call_operator_action(&self, action: &str, engine: &Engine) {
-        let path = format!("/_engines/{action}/{}", engine.name());
-        assert_eq!(self.program.call("POST", &path).await.unwrap().0, 200);
-    }
-}
-
-/// Runs a query that succeeds and returns its rows.
-async fn query_rows(s: &mut Session, sql: &str) -> Vec<Vec<String>> {
-    let answer = s.query(sql).await.unwrap_or_else(|e| panic!("{sql}: {e}"));
-    answer.rows.iter().map(texts).collect()
-}
-
-/// Runs a query that fails and returns the number and the message of the error.
-async fn query_error(s: &mut Session, sql: &str) -> (u16, String) {
-    let e = error(s.query(sql).await).unwrap_or_else(|| panic!("{sql}: expected an error"));
-    (e.code, e.message)
-}
 
 #[test]
 fn driver_connects_with_defaults_and_its_transactions_are_isolated() {
