--- a/src/protocol/mysql/session/set/parser.rs
+++ b/src/protocol/mysql/session/set/parser.rs
@@ -199,15 +199,48 @@
     })
 }
 
+/// Skips one part of a value: a string, a quoted name, a group in parentheses, or one other character.
 fn value_part(input: &mut &str) -> Result<()> {
     let plain = none_of([',', ';', '(', ')', '\'', '"', '`']).void();
-    let quoted = ('`', take_while(0.., |character| character != '`'), '`').void();
-    alt((string.void(), quoted, parenthesized, plain)).parse_next(input)
+    alt((string.void(), quoted_name, parenthesized, plain)).parse_next(input)
 }
 
+/// Skips a group in parentheses, including the groups nested in it. It counts the open parentheses and does not
+/// call itself: the client chooses how deep they nest, and recursion would let it overflow the stack.
 fn parenthesized(input: &mut &str) -> Result<()> {
-    let inner = alt((value_part, one_of([',', ';']).void()));
-    ('(', repeat::<_, _, (), _, _>(0.., inner), ')')
+    '('.parse_next(input)?;
+    let mut open_parentheses = 1_usize;
+    while open_parentheses > 0 {
+        match group_part.parse_next(input)? {
+            GroupPart::Opening => open_parentheses += 1,
+            GroupPart::Closing => open_parentheses -= 1,
+            GroupPart::Other => {}
+        }
+    }
+    Ok(())
+}
+
+/// A part of a group in parentheses.
+#[derive(Clone, Copy)]
+enum GroupPart {
+    Opening,
+    Closing,
+    /// A string, a quoted name or one other character.
+    Other,
+}
+
+fn group_part(input: &mut &str) -> Result<GroupPart> {
+    let plain = none_of(['(', ')', '\'', '"', '`']).void();
+    alt((
+        '('.value(GroupPart::Opening),
+        ')'.value(GroupPart::Closing),
+        alt((string.void(), quoted_name, plain)).value(GroupPart::Other),
+    ))
+    .parse_next(input)
+}
+
+fn quoted_name(input: &mut &str) -> Result<()> {
+    ('`', take_while(0.., |character| character != '`'), '`')
         .void()
         .parse_next(input)
 }
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -149,6 +149,35 @@
     }
 }
 
+/// Guards against a parser that calls itself once for each parenthesis: a client chooses how deep they nest, and
+/// the parser has to get by with a small stack.
+#[test]
+fn nested_parentheses_use_no_stack() {
+    const STACK_BYTES: usize = 64 * 1024;
+    const DEPTH: usize = 8_000;
+    let parse_nested = || {
+        let (open, closed) = ("(".repeat(DEPTH), ")".repeat(DEPTH));
+        let balanced = format!("{open}1{closed}");
+        let expected = Change::Assign {
+            name: "@x".into(),
+            value: Value::Expression(balanced.clone()),
+        };
+        let changes = parse(format!("SET @x = {balanced}").as_bytes());
+        assert_eq!(changes, Ok(vec![expected]));
+        for value in [
+            format!("{open}{open}"),
+            format!("{open}{}", &closed[1..]),
+            format!("f({}", "g(".repeat(DEPTH - 1)),
+            format!("{open}'{open}"),
+        ] {
+            let changes = parse(format!("SET sql_mode = {value}").as_bytes());
+            assert!(matches!(changes, Err(SetError::Syntax { .. })));
+        }
+    };
+    let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
+    thread.spawn(parse_nested).unwrap().join().unwrap();
+}
+
 /// Guards against variables of one session that stay set on a connection when another session uses it.
 #[test]
 fn connection_keeps_no_variables_of_the_previous_session() {
