--- a/src/frontend/mysql/replies.rs
+++ b/src/frontend/mysql/replies.rs
@@ -42,7 +42,7 @@
         let in_transaction = self
             .sticky
             .as_ref()
-            .is_some_and(|sticky| sticky.in_transaction);
+            .is_some_and(|sticky| sticky.transaction.may_be_open());
         let mut status = 0;
         if self.state.autocommit() {
             status |= SERVER_STATUS_AUTOCOMMIT;
--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -13,7 +13,9 @@
 use crate::protocol::statement::{self, StatementKind};
 use crate::spool::AdmissionRequest;
 use crate::spool_io::ResultOwner;
-use crate::sticky_sessions::{ConnectionDisposition, StatementEffect, TransactionOutcome};
+use crate::sticky_sessions::{
+    Commits, ConnectionDisposition, StatementEffect, StickyReason, TransactionState,
+};
 use crate::upstream::mysql::sticky::{
     SessionAnswer, SessionCommand, StickyChannel, loss_reason, session_lost_error,
 };
@@ -47,8 +49,8 @@
     reply: oneshot::Receiver<Reply<Output>>,
     /// Time by which an engine has to begin executing the first statement.
     begin_deadline: tokio::time::Instant,
-    /// Whether a transaction is open.
-    pub(super) in_transaction: bool,
+    /// State of the transaction after the last answer.
+    pub(super) transaction: TransactionState,
     /// Dropped before the permit, so that the attempt and an open transaction end before another session may
     /// begin.
     _request: RequestGuard<'a, U>,
@@ -60,7 +62,7 @@
     /// flight.
     fn connection_lost_error(&self, effect: Option<StatementEffect>) -> SqlError {
         let reason = loss_reason(self.channel.expired());
-        session_lost_error(&reason, TransactionOutcome::of_lost_connection(effect))
+        session_lost_error(&reason, self.transaction.outcome_of_loss(effect))
     }
 }
 
@@ -128,23 +130,24 @@
 
     /// Returns the effect of a statement on the state of the engine connection.
     fn effect_of(&self, request: &StatementRequest) -> StatementEffect {
-        let StatementRequest { kind, sql, job, .. } = request;
-        let is_prepare = matches!(job, Job::Prepare);
-        let commits = match (job, kind) {
-            // Entering a context may turn autocommit on, which commits.
-            (Job::EnterContext, _) => true,
-            (Job::Prepare, _) | (_, StatementKind::WithinTransaction) => false,
-            (_, StatementKind::EndsTransaction) => !statement::is_rollback(sql),
-            _ => self.sticky.is_some() && statement::commits_implicitly(sql),
-        };
+        let StatementRequest { kind, job, .. } = request;
+        let commits = commits(request);
         let acquires = match kind {
-            StatementKind::MakesSticky(reason) if !is_prepare => Some(*reason),
+            StatementKind::MakesSticky(reason) if !matches!(job, Job::Prepare) => Some(*reason),
             _ => None,
         };
+        let opens_implicitly = !self.state.autocommit()
+            && !matches!(job, Job::Prepare | Job::EnterContext)
+            && !needs_held_connection(kind)
+            && matches!(
+                commits,
+                Commits::Nothing | Commits::ChangesOutsideTransaction
+            );
         StatementEffect {
             acquires,
             unlocks_tables: *kind == StatementKind::UnlockTables,
             commits,
+            opens_transaction: acquires == Some(StickyReason::Transaction) || opens_implicitly,
         }
     }
 
@@ -188,7 +191,7 @@
             channel,
             reply,
             begin_deadline: tokio::time::Instant::now() + duration_from_millis(limit),
-            in_transaction: false,
+            transaction: TransactionState::default(),
             _request: guard,
             _permit: permit,
         });
@@ -235,7 +238,8 @@
             return Ok(Ok(rejection));
         }
         let effect = self.effect_of(&request);
-        let rolls_back = request.kind == StatementKind::EndsTransaction && !effect.commits;
+        let rolls_back =
+            request.kind == StatementKind::EndsTransaction && effect.commits == Commits::Nothing;
         if self.sticky.is_none()
             && let Err(error) = self.begin_sticky()
         {
@@ -246,7 +250,7 @@
             WaitOutcome::Answered(answer) => {
                 self.state.transaction_began();
                 if let Some(sticky) = &mut self.sticky {
-                    sticky.in_transaction = answer.in_transaction;
+                    sticky.transaction = answer.transaction;
                 }
                 if answer.disposition == ConnectionDisposition::Release {
                     self.sticky = None;
@@ -269,10 +273,8 @@
         effect: StatementEffect,
     ) -> Result<WaitOutcome, SessionEnd> {
         let Some(sticky) = self.sticky.as_mut() else {
-            let error = session_lost_error(
-                &loss_reason(None),
-                TransactionOutcome::of_lost_connection(None),
-            );
+            let outcome = TransactionState::default().outcome_of_loss(None);
+            let error = session_lost_error(&loss_reason(None), outcome);
             return Ok(WaitOutcome::Ended(Err(error)));
         };
         let (reply, mut answer) = oneshot::channel();
@@ -296,9 +298,9 @@
                 Ok(reply) if !sticky.channel.has_begun() => Ok(reply),
                 _ => Err(sticky.connection_lost_error(Some(effect))),
             },
-            // Closing the connection makes the engine roll back an open transaction.
+            // Closing the connection makes the engine roll back an open transaction, but nothing else.
             () = self.downstream.killed() => {
-                let outcome = TransactionOutcome::of_lost_connection(Some(effect));
+                let outcome = sticky.transaction.outcome_of_loss(Some(effect));
                 Err(session_lost_error(KILLED_REASON, outcome))
             }
             end = self.connection.read_ahead(MAX_READ_AHEAD_BYTES, contains_quit) => {
@@ -323,6 +325,27 @@
     )
 }
 
+/// Returns what a statement commits.
+fn commits(request: &StatementRequest) -> Commits {
+    let StatementRequest { kind, sql, job, .. } = request;
+    match (job, kind) {
+        (Job::Prepare, _) => Commits::Nothing,
+        // Entering a context may turn autocommit on, which commits.
+        (Job::EnterContext, _) => Commits::OpenTransaction,
+        (_, StatementKind::EndsTransaction) if statement::is_rollback(sql) => Commits::Nothing,
+        (_, StatementKind::EndsTransaction | StatementKind::UnlockTables) => {
+            Commits::OpenTransaction
+        }
+        (_, StatementKind::WithinTransaction) => Commits::Nothing,
+        (_, StatementKind::MakesSticky(StickyReason::Transaction | StickyReason::TableLocks)) => {
+            Commits::OpenTransaction
+        }
+        (_, _) if statement::commits_implicitly(sql) => Commits::Everything,
+        (_, StatementKind::Read) => Commits::Nothing,
+        (_, _) => Commits::ChangesOutsideTransaction,
+    }
+}
+
 /// Returns the insert id of an OK packet.
 fn last_insert_id(ok: &[u8]) -> Result<u64, PacketError> {
     let mut reader = PayloadReader(Bytes::copy_from_slice(ok).slice(1..));
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -270,6 +270,7 @@
         && !has_write_keyword(statement)
         && !calls_unknown_function(statement)
         && !statement.tokens.contains(&Token::ExecutableComment)
+        && !statement.tokens.contains(&Token::OptimizerHint)
         && !statement.has_assignment();
     match is_read {
         true => StatementKind::Read,
@@ -348,10 +349,17 @@
 }
 
 /// Returns whether the statement implicitly commits an open transaction, as the definition of
-/// tables or users and table locks do.
+/// tables or users and table locks do. What an executable comment contains may do so too.
 pub fn commits_implicitly(statement: &[u8]) -> bool {
-    let first = tokens(statement)
-        .map(|token| bare_word(&token))
-        .find(|word| !word.is_empty());
-    !first.is_some_and(|word| KEEP_TRANSACTION_OPEN.contains(&word))
+    let mut first_word = None;
+    for token in tokens(statement) {
+        if token == Token::ExecutableComment {
+            return true;
+        }
+        let word = bare_word(&token);
+        if first_word.is_none() && !word.is_empty() {
+            first_word = Some(word);
+        }
+    }
+    !first_word.is_some_and(|word| KEEP_TRANSACTION_OPEN.contains(&word))
 }
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -13,8 +13,10 @@
     Text,
     /// A punctuation character.
     Punctuation(u8),
-    /// `/*! ... */` and `/*+ ... */`, whose content MySQL executes or interprets.
+    /// `/*! ... */`, whose content MySQL executes.
     ExecutableComment,
+    /// `/*+ ... */`, whose content MySQL interprets for the one statement.
+    OptimizerHint,
 }
 
 /// An iterator over the tokens of a statement.
@@ -99,10 +101,13 @@
 
     /// Skips a comment; returns a token if MySQL executes or interprets it.
     fn block_comment(&mut self, rest: &[u8]) -> Option<Token> {
-        let executable = matches!(rest.get(2), Some(b'!' | b'+'));
         self.position += 2;
         self.skip_past(b"*/");
-        executable.then_some(Token::ExecutableComment)
+        match rest.get(2) {
+            Some(b'!') => Some(Token::ExecutableComment),
+            Some(b'+') => Some(Token::OptimizerHint),
+            _ => None,
+        }
     }
 
     fn skip_past(&mut self, end: &[u8]) {
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -17,6 +17,7 @@
         ("with w as (select 1) delete from t", "write"),
         ("select * into outfile '/x' from t", "write"),
         ("select /*! sql_no_cache */ 1", "write"),
+        ("select /*+ no_icp(t) */ 1", "write"),
         ("select my_function(1)", "write"),
         ("select db.f(1)", "write"),
         ("explain analyze delete from t", "write"),
@@ -81,11 +82,6 @@
     assert!(!reads_last_insert_id(
         b"select 'last_insert_id()', last_insert_id from t"
     ));
-    assert!(
-        commits_implicitly(b"/* x */ alter table t add a int")
-            && commits_implicitly(b"lock tables t read")
-    );
-    assert!(!commits_implicitly(b"(select 1)") && !commits_implicitly(b"insert into t values (1)"));
     let hints = Hints::parse(b" /* class=report, limit:1500 */ select 1");
     assert_eq!(
         hints,
@@ -101,6 +97,20 @@
     );
 }
 
+#[test]
+fn statements_that_commit_implicitly_are_recognized() {
+    assert!(
+        commits_implicitly(b"/* x */ alter table t add a int")
+            && commits_implicitly(b"lock tables t read")
+    );
+    assert!(!commits_implicitly(b"(select 1)") && !commits_implicitly(b"insert into t values (1)"));
+    assert!(commits_implicitly(
+        b"/*!50000 create table u as */ select 1"
+    ));
+    assert!(commits_implicitly(b"select 1 /*! into outfile 'x' */"));
+    assert!(!commits_implicitly(b"select /*+ no_icp(t) */ 1"));
+}
+
 #[test]
 fn table_group_is_found_despite_quotes_comments_and_aliases() {
     let cases: [(&str, Option<u64>); 17] = [
--- a/src/sticky_sessions/mod.rs
+++ b/src/sticky_sessions/mod.rs
@@ -11,13 +11,14 @@
 mod limits;
 mod session;
 mod table;
+mod transaction;
 
 pub use limits::StickySessionLimits;
 pub use session::{
     ConnectionDisposition, EngineResponse, Expired, StatementEffect, StickyReason, StickySession,
-    TransactionOutcome,
 };
 pub use table::{StickySessionLimitError, StickySessionTable};
+pub use transaction::{Commits, TransactionOutcome, TransactionState};
 
 #[cfg(doc)]
 use crate::decision::model::Millis;
--- a/src/sticky_sessions/session.rs
+++ b/src/sticky_sessions/session.rs
@@ -1,15 +1,13 @@
 //! The state machine of one sticky session.
 
 use super::StickySessionLimits;
+use super::transaction::{Commits, TransactionOutcome, TransactionState};
 use crate::decision::model::Millis;
 use std::collections::BTreeSet;
 
 #[cfg(test)]
 mod tests;
 
-/// `ER_LOCK_DEADLOCK`: the engine has rolled back the whole transaction.
-const ER_LOCK_DEADLOCK: u16 = 1213;
-
 /// Connection state that makes a session keep its engine connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StickyReason {
@@ -32,9 +30,10 @@
     pub acquires: Option<StickyReason>,
     /// The statement is `UNLOCK TABLES`.
     pub unlocks_tables: bool,
-    /// The statement commits, explicitly or implicitly. If the connection is lost after it is sent and before
-    /// the response, the transaction outcome is unknown.
-    pub commits: bool,
+    /// What the statement commits.
+    pub commits: Commits,
+    /// The statement opens a transaction if none is open: it is a `BEGIN`, or autocommit is off.
+    pub opens_transaction: bool,
 }
 
 /// The part of an engine's response that matters to a sticky session.
@@ -72,27 +71,6 @@
     EngineDraining,
 }
 
-/// The outcome of an open transaction whose engine connection was lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TransactionOutcome {
-    /// Engines roll back an uncommitted transaction when its connection breaks.
-    RolledBack,
-    /// A commit was in flight. Only the engine knows its outcome, so it is never retried.
-    Unknown,
-}
-
-impl TransactionOutcome {
-    /// Returns the outcome of a transaction whose connection was lost before the response to the statement
-    /// `in_flight`.
-    pub fn of_lost_connection(in_flight: Option<StatementEffect>) -> Self {
-        if in_flight.is_some_and(|statement| statement.commits) {
-            TransactionOutcome::Unknown
-        } else {
-            TransactionOutcome::RolledBack
-        }
-    }
-}
-
 /// A session that holds an engine connection.
 #[derive(Clone, Debug)]
 pub struct StickySession {
@@ -101,6 +79,8 @@
     last_used_at: Millis,
     draining_since: Option<Millis>,
     in_flight: Option<StatementEffect>,
+    transaction: TransactionState,
+    /// The reasons to keep the connection apart from the transaction.
     reasons: BTreeSet<StickyReason>,
 }
 
@@ -113,6 +93,7 @@
             last_used_at: now,
             draining_since: None,
             in_flight: None,
+            transaction: TransactionState::default(),
             reasons: BTreeSet::new(),
         }
     }
@@ -127,24 +108,19 @@
     pub fn on_response(&mut self, now: Millis, response: EngineResponse) -> ConnectionDisposition {
         self.last_used_at = now;
         let statement = self.in_flight.take().unwrap_or_default();
-        match response {
-            EngineResponse::Status { in_transaction } => {
-                self.apply_effect(statement);
-                self.set_in_transaction(in_transaction);
-            }
-            EngineResponse::Error(ER_LOCK_DEADLOCK) => self.set_in_transaction(false),
-            // The statement had no effect, and an open transaction stays open.
-            EngineResponse::Error(_) => {}
+        self.transaction = self.transaction.after(statement, response);
+        // A statement that fails has no effect on the other state of the connection.
+        if matches!(response, EngineResponse::Status { .. }) {
+            self.apply_effect(statement);
         }
-        if self.reasons.is_empty() {
+        if self.reasons.is_empty() && !self.transaction.may_be_open() {
             ConnectionDisposition::Release
         } else {
             ConnectionDisposition::Retain
         }
     }
 
-    /// Applies the effect of a successful statement, except on the transaction, whose state the status flags
-    /// report.
+    /// Applies the effect of a successful statement, except on the transaction.
     fn apply_effect(&mut self, statement: StatementEffect) {
         if let Some(reason) = statement.acquires
             && reason != StickyReason::Transaction
@@ -156,14 +132,6 @@
         }
     }
 
-    fn set_in_transaction(&mut self, in_transaction: bool) {
-        if in_transaction {
-            self.reasons.insert(StickyReason::Transaction);
-        } else {
-            self.reasons.remove(&StickyReason::Transaction);
-        }
-    }
-
     /// Records that the engine is draining. Only the first call starts the drain timeout.
     pub fn on_engine_draining(&mut self, now: Millis) {
         self.draining_since.get_or_insert(now);
@@ -199,6 +167,19 @@
 
     /// Whether the session keeps its connection because of this kind of connection state.
     pub fn is_bound_by(&self, reason: StickyReason) -> bool {
-        self.reasons.contains(&reason)
+        match reason {
+            StickyReason::Transaction => self.transaction.may_be_open(),
+            other => self.reasons.contains(&other),
+        }
+    }
+
+    /// Returns the state of the transaction after the last response.
+    pub fn transaction(&self) -> TransactionState {
+        self.transaction
+    }
+
+    /// Returns what is known of the session's work if its connection is lost now.
+    pub fn outcome_of_loss(&self) -> TransactionOutcome {
+        self.transaction.outcome_of_loss(self.in_flight)
     }
 }
--- a/src/upstream/mysql/sticky.rs
+++ b/src/upstream/mysql/sticky.rs
@@ -13,8 +13,8 @@
     COM_PING, COM_QUERY, PacketError, SERVER_STATUS_IN_TRANS, read_packet,
 };
 use crate::sticky_sessions::{
-    ConnectionDisposition, EngineResponse, Expired, StatementEffect, StickyReason, StickySession,
-    StickySessionLimits, TransactionOutcome,
+    ConnectionDisposition, EngineResponse, Expired, StatementEffect, StickySession,
+    StickySessionLimits, TransactionOutcome, TransactionState,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -42,8 +42,8 @@
     pub output: Output,
     /// Whether the session keeps the connection.
     pub disposition: ConnectionDisposition,
-    /// Whether a transaction is open, as reported by the engine.
-    pub in_transaction: bool,
+    /// The state of the session's transaction after this answer.
+    pub transaction: TransactionState,
 }
 
 /// State shared by a session and the attempt that holds its connection.
@@ -277,7 +277,7 @@
         Ok(SessionAnswer {
             output,
             disposition,
-            in_transaction: open.session.is_bound_by(StickyReason::Transaction),
+            transaction: open.session.transaction(),
         })
     }
 }
@@ -290,7 +290,8 @@
 }
 
 /// Returns the error for a client whose sticky session was lost. It states whether anything may have
-/// been committed.
+/// been committed. Only where a transaction is surely rolled back does the client learn that it can begin
+/// again.
 pub fn session_lost_error(reason: &str, outcome: TransactionOutcome) -> SqlError {
     match outcome {
         TransactionOutcome::RolledBack => SqlError::new(
@@ -300,9 +301,17 @@
         TransactionOutcome::Unknown => SqlError::new(
             code::ER_QUERY_INTERRUPTED,
             format!(
-                "the commit was sent and not answered, {reason}: it is not known whether it holds; \
+                "{reason}: it is not known whether the statement, or what it commits, has taken effect; \
                  look before you send it again"
             ),
         ),
+        TransactionOutcome::NoTransaction => SqlError::new(
+            code::ER_QUERY_INTERRUPTED,
+            format!(
+                "{reason}, and with it the locks, temporary tables and variables that the session held \
+                 there; no transaction was open: this statement has changed nothing, and what was answered \
+                 before it stays in effect"
+            ),
+        ),
     }
 }
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -5,8 +5,14 @@
 mod session_fixture;
 
 use query_dispatcher::protocol::mysql::packet::COM_QUERY;
-use session_fixture::{query_error, query_rows, run, sleep_ms, start};
+use session_fixture::{Fixture, query_error, query_rows, run, sleep_ms, start};
 use std::time::Duration;
+use testbed::clients::mysql::error;
+
+/// MySQL's error for a deadlock, SQLSTATE 40001: the transaction is rolled back and can be begun again.
+const ROLLED_BACK: u16 = 1213;
+/// MySQL's error for an interrupted query: the statement may have run.
+const MAY_HAVE_RUN: u16 = 1317;
 
 /// Guards against a SET whose parentheses overflow the stack: the process ended, and with it the open requests
 /// of all clients.
@@ -42,3 +48,122 @@
         assert_eq!(query_rows(&mut s, "select @x, @y").await, [["1", "(b"]]);
     });
 }
+
+/// Executes `earlier` in a new session, then `last`, whose response the engine loses after it has taken effect.
+/// Returns the number of the error that the client gets.
+async fn error_of_lost_response(fixture: &Fixture, earlier: &[&str], last: &str) -> u16 {
+    let mut s = fixture.session().await;
+    for sql in earlier {
+        query_rows(&mut s, sql).await;
+    }
+    fixture.engines[0].lose_next_response(last);
+    query_error(&mut s, last).await.0
+}
+
+/// Guards against a write that has committed by itself and is reported as rolled back, so that its client runs it
+/// a second time: only an open transaction is rolled back with its connection.
+#[test]
+fn write_outside_of_a_transaction_is_not_reported_as_rolled_back() {
+    run(async {
+        let fixture = start("committed", 1, "", "").await;
+        let committed: [(&[&str], &str); 11] = [
+            (&["set @posting = 1"], "insert into t values (@posting, 42)"),
+            (
+                &["create temporary table x (a int)"],
+                "insert into t values (2)",
+            ),
+            (&["select get_lock('a', 1)"], "update t set a = 3"),
+            (&["select get_lock('a', 1)"], "select a from t for update"),
+            (&["lock tables t write"], "insert into t values (4)"),
+            (&["select a into @n from t"], "delete from t where a = 5"),
+            (
+                &["begin", "insert into t values (6)"],
+                "create table u (a int)",
+            ),
+            (
+                &["begin", "insert into t values (7)"],
+                "/*!50000 alter table u engine = innodb */ ",
+            ),
+            (&["set autocommit = 0"], "create table u (a int)"),
+            (
+                &[
+                    "select get_lock('a', 1)",
+                    "begin",
+                    "insert into t values (8)",
+                    "commit",
+                ],
+                "insert into t values (9)",
+            ),
+            // No transaction was open, and the insert before has committed.
+            (
+                &["select get_lock('a', 1)", "insert into t values (10)"],
+                "select a from t",
+            ),
+        ];
+        for (earlier, last) in committed {
+            let number = error_of_lost_response(&fixture, earlier, last).await;
+            assert_eq!(number, MAY_HAVE_RUN, "{earlier:?}, {last}");
+        }
+        let before = fixture.committed().len();
+        let rolled_back: [(&[&str], &str); 4] = [
+            (&["begin"], "insert into t values (11)"),
+            (&["begin", "insert into t values (12)"], "select a from t"),
+            (&["set autocommit = 0"], "insert into t values (13)"),
+            (&["select get_lock('a', 1)"], "begin"),
+        ];
+        for (earlier, last) in rolled_back {
+            let number = error_of_lost_response(&fixture, earlier, last).await;
+            assert_eq!(number, ROLLED_BACK, "{earlier:?}, {last}");
+        }
+        assert_eq!(fixture.committed().len(), before, "nothing of these stands");
+    });
+}
+
+/// Guards against the same report for prepared statements, which take another path to the engine.
+#[test]
+fn prepared_write_outside_of_a_transaction_is_not_reported_as_rolled_back() {
+    run(async {
+        let fixture = start("prepared", 1, "", "").await;
+        let mut s = fixture.session().await;
+        query_rows(&mut s, "select get_lock('a', 1)").await;
+        let (id, _) = s.prepare("insert into t values (1)").await.unwrap();
+        fixture.engines[0].lose_next_response("insert");
+        let lost = error(s.execute(id, false).await).unwrap();
+        assert_eq!(lost.code, MAY_HAVE_RUN, "{}", lost.message);
+        assert_eq!(fixture.committed(), ["insert into t values (1)"]);
+    });
+}
+
+/// Guards against the same report where the dispatcher itself ends the session in the middle of a write: by a
+/// limit, for a drain, or for another session's KILL QUERY; and where the engine's process ends.
+#[test]
+fn write_is_not_reported_as_rolled_back_however_its_session_ends() {
+    const WRITE: &str = "insert into t values (1)";
+    run(async {
+        for end in ["max lifetime", "drain", "kill", "engine"] {
+            let pins = match end {
+                "max lifetime" => "[pins]\nlongest_s = 0.8",
+                _ => "[pins]\ndrain_s = 0.3",
+            };
+            let fixture = start(&format!("ends-{}", &end[..3]), 1, "", pins).await;
+            let engine = &fixture.engines[0];
+            let mut s = fixture.session().await;
+            query_rows(&mut s, "select get_lock('a', 1)").await;
+            engine.set_execution_time(Duration::from_secs(5));
+            s.send(COM_QUERY, &[WRITE.as_bytes()]).await.unwrap();
+            sleep_ms(200).await;
+            match end {
+                "drain" => fixture.call_operator_action("detach", engine).await,
+                "kill" => {
+                    let mut other = fixture.session().await;
+                    query_rows(&mut other, &format!("kill query {}", s.number)).await;
+                }
+                "engine" => engine.stop(),
+                _ => {}
+            }
+            let lost = error(s.answer().await).unwrap();
+            assert_eq!(lost.code, MAY_HAVE_RUN, "{end}: {}", lost.message);
+            assert_eq!(fixture.committed(), [WRITE], "{end}");
+        }
+    });
+}
