--- a/crates/testbed/src/fakes/engine.rs
+++ b/crates/testbed/src/fakes/engine.rs
@@ -88,6 +88,8 @@
     committed: RefCell<Vec<String>>,
     /// Beginning of a statement that takes effect and loses its response with the connection, once.
     lose_response: RefCell<Option<String>>,
+    /// Beginning of a statement that fails after it has been executed, once, and the error's number.
+    failure: RefCell<Option<(String, u16)>>,
     running: Cell<usize>,
     max_running: Cell<usize>,
     tasks: RefCell<Vec<AbortHandle>>,
@@ -125,6 +127,7 @@
             executions: RefCell::default(),
             committed: RefCell::default(),
             lose_response: RefCell::default(),
+            failure: RefCell::default(),
             running: Cell::new(0),
             max_running: Cell::new(0),
             tasks: RefCell::default(),
@@ -201,6 +204,22 @@
         *self.0.lose_response.borrow_mut() = Some(statement.into());
     }
 
+    /// Lets the next statement that begins with this text fail with this error after it has been executed.
+    pub fn fail_next(&self, statement: &str, error: u16) {
+        *self.0.failure.borrow_mut() = Some((statement.into(), error));
+    }
+
+    /// Returns the error with which this statement is to fail.
+    fn failure_of(&self, sql: &str) -> Option<SqlError> {
+        let mut failure = self.0.failure.borrow_mut();
+        let (_, code) = failure.take_if(|(statement, _)| sql.starts_with(statement.as_str()))?;
+        Some(SqlError {
+            code,
+            state: "HY000",
+            message: "the test lets this statement fail".into(),
+        })
+    }
+
     /// Returns whether the response to this statement is to be lost.
     fn loses_response(&self, sql: &str) -> bool {
         self.0
@@ -325,6 +344,10 @@
             if self.loses_response(&sql) {
                 return Err(PacketError::Protocol("the test loses this response"));
             }
+            if let Some(error) = self.failure_of(&sql) {
+                wire.send(&err_packet(&error)[..]).await?;
+                continue;
+            }
             self.run(&mut wire, sql, binary, response, &session).await?;
         }
     }
--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -35,6 +35,9 @@
     ("wait_timeout", "28800"),
 ];
 
+/// Number of rows of each table from which a statement assigns user variables.
+const ROWS_OF_A_TABLE: usize = 5;
+
 /// Response to a statement that the engine executes without access to a table.
 #[derive(Debug, PartialEq)]
 pub enum SessionResponse {
@@ -168,6 +171,11 @@
                     rows,
                 ));
             }
+            ["select", ..] if lower.contains(":=") || lower.contains(" into @") => {
+                if let Some(response) = self.assign_in_select(&text[6..]) {
+                    return Some(response);
+                }
+            }
             ["select", ..] => {
                 if let Some(response) = self.evaluate_select(&text[6..]) {
                     return Some(response);
@@ -256,6 +264,44 @@
         SessionResponse::Ok
     }
 
+    /// Executes a SELECT that assigns user variables: `@x := EXPRESSION, ...`, for each of
+    /// [`ROWS_OF_A_TABLE`] rows if it has a FROM, or `EXPRESSION INTO @x`. Returns `None` if it is not supported.
+    fn assign_in_select(&mut self, list: &str) -> Option<SessionResponse> {
+        let (list, rows) = match list.split_once(" from ") {
+            Some((list, _table)) => (list, ROWS_OF_A_TABLE),
+            None => (list, 1),
+        };
+        if let Some((value, name)) = list.split_once(" into @") {
+            let value = self.evaluate(value)?;
+            self.assign_user_variable(name, value);
+            return Some(SessionResponse::Ok);
+        }
+        let items = split_at_commas(list);
+        let mut all = vec![];
+        for _ in 0..rows {
+            let mut row = vec![];
+            for item in &items {
+                let value = match item.split_once(":=") {
+                    Some((name, expression)) => {
+                        let value = self.evaluate(expression)?;
+                        self.assign_user_variable(name.trim().strip_prefix('@')?, value.clone());
+                        value
+                    }
+                    None => self.evaluate(item)?,
+                };
+                row.push(value);
+            }
+            all.push(row);
+        }
+        let names = items.iter().map(|item| item.trim().to_string()).collect();
+        Some(SessionResponse::Rows(names, all))
+    }
+
+    fn assign_user_variable(&mut self, name: &str, value: Option<String>) {
+        let name = name.trim().trim_matches(['`', '\'', '"']).to_lowercase();
+        self.user_variables.insert(name, value);
+    }
+
     /// Evaluates an expression that needs no table. Returns `None` if the expression is not supported and
     /// `Some(None)` for NULL.
     fn evaluate(&self, text: &str) -> Option<Option<String>> {
@@ -283,6 +329,13 @@
                     .map(|v| v.concat()),
             );
         }
+        if let Some((left, right)) = text.split_once(" + ") {
+            let sum = |left: String, right: String| {
+                Some((left.parse::<i64>().ok()? + right.parse::<i64>().ok()?).to_string())
+            };
+            let (left, right) = (self.evaluate(left)?, self.evaluate(right)?);
+            return Some(left.zip(right).and_then(|(left, right)| sum(left, right)));
+        }
         if let Some(name) = lower.strip_prefix("@@") {
             let name = ["session.", "local.", "global."]
                 .iter()
@@ -293,7 +346,7 @@
         if let Some(name) = lower.strip_prefix('@') {
             return Some(
                 self.user_variables
-                    .get(name.trim_matches('`'))
+                    .get(name.trim_matches(['`', '\'', '"']))
                     .cloned()
                     .flatten(),
             );
--- a/src/frontend/mysql/request.rs
+++ b/src/frontend/mysql/request.rs
@@ -11,7 +11,7 @@
     MAX_ESTIMATED_MEMORY_MB, MAX_ESTIMATED_WORK_MS, MAX_TIME_LIMIT_MS,
 };
 use crate::protocol::mysql::session::SessionContext;
-use crate::protocol::statement::{self, Hints, StatementKind};
+use crate::protocol::statement::{self, ConnectionEffects, Hints, StatementKind};
 use crate::spool::{Admission, AdmissionRequest};
 use crate::spool_io::{MAX_STATEMENT_CHARS, ResultOwner};
 use crate::upstream::mysql::work::{Job, Output, Work};
@@ -194,6 +194,10 @@
                 binary: matches!(request.job, Job::Execute(_)),
             },
             context: request.context,
+            effects: match request.job {
+                Job::Query | Job::Execute(_) => ConnectionEffects::of(&request.sql),
+                _ => ConnectionEffects::default(),
+            },
             sql: request.sql,
             job: request.job,
             admission,
--- a/src/frontend/mysql/settings.rs
+++ b/src/frontend/mysql/settings.rs
@@ -148,7 +148,7 @@
     set::parse(sql).is_ok_and(|changes| matches!(changes[..], [Change::NextTransaction(_)]))
 }
 
-fn set_error(error: &SetError) -> SqlError {
+pub(super) fn set_error(error: &SetError) -> SqlError {
     let code = match error {
         SetError::Syntax { .. } => code::ER_PARSE,
         SetError::Unsupported(_) => code::ER_NOT_SUPPORTED_YET,
--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -2,6 +2,7 @@
 
 use super::request::{KILLED_REASON, RequestGuard, StatementRequest, time_limit};
 use super::session::{MAX_READ_AHEAD_BYTES, Session, SessionEnd, contains_quit, end_of_read_ahead};
+use super::settings::set_error;
 use super::{Frontend, StatementUpstream};
 use crate::clock::duration_from_millis;
 use crate::core::NewRequest;
@@ -10,7 +11,7 @@
 use crate::protocol::mysql::packet::{
     ERR_HEADER, OK_HEADER, PacketError, PayloadReader, parse_err_packet,
 };
-use crate::protocol::statement::{self, StatementKind};
+use crate::protocol::statement::{self, ConnectionEffects, StatementKind};
 use crate::spool::AdmissionRequest;
 use crate::spool_io::ResultOwner;
 use crate::sticky_sessions::{
@@ -206,6 +207,7 @@
         Work {
             context: self.state.context().clone(),
             sql: Bytes::new(),
+            effects: ConnectionEffects::default(),
             job: Job::StickySession(channel),
             admission: AdmissionRequest {
                 tenant: self.tenant,
@@ -240,26 +242,26 @@
         let effect = self.effect_of(&request);
         let rolls_back =
             request.kind == StatementKind::EndsTransaction && effect.commits == Commits::Nothing;
+        let work = self.work(request, admission);
+        let mut executed_state = self.state.clone();
+        if let Err(error) = executed_state.hold_variables(&work.effects.assigned_variables) {
+            return Ok(Err(set_error(&error)));
+        }
         if self.sticky.is_none()
             && let Err(error) = self.begin_sticky()
         {
             return Ok(Err(error));
         }
-        let work = self.work(request, admission);
         let result = match self.send_sticky(work, effect).await? {
             WaitOutcome::Answered(answer) => {
-                self.state.transaction_began();
-                if let Some(sticky) = &mut self.sticky {
-                    sticky.transaction = answer.transaction;
+                if answer.executed {
+                    self.state = executed_state;
                 }
-                if answer.disposition == ConnectionDisposition::Release {
-                    self.sticky = None;
-                }
-                return Ok(Ok(Reply::Served(answer.output)));
+                return Ok(Ok(self.take_answer(answer)));
             }
             WaitOutcome::Ended(result) => result,
         };
-        self.sticky = None;
+        self.release_held_connection();
         Ok(match result {
             // The loss of the connection has rolled back the transaction, as the statement requested.
             Err(_) if rolls_back => Ok(self.ok_reply()),
@@ -267,6 +269,24 @@
         })
     }
 
+    /// Records the answer to a statement on the held connection, and returns its output.
+    fn take_answer(&mut self, answer: SessionAnswer) -> Reply<Output> {
+        self.state.transaction_began();
+        if let Some(sticky) = &mut self.sticky {
+            sticky.transaction = answer.transaction;
+        }
+        if answer.disposition == ConnectionDisposition::Release {
+            self.release_held_connection();
+        }
+        Reply::Served(answer.output)
+    }
+
+    /// Stops being sticky. What statements have assigned to variables on the connection is lost.
+    pub(super) fn release_held_connection(&mut self) {
+        self.sticky = None;
+        self.state.forget_held_variables();
+    }
+
     async fn send_sticky(
         &mut self,
         work: Work,
--- /dev/null
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -0,0 +1,72 @@
+//! What the dispatcher knows of the session context that an engine connection is in.
+
+use super::variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement};
+use super::{HeldVariables, SessionContext};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+#[cfg(test)]
+mod tests;
+
+/// In place of the value of a variable that is not known: no literal is empty.
+const UNKNOWN_VALUE: &str = "";
+
+/// The context of an engine connection: what the dispatcher has set there and no statement has changed since.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionContext {
+    /// The default schema; `None` if none was ever selected.
+    pub schema: Option<String>,
+    /// The operand of the last SET NAMES, if there was one.
+    pub names: Option<String>,
+    /// The values that are known. A variable without an entry here or in `unknown` has its initial value.
+    variables: Rc<SessionVariables>,
+    /// Variables that a statement has assigned, so that only the engine knows their values.
+    unknown: BTreeSet<String>,
+}
+
+impl ConnectionContext {
+    /// Returns whether the connection can enter this context: a schema or character set can be changed, but not
+    /// unset.
+    pub fn can_enter(&self, target: &SessionContext) -> bool {
+        (target.schema.is_some() || self.schema.is_none())
+            && (target.names.is_some() || self.names.is_none())
+    }
+
+    /// Records that a statement assigns these variables, whether it succeeds or fails.
+    pub fn forget_variables(&mut self, names: &BTreeSet<String>) {
+        if names.is_empty() {
+            return;
+        }
+        Rc::make_mut(&mut self.variables).retain(|name, _| !names.contains(name));
+        self.unknown.extend(names.iter().cloned());
+    }
+
+    /// Records that statements change LAST_INSERT_ID(): it is set again for each statement that reads it, and
+    /// needs no reset for others.
+    pub fn forget_last_insert_id(&mut self) {
+        if self.variables.contains_key(LAST_INSERT_ID_VARIABLE) {
+            Rc::make_mut(&mut self.variables).remove(LAST_INSERT_ID_VARIABLE);
+        }
+    }
+
+    /// Returns the SET that changes the variables of the connection to those of the target; `None` if nothing
+    /// has to change.
+    pub fn set_statement(&self, target: &SessionContext) -> Option<String> {
+        let is_known = self.unknown.is_subset(&target.held_variables);
+        if is_known {
+            return set_statement(&self.variables, &target.variables);
+        }
+        let mut current = SessionVariables::clone(&self.variables);
+        for name in self.unknown.difference(&target.held_variables) {
+            current.insert(name.clone(), UNKNOWN_VALUE.into());
+        }
+        set_statement(&current, &target.variables)
+    }
+
+    /// Records that the SET for this target was executed.
+    pub fn variables_set(&mut self, target: &SessionContext) {
+        self.variables = target.variables.clone();
+        let held: &HeldVariables = &target.held_variables;
+        self.unknown.retain(|name| held.contains(name));
+    }
+}
--- /dev/null
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -0,0 +1,108 @@
+use super::super::SessionState;
+use super::super::set::parse;
+use super::super::{SetOutcome, Validation};
+use super::*;
+
+fn assigned(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(ToString::to_string).collect()
+}
+
+fn state_after(state: &SessionState, sql: &str) -> SessionState {
+    match state.set(&parse(sql.as_bytes()).unwrap(), &[]) {
+        Ok(SetOutcome::Changed { state, .. }) => state,
+        other => panic!("{sql}: {other:?}"),
+    }
+}
+
+fn enter(connection: &mut ConnectionContext, target: &SessionContext) -> Option<String> {
+    let set = connection.set_statement(target);
+    connection.variables_set(target);
+    assert_eq!(connection.set_statement(target), None);
+    set
+}
+
+/// Guards against a SET that is answered OK and not sent, because the connection seems to have the value already.
+#[test]
+fn a_variable_that_a_statement_has_assigned_is_set_again() {
+    let mut connection = ConnectionContext::default();
+    let state = state_after(&SessionState::default(), "SET @n := 0, @step = 2");
+    assert_eq!(
+        enter(&mut connection, state.context()).unwrap(),
+        "SET @n = 0, @step = 2"
+    );
+    connection.forget_variables(&assigned(&["@n"]));
+    assert_eq!(
+        enter(&mut connection, state.context()).unwrap(),
+        "SET @n = 0"
+    );
+    connection.forget_variables(&assigned(&["@n", "@new"]));
+    let other = state_after(&SessionState::default(), "SET @step = 2");
+    assert_eq!(
+        enter(&mut connection, other.context()).unwrap(),
+        "SET @n = NULL, @new = NULL"
+    );
+}
+
+#[test]
+fn the_session_that_holds_the_connection_keeps_what_its_statements_assign() {
+    let mut connection = ConnectionContext::default();
+    let mut state = state_after(&SessionState::default(), "SET @n := 0, @step = 2");
+    enter(&mut connection, state.context());
+    let names = assigned(&["@n", "@new"]);
+    connection.forget_variables(&names);
+    state.hold_variables(&names).unwrap();
+    assert_eq!(enter(&mut connection, state.context()), None);
+    for (sql, sent) in [
+        ("SET @n := 0", "SET @n = 0"),
+        ("SET @new = NULL", "SET @new = NULL"),
+    ] {
+        state = state_after(&state, sql);
+        assert_eq!(enter(&mut connection, state.context()).unwrap(), sent);
+    }
+    connection.forget_variables(&assigned(&["@n"]));
+    state.hold_variables(&assigned(&["@n"])).unwrap();
+    // Once the session no longer holds the connection, the value is lost to it and reset for others.
+    state.forget_held_variables();
+    assert_eq!(
+        enter(&mut connection, state.context()).unwrap(),
+        "SET @n = NULL"
+    );
+}
+
+#[test]
+fn last_insert_id_is_set_for_each_statement_that_reads_it_and_not_reset() {
+    let mut connection = ConnectionContext::default();
+    let mut state = SessionState::default();
+    state.record_insert_id(9);
+    let reading = state.context_with_insert_id();
+    for _ in 0..2 {
+        let set = enter(&mut connection, &reading);
+        assert_eq!(set.unwrap(), "SET SESSION last_insert_id = 9");
+        connection.forget_last_insert_id();
+    }
+    assert_eq!(enter(&mut connection, state.context()), None);
+}
+
+#[test]
+fn the_number_of_held_variables_is_limited() {
+    let mut state = SessionState::default();
+    let many = (0..super::super::MAX_HELD_VARIABLES)
+        .map(|number| format!("@v{number}"))
+        .collect();
+    state.hold_variables(&many).unwrap();
+    state.hold_variables(&many).unwrap();
+    assert!(state.hold_variables(&assigned(&["@one_more"])).is_err());
+    let freed = state_after(&state, "SET @v0 = 1");
+    assert_eq!(
+        freed.context().held_variables.len(),
+        super::super::MAX_HELD_VARIABLES - 1
+    );
+    let validated = state.set(&parse(b"SET @v0 = 1").unwrap(), &[]).unwrap();
+    assert!(matches!(
+        validated,
+        SetOutcome::Changed {
+            validation: Validation::Done,
+            ..
+        }
+    ));
+}
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -2,15 +2,18 @@
 //! to any engine connection, so that sessions can migrate; [`crate::sticky_sessions`] handles state
 //! that cannot. All functions are pure.
 
+mod connection_context;
 pub mod set;
 mod variables;
 
 #[cfg(test)]
 mod tests;
 
+pub use connection_context::ConnectionContext;
 pub use variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement, sql_literal};
 
 use set::{Change, SetError, Value};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use variables::{is_unicode, unsupported_reason};
 
@@ -18,9 +21,15 @@
 const MAX_VARIABLES: usize = 64;
 /// Maximum size of the names and values of all variables of one session, in bytes.
 const MAX_VARIABLE_BYTES: usize = 16 * 1024;
+/// Maximum number of variables whose values only the held engine connection of a session knows.
+const MAX_HELD_VARIABLES: usize = 1024;
 /// The error message for a character set that is not an encoding of Unicode.
 const ONLY_UNICODE: &str = "only Unicode is carried";
 
+/// Names of user variables whose values only the engine connection knows that a session holds: a statement of the
+/// session has assigned them there.
+pub type HeldVariables = BTreeSet<String>;
+
 /// The part of a session that is applied to an engine connection before it executes a statement.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct SessionContext {
@@ -30,6 +39,8 @@
     pub names: Option<String>,
     /// The variables that the session has set.
     pub variables: Rc<SessionVariables>,
+    /// The variables that keep the value that they have on the held engine connection.
+    pub held_variables: Rc<HeldVariables>,
 }
 
 /// Whether an engine has to validate a change before it takes effect.
@@ -118,6 +129,31 @@
         self.commit_mode == CommitMode::Automatic
     }
 
+    /// Records that a statement on the held engine connection assigns these user variables.
+    ///
+    /// # Errors
+    /// The session would hold too many; its state is unchanged.
+    pub fn hold_variables(&mut self, names: &BTreeSet<String>) -> Result<(), SetError> {
+        if names.is_empty() {
+            return Ok(());
+        }
+        let held = &self.context.held_variables;
+        let additional = names.iter().filter(|name| !held.contains(*name)).count();
+        if held.len() + additional > MAX_HELD_VARIABLES {
+            return Err(SetError::Unsupported(
+                "the statements of a session assign 1024 user variables at most",
+            ));
+        }
+        Rc::make_mut(&mut self.context.variables).retain(|name, _| !names.contains(name));
+        Rc::make_mut(&mut self.context.held_variables).extend(names.iter().cloned());
+        Ok(())
+    }
+
+    /// Forgets the variables on the held engine connection, which the session no longer holds: they are NULL.
+    pub fn forget_held_variables(&mut self) {
+        self.context.held_variables = Rc::default();
+    }
+
     /// Changes the default schema.
     pub fn use_schema(&mut self, schema: String) {
         self.context.schema = Some(schema);
@@ -247,6 +283,9 @@
         let is_user_variable = name.starts_with('@');
         // A user variable that was never set is NULL.
         let is_null = is_user_variable && unquoted.as_deref() == Some("null");
+        if self.context.held_variables.contains(name) {
+            Rc::make_mut(&mut self.context.held_variables).remove(name);
+        }
         let variables = Rc::make_mut(&mut self.context.variables);
         match value {
             Some(value) if !is_null => drop(variables.insert(name.to_string(), value)),
--- a/src/protocol/statement.rs
+++ b/src/protocol/statement.rs
@@ -2,6 +2,7 @@
 //! it names, and the hints in its leading comment. Words in strings and other comments are ignored.
 
 mod classify;
+mod connection_effects;
 mod hints;
 mod scanner;
 mod table_group;
@@ -13,5 +14,6 @@
 pub use classify::{
     StatementKind, classify, commits_implicitly, is_rollback, reads_last_insert_id,
 };
+pub use connection_effects::ConnectionEffects;
 pub use hints::Hints;
 pub use table_group::table_group;
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -1,5 +1,6 @@
 //! Classification of statements, as far as dispatching depends on it.
 
+use super::connection_effects::assigned_variables;
 use super::scanner::{Token, tokens};
 use super::words::{
     KEEP_TRANSACTION_OPEN, KEYWORDS_BEFORE_PARENTHESIS, READ_ONLY_FUNCTIONS, WRITE_KEYWORDS,
@@ -129,12 +130,8 @@
             .any(|pair| pair == ASSIGNMENT)
     }
 
-    /// Returns whether a user variable begins here: one `@` begins a user variable, two begin a
-    /// system variable.
-    fn is_user_variable(&self, index: usize) -> bool {
-        self.is_punctuation(index, b'@')
-            && !self.is_punctuation(index + 1, b'@')
-            && (index == 0 || !self.is_punctuation(index - 1, b'@'))
+    fn assigns_user_variable(&self) -> bool {
+        !assigned_variables(&self.tokens).is_empty()
     }
 }
 
@@ -259,9 +256,9 @@
     }
     // A user variable that is only read is set on any connection that runs the statement; an
     // assignment takes effect only on its own connection.
-    let uses_variable = (0..statement.end).any(|index| statement.is_user_variable(index));
-    let assigns = statement.has_assignment() || statement.has("into");
-    (uses_variable && assigns).then_some(StatementKind::MakesSticky(StickyReason::SessionVariable))
+    statement
+        .assigns_user_variable()
+        .then_some(StatementKind::MakesSticky(StickyReason::SessionVariable))
 }
 
 fn read_or_write(statement: &Statement) -> StatementKind {
--- /dev/null
+++ b/src/protocol/statement/connection_effects.rs
@@ -0,0 +1,72 @@
+//! What a statement changes on its engine connection besides data. The session does not see these changes in
+//! the answer.
+
+use super::scanner::{Token, tokens};
+use std::collections::BTreeSet;
+
+/// First keywords of statements whose targets may be user variables anywhere:
+/// `LOAD DATA ... (a, @b)`, `GET DIAGNOSTICS @a = NUMBER`.
+const ASSIGNING_KEYWORDS: [&str; 2] = ["load", "get"];
+
+/// The changes that a statement makes to the state of its engine connection.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionEffects {
+    /// The user variables that the statement may assign, in lower case and with their `@`.
+    pub assigned_variables: BTreeSet<String>,
+}
+
+impl ConnectionEffects {
+    /// Returns the effects of a statement.
+    pub fn of(statement: &[u8]) -> Self {
+        // Few statements name a variable; only those are scanned.
+        if !statement.contains(&b'@') {
+            return Self::default();
+        }
+        let tokens: Vec<Token> = tokens(statement).collect();
+        ConnectionEffects {
+            assigned_variables: assigned_variables(&tokens),
+        }
+    }
+}
+
+/// Returns the user variables that are assigned by `@x :=` or `INTO @x, @y`, or as a target of a statement that
+/// assigns them in other ways.
+pub(super) fn assigned_variables(tokens: &[Token]) -> BTreeSet<String> {
+    let assigns_any = first_word(tokens).is_some_and(|word| {
+        ASSIGNING_KEYWORDS
+            .iter()
+            .any(|keyword| is_word(word, keyword))
+    });
+    let mut in_into_list = false;
+    let mut assigned = BTreeSet::new();
+    for (index, token) in tokens.iter().enumerate() {
+        match token {
+            Token::UserVariable(name) => {
+                if assigns_any || in_into_list || is_assignment(&tokens[index + 1..]) {
+                    assigned.insert(format!("@{}", name.to_lowercase()));
+                }
+            }
+            Token::Punctuation(b',') => {}
+            other => in_into_list = is_word(other, "into"),
+        }
+    }
+    assigned
+}
+
+fn first_word(tokens: &[Token]) -> Option<&Token> {
+    tokens
+        .iter()
+        .find(|token| matches!(token, Token::Name { .. }))
+}
+
+fn is_word(token: &Token, word: &str) -> bool {
+    matches!(token, Token::Name { text, quoted: false } if text.eq_ignore_ascii_case(word))
+}
+
+/// Returns whether the tokens begin with `:=`.
+fn is_assignment(tokens: &[Token]) -> bool {
+    matches!(
+        tokens,
+        [Token::Punctuation(b':'), Token::Punctuation(b'='), ..]
+    )
+}
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -8,6 +8,10 @@
         text: String,
         quoted: bool,
     },
+    /// A user variable: its name, without the `@`.
+    UserVariable(String),
+    /// The `@@` before the name of a system variable.
+    SystemVariablePrefix,
     Number,
     /// A string literal.
     Text,
@@ -99,6 +103,38 @@
         }
     }
 
+    /// Reads a user variable (`@x`, `@'x'`), or the prefix of a system variable.
+    fn variable(&mut self, rest: &[u8]) -> Token {
+        let is_variable_byte = |byte: u8| is_name_byte(byte) || byte == b'.';
+        match rest.get(1) {
+            Some(b'@') => {
+                self.position += 2;
+                Token::SystemVariablePrefix
+            }
+            Some(&quote @ (b'\'' | b'"' | b'`')) => {
+                self.position += 1;
+                let escapes = match quote {
+                    b'`' => Escapes::None,
+                    _ => Escapes::Backslash,
+                };
+                Token::UserVariable(self.quoted(quote, escapes))
+            }
+            Some(&byte) if is_variable_byte(byte) => {
+                let name = &rest[1..];
+                let length = name
+                    .iter()
+                    .take_while(|&&byte| is_variable_byte(byte))
+                    .count();
+                self.position += 1 + length;
+                Token::UserVariable(String::from_utf8_lossy(&name[..length]).into_owned())
+            }
+            _ => {
+                self.position += 1;
+                Token::Punctuation(b'@')
+            }
+        }
+    }
+
     /// Skips a comment; returns a token if MySQL executes or interprets it.
     fn block_comment(&mut self, rest: &[u8]) -> Option<Token> {
         self.position += 2;
@@ -147,6 +183,8 @@
                     text: self.quoted(byte, Escapes::None),
                     quoted: true,
                 });
+            } else if byte == b'@' {
+                return Some(self.variable(rest));
             } else if byte.is_ascii_digit() {
                 return Some(self.number(rest));
             } else if is_name_byte(byte) {
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -97,6 +97,46 @@
     );
 }
 
+/// Guards against a user variable that a statement assigns and the session takes for unchanged.
+#[test]
+fn assigned_user_variables_are_found_in_every_form() {
+    let cases: [(&str, &[&str]); 18] = [
+        ("select @n := @n + 1, @step from t", &["@n"]),
+        (
+            "select @A:=1, @`b c` := 2, @'d' := 3, @\"e\" := 4",
+            &["@a", "@b c", "@d", "@e"],
+        ),
+        ("select @a.b$c_1 := 1", &["@a.b$c_1"]),
+        ("select @ÉTÉ := 1", &["@été"]),
+        ("select a, b into @x, @y from t where c = @z", &["@x", "@y"]),
+        ("select a from t into @x", &["@x"]),
+        ("update t set a = (@r := a + @s)", &["@r"]),
+        ("insert into t select @i := @i + 1 from u", &["@i"]),
+        ("create temporary table x as select @n := 1", &["@n"]),
+        (
+            "load data infile 'f' into table t (a, @b) set c = @b",
+            &["@b"],
+        ),
+        ("get diagnostics @rows = row_count", &["@rows"]),
+        ("insert into t values (@posting, 42)", &[]),
+        ("select @n + 1, @@session.time_zone, @@n", &[]),
+        ("select '@n := 1', \"into @x\" -- @y := 2", &[]),
+        ("select `@n := 1` from t /* @n := 1 */", &[]),
+        ("grant select on *.* to 'a'@'b', c@localhost", &[]),
+        ("select a into outfile '/x' from t where b = @c", &[]),
+        ("select @", &[]),
+    ];
+    for (text, expected) in cases {
+        let effects = ConnectionEffects::of(text.as_bytes());
+        assert!(
+            effects.assigned_variables.iter().eq(expected),
+            "{text}: {effects:?}"
+        );
+        let is_sticky = matches!(classify(text.as_bytes()), StatementKind::MakesSticky(_));
+        assert_eq!(is_sticky, !expected.is_empty(), "{text}");
+    }
+}
+
 #[test]
 fn statements_that_commit_implicitly_are_recognized() {
     assert!(
--- a/src/sticky_sessions/session.rs
+++ b/src/sticky_sessions/session.rs
@@ -46,6 +46,22 @@
     },
     /// An error packet with this error code.
     Error(u16),
+    /// An error before the statement was sent: the engine rejected the session's context, or the preparation of
+    /// the statement.
+    NotExecuted,
+}
+
+/// `ER_PARSE_ERROR`: the engine cannot parse the statement, and has executed nothing of it.
+const ER_PARSE_ERROR: u16 = 1064;
+
+impl EngineResponse {
+    /// Returns whether the engine may have executed the statement, wholly or in part.
+    pub fn follows_execution(self) -> bool {
+        !matches!(
+            self,
+            EngineResponse::NotExecuted | EngineResponse::Error(ER_PARSE_ERROR)
+        )
+    }
 }
 
 /// What happens to the engine connection after a response.
@@ -109,9 +125,10 @@
         self.last_used_at = now;
         let statement = self.in_flight.take().unwrap_or_default();
         self.transaction = self.transaction.after(statement, response);
-        // A statement that fails has no effect on the other state of the connection.
-        if matches!(response, EngineResponse::Status { .. }) {
-            self.apply_effect(statement);
+        match response {
+            EngineResponse::Status { .. } => self.apply_effect(statement),
+            failure if failure.follows_execution() => self.apply_effect_of_failure(statement),
+            _ => {}
         }
         if self.reasons.is_empty() && !self.transaction.may_be_open() {
             ConnectionDisposition::Release
@@ -132,6 +149,16 @@
         }
     }
 
+    /// Applies what a statement that fails in the middle of its execution may leave on the connection: a lock that
+    /// it has got and variables that it has assigned stay. Tables and table locks are made whole or not at all.
+    fn apply_effect_of_failure(&mut self, statement: StatementEffect) {
+        if let Some(reason @ (StickyReason::UserLock | StickyReason::SessionVariable)) =
+            statement.acquires
+        {
+            self.reasons.insert(reason);
+        }
+    }
+
     /// Records that the engine is draining. Only the first call starts the drain timeout.
     pub fn on_engine_draining(&mut self, now: Millis) {
         self.draining_since.get_or_insert(now);
--- a/src/sticky_sessions/session/tests.rs
+++ b/src/sticky_sessions/session/tests.rs
@@ -153,6 +153,27 @@
     );
 }
 
+/// Guards against a lock or a variable that stays on a pooled connection: the statement failed after it had got it.
+#[test]
+fn a_statement_that_fails_in_its_execution_may_have_left_locks_and_variables() {
+    use ConnectionDisposition::{Release, Retain};
+    const STORAGE_FAILED: EngineResponse = EngineResponse::Error(1030);
+    for (reason, after_failure) in [
+        (StickyReason::UserLock, Retain),
+        (StickyReason::SessionVariable, Retain),
+        (StickyReason::TemporaryTable, Release),
+        (StickyReason::TableLocks, Release),
+    ] {
+        let statement = acquires(reason);
+        let disposition = run(&mut new_session(), statement, STORAGE_FAILED);
+        assert_eq!(disposition, after_failure, "{reason:?}");
+        let disposition = run(&mut new_session(), statement, EngineResponse::NotExecuted);
+        assert_eq!(disposition, Release, "{reason:?}");
+    }
+    assert!(STORAGE_FAILED.follows_execution() && IN_TRANSACTION.follows_execution());
+    assert!(!EngineResponse::NotExecuted.follows_execution());
+}
+
 /// Guards against a connection that returns to the pool while its transaction may be open: an error has no status
 /// flags, and with autocommit off the statement may have opened one.
 #[test]
--- a/src/sticky_sessions/transaction.rs
+++ b/src/sticky_sessions/transaction.rs
@@ -68,7 +68,8 @@
                 in_transaction: false,
             }
             | EngineResponse::Error(ER_LOCK_DEADLOCK) => TransactionState::NotOpen,
-            EngineResponse::Error(_) => self.after_error(statement),
+            failure if failure.follows_execution() => self.after_error(statement),
+            EngineResponse::Error(_) | EngineResponse::NotExecuted => self,
         }
     }
 
--- a/src/upstream/mysql/connection.rs
+++ b/src/upstream/mysql/connection.rs
@@ -5,7 +5,7 @@
 use super::prepared_statements::PreparedStatements;
 use crate::decision::model::Millis;
 use crate::protocol::mysql::packet::{PacketCodec, PacketError, is_err, parse_err_packet};
-use crate::protocol::mysql::session::SessionContext;
+use crate::protocol::mysql::session::ConnectionContext;
 use crate::transport::framed_connection::FramedConnection;
 use crate::transport::framed_connection::Socket;
 use crate::transport::pending_input::{self, PendingInput};
@@ -56,7 +56,8 @@
     pub(super) status: u16,
     /// Number of warnings in that answer.
     pub(super) warnings: u16,
-    pub(super) context: SessionContext,
+    /// What is known of the session context that the connection is in.
+    pub(super) context: ConnectionContext,
     pub(super) statements: PreparedStatements,
     /// Time at which opening the connection began, in milliseconds on the clock of the process.
     pub(super) opened: Millis,
@@ -90,7 +91,7 @@
             id,
             status: 0,
             warnings: 0,
-            context: SessionContext::default(),
+            context: ConnectionContext::default(),
             statements: PreparedStatements::default(),
             opened,
             last_used: Instant::now(),
@@ -172,14 +173,6 @@
             live.broken = true;
         }
     }
-
-    /// Returns whether the connection can enter this context: a schema or character set can be changed,
-    /// but not unset.
-    pub(super) fn can_enter(&self, context: &SessionContext) -> bool {
-        let current = &self.context;
-        (context.schema.is_some() || current.schema.is_none())
-            && (context.names.is_some() || current.names.is_none())
-    }
 }
 
 /// Returns the payload of a command packet: the command byte followed by `parts`.
--- a/src/upstream/mysql/executor.rs
+++ b/src/upstream/mysql/executor.rs
@@ -11,7 +11,6 @@
     COM_STMT_SEND_LONG_DATA, ERR_HEADER, OK_HEADER, PacketError, PayloadReader, is_err, ok_packet,
     parse_err_packet, parse_ok_status, read_packet,
 };
-use crate::protocol::mysql::session::{LAST_INSERT_ID_VARIABLE, set_statement};
 use crate::protocol::mysql::values::Execute;
 use crate::spool_io::Spools;
 use bytes::Bytes;
@@ -115,21 +114,17 @@
         work: &Work,
         execution: Execution<'_>,
     ) -> Result<Output, PacketError> {
-        if !connection.can_enter(&work.context) {
+        if !connection.context.can_enter(&work.context) {
             return Err(PacketError::Protocol(
                 "the connection has a schema or character set that this session needs unset",
             ));
         }
         self.enter_context(connection, work, execution.client)
             .await?;
-        // Statements change this variable, so it is set again for the next session that reads it.
-        if connection
+        connection.context.forget_last_insert_id();
+        connection
             .context
-            .variables
-            .contains_key(LAST_INSERT_ID_VARIABLE)
-        {
-            Rc::make_mut(&mut connection.context.variables).remove(LAST_INSERT_ID_VARIABLE);
-        }
+            .forget_variables(&work.effects.assigned_variables);
         match &work.job {
             Job::EnterContext => Ok(Output::one_packet(&ok_packet())),
             // A sticky session executes other jobs and is never itself submitted as one.
@@ -348,10 +343,10 @@
                 .await?;
             connection.context.names = Some(names.clone());
         }
-        if let Some(set) = set_statement(&connection.context.variables, &target.variables) {
+        if let Some(set) = connection.context.set_statement(target) {
             client.ensure_waiting().await?;
             self.expect_ok(connection, COM_QUERY, &set).await?;
-            connection.context.variables = target.variables.clone();
+            connection.context.variables_set(target);
         }
         Ok(())
     }
--- a/src/upstream/mysql/pool.rs
+++ b/src/upstream/mysql/pool.rs
@@ -75,7 +75,7 @@
         let (context, _) = key;
         // A connection cannot unset its schema: a session without a schema needs a connection that never
         // set one.
-        let fits = |connection: &Connection| connection.can_enter(context);
+        let fits = |connection: &Connection| connection.context.can_enter(context);
         let prepared = self
             .idle
             .iter()
--- a/src/upstream/mysql/sticky.rs
+++ b/src/upstream/mysql/sticky.rs
@@ -40,6 +40,8 @@
 pub struct SessionAnswer {
     /// Output of the engine.
     pub output: Output,
+    /// Whether the engine has begun to execute the statement, even if it failed then.
+    pub executed: bool,
     /// Whether the session keeps the connection.
     pub disposition: ConnectionDisposition,
     /// The state of the session's transaction after this answer.
@@ -258,30 +260,38 @@
         result: Result<Output, PacketError>,
     ) -> Result<SessionAnswer, PacketError> {
         open.last_contact = process_clock_millis();
-        let output = match result {
-            Ok(output) => output,
+        let (output, response) = match result {
+            Ok(output) => {
+                let response = response_of(&output, open.connection);
+                (output, response)
+            }
             // The schema, a setting or the statement is invalid and nothing ran: the error is the answer.
-            Err(PacketError::Server(error)) => Output::error(&error),
+            Err(PacketError::Server(error)) => (Output::error(&error), EngineResponse::NotExecuted),
             // The session detects the disconnect too, and ends with that reason.
             Err(PacketError::ClientDisconnected) => std::future::pending().await,
             Err(error) => return Err(error),
         };
         self.events.session_idle();
-        let response = match output.sql_error() {
-            Some(error) => EngineResponse::Error(error.code),
-            None => EngineResponse::Status {
-                in_transaction: open.connection.status & SERVER_STATUS_IN_TRANS != 0,
-            },
-        };
         let disposition = open.session.on_response(open.last_contact, response);
         Ok(SessionAnswer {
             output,
+            executed: response.follows_execution(),
             disposition,
             transaction: open.session.transaction(),
         })
     }
 }
 
+/// Returns the part of the engine's answer that matters to the session.
+fn response_of(output: &Output, connection: &Connection) -> EngineResponse {
+    match output.sql_error() {
+        Some(error) => EngineResponse::Error(error.code),
+        None => EngineResponse::Status {
+            in_transaction: connection.status & SERVER_STATUS_IN_TRANS != 0,
+        },
+    }
+}
+
 /// Returns the reason for the loss of a sticky session, as reported to its client.
 pub fn loss_reason(expired: Option<Expired>) -> String {
     expired.map_or("its engine connection was lost".to_string(), |expired| {
--- a/src/upstream/mysql/work.rs
+++ b/src/upstream/mysql/work.rs
@@ -5,6 +5,7 @@
 use crate::protocol::mysql::packet::{err_packet, is_err, parse_err_packet};
 use crate::protocol::mysql::session::SessionContext;
 use crate::protocol::mysql::values::Execute;
+use crate::protocol::statement::ConnectionEffects;
 use crate::spool::{AdmissionRequest, SpoolId};
 use crate::spool_io::{self, ResultOwner};
 use crate::upstream::mysql::downstream::Downstream;
@@ -20,6 +21,8 @@
     pub context: SessionContext,
     /// Text of the statement; empty if there is none.
     pub sql: Bytes,
+    /// Changes that the statement makes to the state of its connection.
+    pub effects: ConnectionEffects,
     /// Command to execute.
     pub job: Job,
     /// Admission request to the spool, for the limits on stored results.
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -4,10 +4,10 @@
 
 mod session_fixture;
 
-use query_dispatcher::protocol::mysql::packet::COM_QUERY;
+use query_dispatcher::protocol::mysql::packet::{COM_QUERY, COM_RESET_CONNECTION};
 use session_fixture::{Fixture, query_error, query_rows, run, sleep_ms, start};
 use std::time::Duration;
-use testbed::clients::mysql::error;
+use testbed::clients::mysql::{Session, error};
 
 /// MySQL's error for a deadlock, SQLSTATE 40001: the transaction is rolled back and can be begun again.
 const ROLLED_BACK: u16 = 1213;
@@ -167,3 +167,145 @@
         }
     });
 }
+
+/// An engine's error in the middle of a statement: its storage fails.
+const STORAGE_FAILED: u16 = 1030;
+const NUMBERED_LIST: &str = "select @n := @n + 1 from goods";
+
+/// Asks for a list of five goods that the session numbers by a user variable, and returns the numbers.
+async fn numbered_list(s: &mut Session) -> Vec<String> {
+    query_rows(s, "SET @n := 0").await;
+    query_rows(s, NUMBERED_LIST).await.concat()
+}
+
+/// Returns the value of a user variable; `None` if it is NULL.
+async fn user_variable(s: &mut Session, name: &str) -> Option<String> {
+    let rows = query_rows(s, &format!("select {name}")).await;
+    rows.concat().pop()
+}
+
+/// Guards against a SET that is answered OK and not in force: a statement had changed the variable on the engine
+/// connection, which seemed to have the value already. Sessions with the same setting got what others had left.
+#[test]
+fn user_variable_that_a_statement_assigned_is_set_anew() {
+    const NUMBERS: [&str; 5] = ["1", "2", "3", "4", "5"];
+    run(async {
+        let fixture = start("numbers", 1, "", "").await;
+        let engine = &fixture.engines[0];
+        let mut s = fixture.session().await;
+        engine.fail_next(NUMBERED_LIST, STORAGE_FAILED);
+        query_rows(&mut s, "SET @n := 0").await;
+        assert_eq!(query_error(&mut s, NUMBERED_LIST).await.0, STORAGE_FAILED);
+        for _ in 0..2 {
+            assert_eq!(numbered_list(&mut s).await, NUMBERS);
+        }
+        // A list whose statement cannot be parsed lets its connection go.
+        let mut failing = fixture.session().await;
+        query_rows(&mut failing, "SET @n := 0").await;
+        engine.fail_next(NUMBERED_LIST, 1064);
+        assert_eq!(query_error(&mut failing, NUMBERED_LIST).await.0, 1064);
+        for _ in 0..3 {
+            assert_eq!(numbered_list(&mut fixture.session().await).await, NUMBERS);
+        }
+        let mut other = fixture.session().await;
+        assert_eq!(user_variable(&mut other, "@n").await, None);
+    });
+}
+
+/// Guards against the same fault in the other ways to assign a variable, and in the ways to change it back.
+#[test]
+fn session_reads_the_variables_that_its_statements_and_sets_have_left() {
+    run(async {
+        let fixture = start("assigns", 2, "", "").await;
+        for (name, assignment) in [
+            ("@n", "select @n := 7"),
+            ("@n", "select @N:=7"),
+            ("@n", "select @`n` := 7"),
+            ("@n", "select @'n' := 7"),
+            ("@n", "select 7 into @n"),
+            ("@a.b", "select @a.b := 7"),
+        ] {
+            let mut s = fixture.session().await;
+            query_rows(&mut s, "SET @n = 1, @kept = 2").await;
+            query_rows(&mut s, assignment).await;
+            let value = user_variable(&mut s, name).await;
+            assert_eq!(value.as_deref(), Some("7"), "{assignment}");
+            for (set, expected) in [
+                ("SET @n = 1", Some("1")),
+                ("SET @n = NULL", None),
+                ("SET @n = 1 + 1", Some("2")),
+            ] {
+                query_rows(&mut s, assignment).await;
+                query_rows(&mut s, set).await;
+                let value = user_variable(&mut s, "@n").await;
+                assert_eq!(value.as_deref(), expected, "{assignment}, {set}");
+            }
+            let kept = user_variable(&mut s, "@kept").await;
+            assert_eq!(kept.as_deref(), Some("2"), "{assignment}");
+        }
+        let mut s = fixture.session().await;
+        let (id, _) = s.prepare("select @n := @n + 1").await.unwrap();
+        for _ in 0..2 {
+            query_rows(&mut s, "SET @n := 0").await;
+            for expected in ["1", "2"] {
+                s.execute(id, false).await.unwrap();
+                let value = user_variable(&mut s, "@n").await;
+                assert_eq!(value.as_deref(), Some(expected));
+            }
+        }
+    });
+}
+
+/// Guards against an assignment whose connection goes back to the pool: by a statement that assigns variables in
+/// the middle of a transaction, whose end would free the connection, and by a reset of the session.
+#[test]
+fn variables_of_a_session_do_not_reach_the_next_one() {
+    run(async {
+        let fixture = start("left", 1, "", "").await;
+        for ending in ["commit", "rollback", "reset"] {
+            let mut s = fixture.session().await;
+            query_rows(&mut s, "SET @n = 1").await;
+            query_rows(&mut s, "begin").await;
+            query_rows(&mut s, "select @n := 5").await;
+            match ending {
+                "reset" => {
+                    s.send(COM_RESET_CONNECTION, &[]).await.unwrap();
+                    s.answer().await.unwrap();
+                    assert_eq!(user_variable(&mut s, "@n").await, None);
+                }
+                sql => {
+                    query_rows(&mut s, sql).await;
+                    let value = user_variable(&mut s, "@n").await;
+                    assert_eq!(value.as_deref(), Some("5"), "{sql}");
+                }
+            }
+            let mut next = fixture.session().await;
+            query_rows(&mut next, "SET @n = 1").await;
+            let value = user_variable(&mut next, "@n").await;
+            assert_eq!(value.as_deref(), Some("1"), "{ending}");
+        }
+        // The value goes with the engine connection, and the client learns that.
+        let mut s = fixture.session().await;
+        query_rows(&mut s, "select @n := 5").await;
+        fixture.engines[0].lose_next_response("select");
+        assert_eq!(query_error(&mut s, "select a from t").await.0, MAY_HAVE_RUN);
+        assert_eq!(user_variable(&mut s, "@n").await, None);
+    });
+}
+
+/// Guards against a lock that stays on a pooled connection: the statement that took it failed afterwards.
+#[test]
+fn connection_stays_with_a_session_whose_failed_statement_may_have_taken_a_lock() {
+    run(async {
+        let fixture = start("lock", 1, "", "").await;
+        let mut s = fixture.session().await;
+        fixture.engines[0].fail_next("select get_lock", STORAGE_FAILED);
+        let (number, _) = query_error(&mut s, "select get_lock('a', 1), b from t").await;
+        assert_eq!(number, STORAGE_FAILED);
+        let held = query_rows(&mut s, "select connection_id()").await;
+        let mut other = fixture.session().await;
+        let others = query_rows(&mut other, "select connection_id()").await;
+        assert_ne!(others, held);
+        assert_eq!(query_rows(&mut s, "select connection_id()").await, held);
+    });
+}
