Read the content of executable comments as engines do

Callers saw: /*!40103 SET TIME_ZONE='+00:00' */, as dump programs send it, was answered OK, lost with the next connection, and in force for other sessions on that connection.

Change: the scanner gives the tokens of the content, up to version 8.0.0, so that SET, USE, BEGIN and the rest are handled as without the comment. A connection that has got one of a higher version serves no other session. Why it works: what is executed is what is classified; where that can't be known, the connection isn't shared.

The fake engine executes them too.

--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -402,11 +402,16 @@
     }
 }
 
-/// Removes leading comments and the semicolon at the end.
+/// Removes leading comments and the semicolon at the end. The content of a leading `/*!40101 ... */` stays.
 fn strip_comments(sql: &str) -> String {
     let mut text = sql.trim();
     while let Some(rest) = text.strip_prefix("/*") {
-        text = rest.split_once("*/").map_or("", |r| r.1).trim_start();
+        let (comment, after) = rest.split_once("*/").unwrap_or((rest, ""));
+        if let Some(executed) = comment.strip_prefix('!') {
+            let executed = executed.trim_start_matches(|c: char| c.is_ascii_digit());
+            return executed.trim().to_string();
+        }
+        text = after.trim_start();
     }
     text.trim_end_matches(';').trim().to_string()
 }
--- a/src/protocol/mysql/session/set.rs
+++ b/src/protocol/mysql/session/set.rs
@@ -67,6 +67,7 @@
     }
     let text =
         std::str::from_utf8(sql).map_err(|_| SetError::Unsupported("a SET in Unicode only"))?;
+    let text = skip_comments(text);
     let text = executable_comment(text).unwrap_or(text);
     if sets_accounts(text) {
         return Err(SetError::Unsupported(
@@ -89,11 +90,29 @@
     Ok(changes.into_iter().map(|(_, change)| change).collect())
 }
 
+/// Returns the text after leading white space and comments.
+fn skip_comments(text: &str) -> &str {
+    let mut rest = text.trim_start();
+    loop {
+        let is_executable = rest.starts_with("/*!");
+        let after_comment = match rest.strip_prefix("/*") {
+            Some(comment) if !is_executable => comment.split_once("*/"),
+            _ if rest.starts_with("--") || rest.starts_with('#') => rest.split_once('\n'),
+            _ => None,
+        };
+        match after_comment {
+            Some((_, after)) => rest = after.trim_start(),
+            None => return rest,
+        }
+    }
+}
+
 /// Returns the content of an executable comment (`/*!40101 SET ... */`), as database dumps contain them.
 fn executable_comment(text: &str) -> Option<&str> {
     let inner = text
         .trim()
         .trim_end_matches(';')
+        .trim_end()
         .strip_prefix("/*!")?
         .strip_suffix("*/")?;
     Some(inner.trim_start_matches(|digit: char| digit.is_ascii_digit()))
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -40,6 +40,14 @@
             "/*!40101 SET @OLD_SQL_MODE = 'x', SQL_MODE='NO_AUTO_VALUE_ON_ZERO' */",
             "SET @old_sql_mode = 'x', SESSION sql_mode = 'NO_AUTO_VALUE_ON_ZERO'",
         ),
+        (
+            "-- dump\n# of today\n/* by */ /*!40103 SET TIME_ZONE='+00:00' */ ;",
+            "SET SESSION time_zone = '+00:00'",
+        ),
+        (
+            "-- why\nSET time_zone = '+00:00'",
+            "SET SESSION time_zone = '+00:00'",
+        ),
         (
             "SET @a := -1.5e3, @`b c` = 'it''s; \\' here'",
             "SET @a = -1.5e3, @`b c` = 'it''s; \\' here'",
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -67,11 +67,15 @@
     start: usize,
     /// Index after the last token that is not a semicolon.
     end: usize,
+    /// The statement has a comment that means something to the engine. What executable comments contain is among
+    /// the tokens.
+    has_engine_comment: bool,
 }
 
 impl Statement {
     fn scan(sql: &[u8]) -> Self {
-        let tokens: Vec<Token> = tokens(sql).collect();
+        let (comments, tokens): (Vec<Token>, Vec<Token>) =
+            tokens(sql).partition(Token::is_engine_comment);
         let words = tokens.iter().map(bare_word).collect();
         let start = tokens
             .iter()
@@ -84,6 +88,7 @@
             words,
             start: start.unwrap_or(0),
             end: last.map_or(0, |index| index + 1),
+            has_engine_comment: !comments.is_empty(),
         }
     }
 
@@ -266,8 +271,7 @@
         && !locks_rows(statement)
         && !has_write_keyword(statement)
         && !calls_unknown_function(statement)
-        && !statement.tokens.contains(&Token::ExecutableComment)
-        && !statement.tokens.contains(&Token::OptimizerHint)
+        && !statement.has_engine_comment
         && !statement.has_assignment();
     match is_read {
         true => StatementKind::Read,
@@ -342,15 +346,16 @@
 
 /// Returns whether a statement that ends a transaction is a ROLLBACK rather than a COMMIT.
 pub fn is_rollback(statement: &[u8]) -> bool {
-    matches!(tokens(statement).next(), Some(Token::Name { text, .. }) if text.eq_ignore_ascii_case("rollback"))
+    let first = tokens(statement).find(|token| !token.is_engine_comment());
+    matches!(first, Some(Token::Name { text, .. }) if text.eq_ignore_ascii_case("rollback"))
 }
 
 /// Returns whether the statement implicitly commits an open transaction, as the definition of
-/// tables or users and table locks do. What an executable comment contains may do so too.
+/// tables or users and table locks do. What only newer engines execute may do so too.
 pub fn commits_implicitly(statement: &[u8]) -> bool {
     let mut first_word = None;
     for token in tokens(statement) {
-        if token == Token::ExecutableComment {
+        if token == Token::VersionedComment {
             return true;
         }
         let word = bare_word(&token);
--- a/src/protocol/statement/connection_effects.rs
+++ b/src/protocol/statement/connection_effects.rs
@@ -1,7 +1,7 @@
 //! What a statement changes on its engine connection besides data. The session does not see these changes in
 //! the answer.
 
-use super::scanner::{Token, tokens};
+use super::scanner::{EXECUTABLE_COMMENT, Token, tokens};
 use std::collections::BTreeSet;
 
 /// First keywords of statements whose targets may be user variables anywhere:
@@ -13,18 +13,28 @@
 pub struct ConnectionEffects {
     /// The user variables that the statement may assign, in lower case and with their `@`.
     pub assigned_variables: BTreeSet<String>,
+    /// The statement contains something that only some engines execute, so that the connection may be in any
+    /// state afterwards.
+    pub is_unpredictable: bool,
 }
 
 impl ConnectionEffects {
     /// Returns the effects of a statement.
     pub fn of(statement: &[u8]) -> Self {
-        // Few statements name a variable; only those are scanned.
-        if !statement.contains(&b'@') {
+        let has_executable_comment = || {
+            statement
+                .windows(EXECUTABLE_COMMENT.len())
+                .any(|window| window == EXECUTABLE_COMMENT)
+        };
+        // Few statements name a variable or have such a comment; only those are scanned.
+        if !statement.contains(&b'@') && !has_executable_comment() {
             return Self::default();
         }
-        let tokens: Vec<Token> = tokens(statement).collect();
+        let (comments, tokens): (Vec<Token>, Vec<Token>) =
+            tokens(statement).partition(Token::is_engine_comment);
         ConnectionEffects {
             assigned_variables: assigned_variables(&tokens),
+            is_unpredictable: comments.contains(&Token::VersionedComment),
         }
     }
 }
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -17,18 +17,39 @@
     Text,
     /// A punctuation character.
     Punctuation(u8),
-    /// `/*! ... */`, whose content MySQL executes.
+    /// The beginning of `/*! ... */`, whose content the engine executes. The tokens of the content follow.
     ExecutableComment,
+    /// `/*!99999 ... */`, whose content the engine executes only if it has at least this version.
+    VersionedComment,
     /// `/*+ ... */`, whose content MySQL interprets for the one statement.
     OptimizerHint,
 }
 
+impl Token {
+    /// Returns whether this marks a comment that means something to the engine.
+    pub(super) fn is_engine_comment(&self) -> bool {
+        matches!(
+            self,
+            Token::ExecutableComment | Token::VersionedComment | Token::OptimizerHint
+        )
+    }
+}
+
+/// The beginning of an executable comment.
+pub(super) const EXECUTABLE_COMMENT: &[u8] = b"/*!";
+/// The highest version of an executable comment that every engine executes: 8.0.0.
+const OLDEST_ENGINE_VERSION: u32 = 80_000;
+/// Number of digits of the version of an executable comment: `Mmmrr` or `MMmmrr`.
+const VERSION_DIGITS: std::ops::RangeInclusive<usize> = 5..=6;
+
 /// An iterator over the tokens of a statement.
 pub(super) struct Tokens<'a> {
     sql: &'a [u8],
     position: usize,
     /// Whether the last token was a dot.
     after_dot: bool,
+    /// Whether the position is in an executable comment.
+    in_executable_comment: bool,
 }
 
 pub(super) fn tokens(sql: &[u8]) -> Tokens<'_> {
@@ -36,6 +57,7 @@
         sql,
         position: 0,
         after_dot: false,
+        in_executable_comment: false,
     }
 }
 
@@ -137,13 +159,37 @@
 
     /// Skips a comment; returns a token if MySQL executes or interprets it.
     fn block_comment(&mut self, rest: &[u8]) -> Option<Token> {
+        if rest.starts_with(EXECUTABLE_COMMENT) {
+            return Some(self.executable_comment(rest));
+        }
         self.position += 2;
         self.skip_past(b"*/");
-        match rest.get(2) {
-            Some(b'!') => Some(Token::ExecutableComment),
-            Some(b'+') => Some(Token::OptimizerHint),
-            _ => None,
+        (rest.get(2) == Some(&b'+')).then_some(Token::OptimizerHint)
+    }
+
+    /// Enters an executable comment, or skips it if not every engine executes it.
+    fn executable_comment(&mut self, rest: &[u8]) -> Token {
+        let content = &rest[EXECUTABLE_COMMENT.len()..];
+        let digits = content
+            .iter()
+            .take(*VERSION_DIGITS.end())
+            .take_while(|byte| byte.is_ascii_digit())
+            .count();
+        let version_length = if VERSION_DIGITS.contains(&digits) {
+            digits
+        } else {
+            0
+        };
+        let version = content[..version_length]
+            .iter()
+            .fold(0, |version, digit| version * 10 + u32::from(digit - b'0'));
+        self.position += EXECUTABLE_COMMENT.len() + version_length;
+        if version > OLDEST_ENGINE_VERSION {
+            self.skip_past(b"*/");
+            return Token::VersionedComment;
         }
+        self.in_executable_comment = true;
+        Token::ExecutableComment
     }
 
     fn skip_past(&mut self, end: &[u8]) {
@@ -165,8 +211,13 @@
         loop {
             let rest = sql.get(self.position..)?;
             let &byte = rest.first()?;
-            if byte.is_ascii_whitespace() {
+            // A semicolon in an executable comment is part of the body of a trigger or routine.
+            let is_inner_semicolon = self.in_executable_comment && byte == b';';
+            if byte.is_ascii_whitespace() || is_inner_semicolon {
                 self.position += 1;
+            } else if self.in_executable_comment && rest.starts_with(b"*/") {
+                self.position += 2;
+                self.in_executable_comment = false;
             } else if rest.starts_with(b"/*") {
                 if let Some(token) = self.block_comment(rest) {
                     return Some(token);
--- a/src/upstream/mysql/attempt.rs
+++ b/src/upstream/mysql/attempt.rs
@@ -26,8 +26,11 @@
 }
 
 impl PooledConnection<'_> {
+    /// Returns the connection to the pool, or closes it if no other session may use it.
     fn return_to_pool(self) {
-        self.permit.return_to_pool(self.connection);
+        if !self.connection.is_unpredictable {
+            self.permit.return_to_pool(self.connection);
+        }
     }
 
     fn return_used_to_pool(mut self) {
--- a/src/upstream/mysql/connection.rs
+++ b/src/upstream/mysql/connection.rs
@@ -58,6 +58,8 @@
     pub(super) warnings: u16,
     /// What is known of the session context that the connection is in.
     pub(super) context: ConnectionContext,
+    /// A statement may have changed the state of the connection in any way: no other session may use it.
+    pub(super) is_unpredictable: bool,
     pub(super) statements: PreparedStatements,
     /// Time at which opening the connection began, in milliseconds on the clock of the process.
     pub(super) opened: Millis,
@@ -92,6 +94,7 @@
             status: 0,
             warnings: 0,
             context: ConnectionContext::default(),
+            is_unpredictable: false,
             statements: PreparedStatements::default(),
             opened,
             last_used: Instant::now(),
--- a/src/upstream/mysql/executor.rs
+++ b/src/upstream/mysql/executor.rs
@@ -125,6 +125,7 @@
         connection
             .context
             .forget_variables(&work.effects.assigned_variables);
+        connection.is_unpredictable |= work.effects.is_unpredictable;
         match &work.job {
             Job::EnterContext => Ok(Output::one_packet(&ok_packet())),
             // A sticky session executes other jobs and is never itself submitted as one.
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -309,3 +309,37 @@
         assert_eq!(query_rows(&mut s, "select connection_id()").await, held);
     });
 }
+
+/// Guards against a setting in an executable comment, as dump programs send it, that was run as a write on one
+/// pooled connection: other sessions got it, and the session lost it when it moved to another connection.
+#[test]
+fn setting_in_an_executable_comment_moves_with_its_session_and_reaches_no_other() {
+    run(async {
+        let fixture = start("dump", 1, "", "").await;
+        let mut s = fixture.session().await;
+        let mut other = fixture.session().await;
+        for sql in [
+            "/*!40103 SET @OLD_TIME_ZONE=@@TIME_ZONE */",
+            "/*!40103 SET TIME_ZONE='+00:00' */;",
+        ] {
+            query_rows(&mut s, sql).await;
+        }
+        for _ in 0..2 {
+            let zone = query_rows(&mut other, "select @@time_zone").await;
+            assert_eq!(zone, [["SYSTEM"]]);
+            let zones = query_rows(&mut s, "select @@time_zone, @old_time_zone").await;
+            assert_eq!(zones, [["+00:00", "SYSTEM"]]);
+        }
+        query_rows(&mut s, "/*!40103 SET TIME_ZONE=@OLD_TIME_ZONE */").await;
+        let zone = query_rows(&mut s, "select @@time_zone").await;
+        assert_eq!(zone, [["SYSTEM"]]);
+        // Only newer engines execute this one, so that its connection serves no other session.
+        query_rows(&mut s, "/*!99999 SET TIME_ZONE='+00:00' */").await;
+        let zone = query_rows(&mut other, "select @@time_zone").await;
+        assert_eq!(zone, [["SYSTEM"]]);
+        query_rows(&mut s, "/*!50000 begin */").await;
+        query_rows(&mut s, "insert into t values (1)").await;
+        query_rows(&mut s, "/*!50000 rollback */").await;
+        assert_eq!(fixture.committed(), Vec::<String>::new());
+    });
+}
