Enter character sets of sessions so that SET NAMES and its variables agree

Callers saw: on a connection that sessions share, character_set_results and its like were those of another session or the engine's default.

Cause: SET NAMES sets variables that the context of a connection also holds one by one; neither was forgotten for the other. Evidence: the new test on the code before reads utf8mb3 where its session has set utf8mb4.

Change: SET NAMES is sent first, also to reset one of its variables, and the variables of the session after it. Why it works: both follow the order in which a session sets them.

Measured: the new test failed before and passes; a unit test follows seven sessions on one connection.

--- a/src/protocol/mysql/session/connection_context.rs
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -11,13 +11,23 @@
 /// In place of the value of a variable that is not known: no literal is empty.
 const UNKNOWN_VALUE: &str = "";
 
+/// The operand of SET NAMES that gives a connection the character set of its login.
+const NAMES_OF_LOGIN: &str = "utf8mb4 COLLATE utf8mb4_general_ci";
+/// The variables that SET NAMES sets.
+const VARIABLES_OF_NAMES: [&str; 4] = [
+    "character_set_client",
+    "character_set_connection",
+    "character_set_results",
+    "collation_connection",
+];
+
 /// The context of an engine connection: what the dispatcher has set there and no statement has changed since.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionContext {
     /// The default schema; `None` if none was ever selected.
     pub schema: Option<String>,
     /// The operand of the last SET NAMES, if there was one.
-    pub names: Option<String>,
+    names: Option<String>,
     /// The values that are known. A variable without an entry here or in `unknown` has its initial value.
     variables: Rc<SessionVariables>,
     /// Variables that a statement has assigned, so that only the engine knows their values.
@@ -49,6 +59,29 @@
         }
     }
 
+    /// Returns the operand of the SET NAMES that the connection needs to enter the target; `None` if it needs none.
+    /// SET NAMES is also the way to reset variables that it sets: their DEFAULT is that of the engine.
+    pub fn names_operand<'a>(&self, target: &'a SessionContext) -> Option<&'a str> {
+        let has_variable_to_reset = VARIABLES_OF_NAMES.iter().any(|name| {
+            self.variables.contains_key(*name) && !target.variables.contains_key(*name)
+        });
+        let changes_names = self.names != target.names && target.names.is_some();
+        let operand = target.names.as_deref().unwrap_or(NAMES_OF_LOGIN);
+        (changes_names || has_variable_to_reset).then_some(operand)
+    }
+
+    /// Records that the SET NAMES for this target was executed.
+    pub fn names_set(&mut self, target: &SessionContext) {
+        self.names.clone_from(&target.names);
+        if VARIABLES_OF_NAMES
+            .iter()
+            .any(|name| self.variables.contains_key(*name))
+        {
+            Rc::make_mut(&mut self.variables)
+                .retain(|name, _| !VARIABLES_OF_NAMES.contains(&name.as_str()));
+        }
+    }
+
     /// Returns the SET that changes the variables of the connection to those of the target; `None` if nothing
     /// has to change.
     pub fn set_statement(&self, target: &SessionContext) -> Option<String> {
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -69,6 +69,48 @@
     );
 }
 
+/// Guards against character sets that SET NAMES changes on a connection, unnoticed, and against a reset to the
+/// engine's default, which is another one than that of the login or of SET NAMES.
+#[test]
+fn character_sets_follow_the_names_of_their_session() {
+    let mut connection = ConnectionContext::default();
+    let mut enter_names = |sql: &str| {
+        let state = state_after(&SessionState::default(), sql);
+        let target = state.context();
+        let names = connection.names_operand(target).map(str::to_string);
+        if names.is_some() {
+            connection.names_set(target);
+        }
+        (names, enter(&mut connection, target))
+    };
+    let set_results = "SET SESSION character_set_results = 'utf8mb4'";
+    for (sql, names, set) in [
+        (
+            "SET character_set_results = utf8mb4",
+            None,
+            Some(set_results),
+        ),
+        ("SET @x = 1", Some(NAMES_OF_LOGIN), Some("SET @x = 1")),
+        ("SET NAMES utf8mb3", Some("utf8mb3"), Some("SET @x = NULL")),
+        (
+            "SET NAMES utf8mb3, character_set_results = utf8mb4",
+            None,
+            Some(set_results),
+        ),
+        (
+            "SET NAMES utf8mb4, character_set_results = utf8mb4",
+            Some("utf8mb4"),
+            Some(set_results),
+        ),
+        ("SET NAMES utf8mb4", Some("utf8mb4"), None),
+        ("SET NAMES utf8mb4", None, None),
+    ] {
+        let (entered_names, entered_set) = enter_names(sql);
+        assert_eq!(entered_names.as_deref(), names, "{sql}");
+        assert_eq!(entered_set.as_deref(), set, "{sql}");
+    }
+}
+
 #[test]
 fn last_insert_id_is_set_for_each_statement_that_reads_it_and_not_reset() {
     let mut connection = ConnectionContext::default();
--- a/src/upstream/mysql/executor.rs
+++ b/src/upstream/mysql/executor.rs
@@ -336,13 +336,11 @@
             self.expect_ok(connection, COM_INIT_DB, schema).await?;
             connection.context.schema = Some(schema.clone());
         }
-        if let Some(names) = &target.names
-            && connection.context.names != target.names
-        {
+        if let Some(names) = connection.context.names_operand(target) {
             client.ensure_waiting().await?;
             self.expect_ok(connection, COM_QUERY, &format!("SET NAMES {names}"))
                 .await?;
-            connection.context.names = Some(names.clone());
+            connection.context.names_set(target);
         }
         if let Some(set) = connection.context.set_statement(target) {
             client.ensure_waiting().await?;
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -343,3 +343,32 @@
         assert_eq!(fixture.committed(), Vec::<String>::new());
     });
 }
+
+/// Guards against character sets of one session that stay on a connection, or are lost there: SET NAMES changes
+/// variables that a session may also set one by one.
+#[test]
+fn character_sets_of_sessions_on_one_connection_do_not_mix() {
+    run(async {
+        let fixture = start("charset", 1, "", "").await;
+        let read = "select @@character_set_results, @@character_set_client";
+        let mut plain = fixture.session().await;
+        let mut named = fixture.session().await;
+        query_rows(&mut named, "SET NAMES utf8mb3").await;
+        let mut mixed = fixture.session().await;
+        query_rows(&mut mixed, "SET NAMES utf8mb3").await;
+        query_rows(&mut mixed, "SET character_set_results = utf8mb4").await;
+        let mut other = fixture.session().await;
+        query_rows(&mut other, "SET NAMES utf8mb4").await;
+        query_rows(&mut other, "SET character_set_results = utf8mb4").await;
+        for _ in 0..2 {
+            let sets = query_rows(&mut mixed, read).await;
+            assert_eq!(sets, [["utf8mb4", "utf8mb3"]]);
+            let sets = query_rows(&mut named, read).await;
+            assert_eq!(sets, [["utf8mb3", "utf8mb3"]]);
+            let sets = query_rows(&mut other, read).await;
+            assert_eq!(sets, [["utf8mb4", "utf8mb4"]]);
+            let sets = query_rows(&mut plain, read).await;
+            assert_eq!(sets, [["utf8mb4", "utf8mb4"]]);
+        }
+    });
+}
