Unset the default schema of a session and its connection with DROP DATABASE

Callers saw: USE of a schema that had been dropped and created anew was answered OK and not in force.

Cause: an engine unsets the default schema of the connection that drops it; the context of the connection kept it, so that nothing was sent. Evidence: the new test on the code before, SELECT DATABASE() gives NULL.

Change: a successful DROP DATABASE unsets the schema of the session and in the context of its connection. Why it works: both are what the engine has.

--- a/crates/testbed/src/fakes/engine.rs
+++ b/crates/testbed/src/fakes/engine.rs
@@ -334,6 +334,11 @@
                     continue;
                 }
                 COM_STMT_SEND_LONG_DATA => continue,
+                COM_INIT_DB => {
+                    session.use_schema(&text);
+                    wire.send(&ok_with_status(session.status())[..]).await?;
+                    continue;
+                }
                 _ => {
                     wire.send(&ok_with_status(session.status())[..]).await?;
                     continue;
--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -55,6 +55,7 @@
     name: String,
     variables: BTreeMap<String, String>,
     user_variables: BTreeMap<String, Option<String>>,
+    schema: Option<String>,
     in_transaction: bool,
     /// Warning of the last statement. A statement that contains the word `warns` causes one.
     warning: Option<String>,
@@ -76,6 +77,7 @@
             name: name.into(),
             variables,
             user_variables,
+            schema: None,
             in_transaction: false,
             warning: None,
             pending,
@@ -88,6 +90,11 @@
         u16::from(self.warning.is_some())
     }
 
+    /// Selects the default schema.
+    pub fn use_schema(&mut self, schema: &str) {
+        self.schema = Some(schema.into());
+    }
+
     /// Returns the connection ID.
     pub fn number(&self) -> u32 {
         self.number
@@ -125,6 +132,12 @@
             }
             ["set", ..] => return Some(self.set(&text[3..])),
             ["kill", ..] => return Some(SessionResponse::Ok),
+            ["drop", "database" | "schema", .., name] => {
+                self.commit();
+                let dropped = name.trim_matches('`').to_string();
+                self.schema.take_if(|schema| *schema == dropped);
+                return None;
+            }
             ["begin"] | ["start", "transaction", ..] => {
                 self.commit();
                 self.in_transaction = true;
@@ -361,6 +374,7 @@
         }
         match lower.as_str() {
             "null" => Some(None),
+            "database()" => Some(self.schema.clone()),
             "connection_id()" => Some(Some(self.number.to_string())),
             "engine()" => Some(Some(self.name.clone())),
             "version()" => Some(Some("8.0.0-lab".into())),
--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -92,11 +92,20 @@
         *self.warnings.borrow_mut() = None;
         let makes_sticky =
             matches!(request.kind, StatementKind::MakesSticky(_)) || !self.state.autocommit();
+        let dropped_schema = match runs {
+            true => ConnectionEffects::of(&request.sql).dropped_schema,
+            false => None,
+        };
         let result = match self.sticky.is_some() || runs && makes_sticky {
             true => self.execute_sticky(request).await?,
             false => Ok(self.dispatch(request).await?),
         };
         self.record_result(&result, runs);
+        if let Some(schema) = dropped_schema
+            && self.last_error.is_none()
+        {
+            self.state.schema_dropped(&schema);
+        }
         Ok(result)
     }
 
--- a/src/protocol/mysql/session/connection_context.rs
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -21,6 +21,12 @@
     "collation_connection",
 ];
 
+/// Returns whether these are surely or possibly names of the same schema: whether case matters depends on the
+/// engine.
+pub(super) fn is_same_schema(one: &str, other: &str) -> bool {
+    one.to_lowercase() == other.to_lowercase()
+}
+
 /// The context of an engine connection: what the dispatcher has set there and no statement has changed since.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionContext {
@@ -42,6 +48,12 @@
             && (target.names.is_some() || self.names.is_none())
     }
 
+    /// Records that a statement has dropped this schema: if it was the default schema, the connection has none.
+    pub fn schema_dropped(&mut self, schema: &str) {
+        self.schema
+            .take_if(|current| is_same_schema(current, schema));
+    }
+
     /// Records that a statement assigns these variables, whether it succeeds or fails.
     pub fn forget_variables(&mut self, names: &BTreeSet<String>) {
         if names.is_empty() {
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -159,6 +159,14 @@
         self.context.schema = Some(schema);
     }
 
+    /// Records that a statement of the session has dropped this schema: if it was the default schema, the session
+    /// has none.
+    pub fn schema_dropped(&mut self, schema: &str) {
+        self.context
+            .schema
+            .take_if(|current| connection_context::is_same_schema(current, schema));
+    }
+
     /// Records the insert id from the answer to a statement; 0 means that there is none.
     pub fn record_insert_id(&mut self, id: u64) {
         if id != 0 {
--- a/src/protocol/statement/connection_effects.rs
+++ b/src/protocol/statement/connection_effects.rs
@@ -13,6 +13,8 @@
 pub struct ConnectionEffects {
     /// The user variables that the statement may assign, in lower case and with their `@`.
     pub assigned_variables: BTreeSet<String>,
+    /// The schema that the statement drops: an engine unsets it as the default schema of the connection.
+    pub dropped_schema: Option<String>,
     /// The statement contains something that only some engines execute, so that the connection may be in any
     /// state afterwards.
     pub is_unpredictable: bool,
@@ -26,19 +28,44 @@
                 .windows(EXECUTABLE_COMMENT.len())
                 .any(|window| window == EXECUTABLE_COMMENT)
         };
-        // Few statements name a variable or have such a comment; only those are scanned.
-        if !statement.contains(&b'@') && !has_executable_comment() {
+        // Few statements name a variable, have such a comment or drop a schema; only those are scanned.
+        if !statement.contains(&b'@') && !has_executable_comment() && !begins_with_drop(statement) {
             return Self::default();
         }
         let (comments, tokens): (Vec<Token>, Vec<Token>) =
             tokens(statement).partition(Token::is_engine_comment);
         ConnectionEffects {
             assigned_variables: assigned_variables(&tokens),
+            dropped_schema: dropped_schema(&tokens),
             is_unpredictable: comments.contains(&Token::VersionedComment),
         }
     }
 }
 
+fn begins_with_drop(statement: &[u8]) -> bool {
+    tokens(statement)
+        .next()
+        .is_some_and(|token| is_word(&token, "drop"))
+}
+
+/// Returns the schema of `DROP DATABASE [IF EXISTS] name`.
+fn dropped_schema(tokens: &[Token]) -> Option<String> {
+    let [drop, database, rest @ ..] = tokens else {
+        return None;
+    };
+    let drops_schema =
+        is_word(drop, "drop") && (is_word(database, "database") || is_word(database, "schema"));
+    let name = match rest {
+        [first, second, name, ..] if is_word(first, "if") && is_word(second, "exists") => name,
+        [name, ..] => name,
+        [] => return None,
+    };
+    match name {
+        Token::Name { text, .. } if drops_schema => Some(text.clone()),
+        _ => None,
+    }
+}
+
 /// Returns the user variables that are assigned by `@x :=` or `INTO @x, @y`, or as a target of a statement that
 /// assigns them in other ways.
 pub(super) fn assigned_variables(tokens: &[Token]) -> BTreeSet<String> {
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -98,6 +98,23 @@
     );
 }
 
+#[test]
+fn dropped_schemas_are_recognized() {
+    for (text, expected) in [
+        ("drop database depot", Some("depot")),
+        ("DROP SCHEMA IF EXISTS `de pot`;", Some("de pot")),
+        ("/*!40000 DROP DATABASE IF EXISTS depot */", Some("depot")),
+        ("/* why */ drop database depot", Some("depot")),
+        ("drop table depot", None),
+        ("drop database", None),
+        ("drop", None),
+        ("select 'drop database depot'", None),
+    ] {
+        let effects = ConnectionEffects::of(text.as_bytes());
+        assert_eq!(effects.dropped_schema.as_deref(), expected, "{text}");
+    }
+}
+
 /// Guards against statements in executable comments, as dumps contain them, that run as something else than they are.
 #[test]
 fn content_of_executable_comments_is_classified() {
--- a/src/upstream/mysql/executor.rs
+++ b/src/upstream/mysql/executor.rs
@@ -126,6 +126,22 @@
             .context
             .forget_variables(&work.effects.assigned_variables);
         connection.is_unpredictable |= work.effects.is_unpredictable;
+        let output = self.run_command(connection, work, execution).await?;
+        if let Some(schema) = &work.effects.dropped_schema
+            && output.sql_error().is_none()
+        {
+            connection.context.schema_dropped(schema);
+        }
+        Ok(output)
+    }
+
+    /// Executes the command of the work, on a connection that has entered its context.
+    async fn run_command(
+        &self,
+        connection: &mut Connection,
+        work: &Work,
+        execution: Execution<'_>,
+    ) -> Result<Output, PacketError> {
         match &work.job {
             Job::EnterContext => Ok(Output::one_packet(&ok_packet())),
             // A sticky session executes other jobs and is never itself submitted as one.
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -372,3 +372,25 @@
         }
     });
 }
+
+/// Guards against a USE that is answered OK and not in force: the engine unsets the default schema of the
+/// connection that drops it.
+#[test]
+fn schema_that_a_statement_dropped_is_selected_anew() {
+    run(async {
+        let fixture = start("dropped", 1, "", "").await;
+        let mut s = fixture.session().await;
+        for pinning in ["select 1", "select get_lock('a', 1)"] {
+            query_rows(&mut s, pinning).await;
+            query_rows(&mut s, "use depot").await;
+            query_rows(&mut s, "select 1").await;
+            query_rows(&mut s, "drop database if exists `depot`").await;
+            let schema = query_rows(&mut s, "select database()").await;
+            assert_eq!(schema, [Vec::<String>::new()], "after {pinning}");
+            query_rows(&mut s, "create database depot").await;
+            query_rows(&mut s, "use depot").await;
+            let schema = query_rows(&mut s, "select database()").await;
+            assert_eq!(schema, [["depot"]], "after {pinning}");
+        }
+    });
+}
