Keep last_insert_id as the session's, and refuse settings that statements change

Callers saw: SET identity = 8 was answered OK and not in force; @@last_insert_id gave what another session had left on the connection; rand_seed1, rand_seed2 and insert_id were sent once, though each statement changes them.

Cause: variables that statements change were kept like those that only SET changes.

Change: SET of last_insert_id or identity sets the session's LAST_INSERT_ID(), which statements get that read it as a function or as @@last_insert_id or @@identity; the other three get 1235. Why it works: the value is kept where it changes, or nowhere.

--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -8,7 +8,7 @@
 pub const AUTOCOMMIT: u16 = 2;
 
 /// Session variables with their initial values.
-const VARIABLES: [(&str, &str); 24] = [
+const VARIABLES: [(&str, &str); 25] = [
     ("autocommit", "1"),
     ("auto_increment_increment", "1"),
     ("character_set_client", "utf8mb4"),
@@ -19,6 +19,7 @@
     ("collation_server", "utf8mb4_0900_ai_ci"),
     ("init_connect", ""),
     ("interactive_timeout", "28800"),
+    ("last_insert_id", "0"),
     ("license", "GPL"),
     ("lower_case_table_names", "0"),
     ("max_allowed_packet", "67108864"),
@@ -247,6 +248,10 @@
                 .find_map(|p| name.strip_prefix(p))
                 .unwrap_or(&name)
                 .to_string();
+            let name = match name.as_str() {
+                "identity" => "last_insert_id".to_string(),
+                _ => name,
+            };
             let Some((_, default)) = VARIABLES.iter().find(|v| v.0 == name) else {
                 return SessionResponse::Error(
                     1193,
@@ -354,6 +359,10 @@
                 .iter()
                 .find_map(|p| name.strip_prefix(p))
                 .unwrap_or(name);
+            let name = match name {
+                "identity" => "last_insert_id",
+                name => name,
+            };
             return self.variables.get(name).map(|v| Some(v.clone()));
         }
         if let Some(name) = lower.strip_prefix('@') {
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -288,6 +288,9 @@
         if name == "autocommit" {
             return self.set_autocommit(unquoted.as_deref());
         }
+        if matches!(name, LAST_INSERT_ID_VARIABLE | "identity") {
+            return self.set_last_insert_id(unquoted.as_deref());
+        }
         let is_user_variable = name.starts_with('@');
         // A user variable that was never set is NULL.
         let is_null = is_user_variable && unquoted.as_deref() == Some("null");
@@ -305,6 +308,15 @@
         })
     }
 
+    /// Sets the value of LAST_INSERT_ID(), which the session keeps itself.
+    fn set_last_insert_id(&mut self, value: Option<&str>) -> Result<Validation, SetError> {
+        self.last_insert_id = value.unwrap_or("0").parse().map_err(|_| SetError::Syntax {
+            at: 1,
+            message: "last_insert_id is a number".into(),
+        })?;
+        Ok(Validation::Done)
+    }
+
     fn set_autocommit(&mut self, value: Option<&str>) -> Result<Validation, SetError> {
         const NAME: &str = "autocommit";
         let commit_mode = match value {
--- a/src/protocol/mysql/session/variables.rs
+++ b/src/protocol/mysql/session/variables.rs
@@ -10,10 +10,12 @@
 pub const LAST_INSERT_ID_VARIABLE: &str = "last_insert_id";
 
 const REPLICATION: &str = "replication is the engines' operators' own";
+/// The next session of the connection, or the same one on another connection, would have another value.
+const CHANGES_BY_ITSELF: &str = "a variable that statements change themselves is not carried";
 
-/// Variables that change the protocol in an unsupported way or belong to replication, each with the
-/// reason for a client that sets one.
-const UNSUPPORTED: [(&str, &str); 9] = [
+/// Variables that change the protocol in an unsupported way, belong to replication or change with statements, each
+/// with the reason for a client that sets one.
+const UNSUPPORTED: [(&str, &str); 12] = [
     (
         "resultset_metadata",
         "results without their columns are not carried",
@@ -25,6 +27,9 @@
     ("character_set_connection", ONLY_UNICODE),
     ("character_set_results", ONLY_UNICODE),
     ("collation_connection", ONLY_UNICODE),
+    ("insert_id", CHANGES_BY_ITSELF),
+    ("rand_seed1", CHANGES_BY_ITSELF),
+    ("rand_seed2", CHANGES_BY_ITSELF),
     ("session_track_gtids", "session tracking is the front's own"),
 ];
 
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -324,24 +324,44 @@
     })
 }
 
-/// Returns whether the statement calls LAST_INSERT_ID().
+/// Returns whether the statement reads the insert id of an earlier one: by LAST_INSERT_ID(), or by one of the system
+/// variables `last_insert_id` and `identity`.
 pub fn reads_last_insert_id(statement: &[u8]) -> bool {
-    const NAME: &str = "last_insert_id";
-    // Few statements contain the word; only those are scanned.
-    if !statement
-        .windows(NAME.len())
-        .any(|window| window.eq_ignore_ascii_case(NAME.as_bytes()))
-    {
+    let has_name = |name: &str| {
+        statement
+            .windows(name.len())
+            .any(|window| window.eq_ignore_ascii_case(name.as_bytes()))
+    };
+    // Few statements contain one of the words; only those are scanned.
+    if !LAST_INSERT_ID_NAMES.iter().any(|name| has_name(name)) {
         return false;
     }
-    let mut tokens = tokens(statement).peekable();
-    while let Some(token) = tokens.next() {
-        let is_name = matches!(token, Token::Name { text, .. } if text.eq_ignore_ascii_case(NAME));
-        if is_name && tokens.peek() == Some(&Token::Punctuation(b'(')) {
-            return true;
-        }
+    let tokens: Vec<Token> = tokens(statement).collect();
+    (0..tokens.len()).any(|index| is_last_insert_id(&tokens, index))
+}
+
+/// The name of the function LAST_INSERT_ID(), and those of the system variables with its value.
+const LAST_INSERT_ID_NAMES: [&str; 2] = ["last_insert_id", "identity"];
+
+fn is_last_insert_id(tokens: &[Token], index: usize) -> bool {
+    let word = bare_word(&tokens[index]);
+    if !LAST_INSERT_ID_NAMES.contains(&word.as_str()) {
+        return false;
     }
-    false
+    let is_call = tokens.get(index + 1) == Some(&Token::Punctuation(b'('));
+    let is_variable = match &tokens[..index] {
+        [.., Token::SystemVariablePrefix] => true,
+        [
+            ..,
+            Token::SystemVariablePrefix,
+            scope,
+            Token::Punctuation(b'.'),
+        ] => {
+            matches!(bare_word(scope).as_str(), "session" | "local")
+        }
+        _ => false,
+    };
+    is_variable || is_call && word == LAST_INSERT_ID_NAMES[0]
 }
 
 /// Returns whether a statement that ends a transaction is a ROLLBACK rather than a COMMIT.
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -98,6 +98,22 @@
     );
 }
 
+#[test]
+fn reads_of_an_earlier_insert_id_are_recognized() {
+    for (text, expected) in [
+        ("select last_insert_id()", true),
+        ("select @@LAST_INSERT_ID", true),
+        ("select @@session.identity", true),
+        ("select @@local.last_insert_id, 1", true),
+        ("insert into t values (@@identity)", true),
+        ("select identity, last_insert_id from t", false),
+        ("select identity(1), @identity, 'last_insert_id()'", false),
+        ("select t.identity from t", false),
+    ] {
+        assert_eq!(reads_last_insert_id(text.as_bytes()), expected, "{text}");
+    }
+}
+
 #[test]
 fn dropped_schemas_are_recognized() {
     for (text, expected) in [
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -394,3 +394,28 @@
         }
     });
 }
+
+/// Guards against settings that statements change by themselves and that the session takes for unchanged.
+#[test]
+fn variables_that_each_statement_changes_are_the_sessions_own_or_rejected() {
+    run(async {
+        let fixture = start("changing", 1, "", "").await;
+        let mut s = fixture.session().await;
+        for sql in ["SET last_insert_id = 7", "SET @@session.identity = 8"] {
+            query_rows(&mut s, sql).await;
+            let expected = sql.rsplit(' ').next().unwrap();
+            for read in ["select @@last_insert_id", "select @@identity"] {
+                query_rows(&mut fixture.session().await, "select @@last_insert_id").await;
+                assert_eq!(
+                    query_rows(&mut s, read).await,
+                    [[expected]],
+                    "{sql}, {read}"
+                );
+            }
+        }
+        for name in ["insert_id", "rand_seed1", "rand_seed2"] {
+            let (number, text) = query_error(&mut s, &format!("SET {name} = 1")).await;
+            assert_eq!(number, 1235, "{text}");
+        }
+    });
+}
