Close connections whose default schema may have been dropped under another case

Need: unset the schema in the context of a connection where names differ in case alone; on an engine that tells them apart, sessions without a schema would have got that connection with its schema.

Change: such a connection serves no other session. Measured: a unit test of three names; mysql_session_faults passes.

--- a/src/protocol/mysql/session/connection_context.rs
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -49,9 +49,12 @@
     }
 
     /// Records that a statement has dropped this schema: if it was the default schema, the connection has none.
-    pub fn schema_dropped(&mut self, schema: &str) {
-        self.schema
+    /// Returns whether that is certain: it is not if the names differ in case.
+    pub fn schema_dropped(&mut self, schema: &str) -> bool {
+        let dropped = self
+            .schema
             .take_if(|current| is_same_schema(current, schema));
+        dropped.is_none_or(|dropped| dropped == schema)
     }
 
     /// Records that a statement assigns these variables, whether it succeeds or fails.
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -125,6 +125,22 @@
     assert_eq!(enter(&mut connection, state.context()), None);
 }
 
+#[test]
+fn a_dropped_schema_is_unset_where_its_name_is_the_same() {
+    for (dropped, remains, is_certain) in [
+        ("depot", None, true),
+        ("Depot", None, false),
+        ("other", Some("depot"), true),
+    ] {
+        let mut connection = ConnectionContext {
+            schema: Some("depot".into()),
+            ..ConnectionContext::default()
+        };
+        assert_eq!(connection.schema_dropped(dropped), is_certain, "{dropped}");
+        assert_eq!(connection.schema.as_deref(), remains, "{dropped}");
+    }
+}
+
 #[test]
 fn the_number_of_held_variables_is_limited() {
     let mut state = SessionState::default();
--- a/src/upstream/mysql/executor.rs
+++ b/src/upstream/mysql/executor.rs
@@ -130,7 +130,8 @@
         if let Some(schema) = &work.effects.dropped_schema
             && output.sql_error().is_none()
         {
-            connection.context.schema_dropped(schema);
+            let is_certain = connection.context.schema_dropped(schema);
+            connection.is_unpredictable |= !is_certain;
         }
         Ok(output)
     }
