Count a call as a read only if it is surely of a built-in function

Callers saw: SELECT audit.log(7, 42), a stored function that writes, was sent to a second engine when the first was lost, and its client was told that it had been served.

Cause: calls_unknown_function looked at the last part of a name alone; any call before the first SELECT of a WITH statement counted as a common table's name; blanks before the parenthesis were not seen.

Change: function_calls.rs: a call is built in if it is unquoted, without a schema, known, and without a blank where that makes it a stored function's. Why it works: what is ambiguous is a write, which is sent once. The tokens of a statement and their queries move to a file of their own.

--- a/crates/testbed/src/fakes/engine.rs
+++ b/crates/testbed/src/fakes/engine.rs
@@ -347,6 +347,7 @@
             let response = session.execute(&sql);
             self.0.committed.borrow_mut().append(&mut session.committed);
             if self.loses_response(&sql) {
+                self.record_execution(&sql, &session)?;
                 return Err(PacketError::Protocol("the test loses this response"));
             }
             if let Some(error) = self.failure_of(&sql) {
@@ -392,6 +393,23 @@
         SinkExt::<&[u8]>::flush(wire).await
     }
 
+    /// Records a statement that was received, and returns its index.
+    fn record_execution(&self, sql: &str, session: &Session) -> Result<usize, PacketError> {
+        let mut executions = self.0.executions.borrow_mut();
+        if executions.len() >= MAX_EXECUTIONS {
+            return Err(PacketError::Protocol("the record of executions is full"));
+        }
+        executions.push(Execution {
+            at: now(),
+            sql: sql.to_string(),
+            process: self.0.process.get(),
+            connection: session.number(),
+            answered: false,
+            held: 0.0,
+        });
+        Ok(executions.len() - 1)
+    }
+
     async fn run(
         &self,
         wire: &mut Wire,
@@ -401,21 +419,7 @@
         session: &Session,
     ) -> Result<(), PacketError> {
         let inner = &*self.0;
-        let index = {
-            let mut executions = inner.executions.borrow_mut();
-            if executions.len() >= MAX_EXECUTIONS {
-                return Err(PacketError::Protocol("the record of executions is full"));
-            }
-            executions.push(Execution {
-                at: now(),
-                sql: sql.clone(),
-                process: inner.process.get(),
-                connection: session.number(),
-                answered: false,
-                held: 0.0,
-            });
-            executions.len() - 1
-        };
+        let index = self.record_execution(&sql, session)?;
         inner.running.set(inner.running.get() + 1);
         inner
             .max_running
--- a/src/protocol/statement.rs
+++ b/src/protocol/statement.rs
@@ -3,9 +3,11 @@
 
 mod classify;
 mod connection_effects;
+mod function_calls;
 mod hints;
 mod scanner;
 mod table_group;
+mod tokenized_statement;
 mod words;
 
 #[cfg(test)]
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -1,10 +1,9 @@
 //! Classification of statements, as far as dispatching depends on it.
 
-use super::connection_effects::assigned_variables;
+use super::function_calls::may_call_stored_function;
 use super::scanner::{Token, tokens};
-use super::words::{
-    KEEP_TRANSACTION_OPEN, KEYWORDS_BEFORE_PARENTHESIS, READ_ONLY_FUNCTIONS, WRITE_KEYWORDS,
-};
+use super::tokenized_statement::{TokenizedStatement, bare_word};
+use super::words::{KEEP_TRANSACTION_OPEN, READ_ONLY_FUNCTIONS, WRITE_KEYWORDS};
 use crate::sticky_sessions::StickyReason;
 
 /// The kind of a MySQL statement.
@@ -39,14 +38,13 @@
     StatementKind::Unsupported("engines are not administered through the dispatcher");
 const PREPARED_BY_SQL: StatementKind =
     StatementKind::Unsupported("statements are prepared by the protocol, not by SQL");
-const ASSIGNMENT: [Token; 2] = [Token::Punctuation(b':'), Token::Punctuation(b'=')];
 const USER_LOCK_FUNCTIONS: [&str; 3] = ["get_lock", "release_lock", "release_all_locks"];
 const COUNT_FUNCTIONS: [&str; 2] = ["found_rows", "row_count"];
 
 /// Returns the kind of a MySQL statement. A statement that is not recognized as a read counts as a
 /// write.
 pub fn classify(sql: &[u8]) -> StatementKind {
-    let statement = Statement::scan(sql);
+    let statement = TokenizedStatement::scan(sql);
     if let Some(kind) = unsupported_form(&statement) {
         return kind;
     }
@@ -58,100 +56,8 @@
         .unwrap_or_else(|| read_or_write(&statement))
 }
 
-/// The tokens of a statement, with the queries that the classification needs.
-struct Statement {
-    tokens: Vec<Token>,
-    /// The unquoted names in lower case, by the index of their token; empty for any other token.
-    words: Vec<String>,
-    /// Index of the first token that is not an opening parenthesis.
-    start: usize,
-    /// Index after the last token that is not a semicolon.
-    end: usize,
-    /// The statement has a comment that means something to the engine. What executable comments contain is among
-    /// the tokens.
-    has_engine_comment: bool,
-}
-
-impl Statement {
-    fn scan(sql: &[u8]) -> Self {
-        let (comments, tokens): (Vec<Token>, Vec<Token>) =
-            tokens(sql).partition(Token::is_engine_comment);
-        let words = tokens.iter().map(bare_word).collect();
-        let start = tokens
-            .iter()
-            .position(|token| *token != Token::Punctuation(b'('));
-        let last = tokens
-            .iter()
-            .rposition(|token| *token != Token::Punctuation(b';'));
-        Statement {
-            tokens,
-            words,
-            start: start.unwrap_or(0),
-            end: last.map_or(0, |index| index + 1),
-            has_engine_comment: !comments.is_empty(),
-        }
-    }
-
-    /// Returns the word at this index; empty if there is none.
-    fn word(&self, index: usize) -> &str {
-        self.words.get(index).map_or("", String::as_str)
-    }
-
-    fn first_word(&self) -> &str {
-        self.word(self.start)
-    }
-
-    fn second_word(&self) -> &str {
-        self.word(self.start + 1)
-    }
-
-    /// Returns the words without trailing semicolons.
-    fn body(&self) -> &[String] {
-        &self.words[..self.end]
-    }
-
-    fn has(&self, word: &str) -> bool {
-        self.body().iter().any(|other| other == word)
-    }
-
-    fn is_punctuation(&self, index: usize, byte: u8) -> bool {
-        self.tokens.get(index) == Some(&Token::Punctuation(byte))
-    }
-
-    /// Returns whether the statement has exactly this number of tokens from its first word on.
-    fn has_length(&self, tokens: usize) -> bool {
-        self.end == self.start + tokens
-    }
-
-    fn calls_any(&self, functions: &[&str]) -> bool {
-        (0..self.end).any(|index| {
-            functions.contains(&self.word(index)) && self.is_punctuation(index + 1, b'(')
-        })
-    }
-
-    fn has_assignment(&self) -> bool {
-        self.tokens[..self.end]
-            .windows(2)
-            .any(|pair| pair == ASSIGNMENT)
-    }
-
-    fn assigns_user_variable(&self) -> bool {
-        !assigned_variables(&self.tokens).is_empty()
-    }
-}
-
-fn bare_word(token: &Token) -> String {
-    match token {
-        Token::Name {
-            text,
-            quoted: false,
-        } => text.to_ascii_lowercase(),
-        _ => String::new(),
-    }
-}
-
 /// Detects forms that are not supported, whatever else the statement contains.
-fn unsupported_form(statement: &Statement) -> Option<StatementKind> {
+fn unsupported_form(statement: &TokenizedStatement) -> Option<StatementKind> {
     let first = statement.first_word();
     if first == "xa" {
         return Some(StatementKind::Unsupported(
@@ -172,7 +78,7 @@
     ))
 }
 
-fn transaction_control(statement: &Statement) -> Option<StatementKind> {
+fn transaction_control(statement: &TokenizedStatement) -> Option<StatementKind> {
     match statement.first_word() {
         "begin" => Some(StatementKind::MakesSticky(StickyReason::Transaction)),
         "start" if statement.second_word() == "transaction" => {
@@ -186,7 +92,7 @@
     }
 }
 
-fn table_lock(statement: &Statement) -> Option<StatementKind> {
+fn table_lock(statement: &TokenizedStatement) -> Option<StatementKind> {
     let is_for_tables = matches!(statement.second_word(), "table" | "tables");
     match statement.first_word() {
         "lock" if is_for_tables => Some(StatementKind::MakesSticky(StickyReason::TableLocks)),
@@ -197,7 +103,7 @@
 
 /// Classifies statements about the session, which are answered without an engine or change the
 /// session's context.
-fn session_statement(statement: &Statement, sql: &[u8]) -> Option<StatementKind> {
+fn session_statement(statement: &TokenizedStatement, sql: &[u8]) -> Option<StatementKind> {
     match statement.first_word() {
         "kill" if statement.second_word() == "query" => Some(kill_query(statement, sql)),
         "show"
@@ -217,7 +123,7 @@
     }
 }
 
-fn kill_query(statement: &Statement, sql: &[u8]) -> StatementKind {
+fn kill_query(statement: &TokenizedStatement, sql: &[u8]) -> StatementKind {
     let number = String::from_utf8_lossy(sql)
         .split_ascii_whitespace()
         .nth(2)
@@ -228,7 +134,7 @@
     }
 }
 
-fn unsupported_statement(statement: &Statement) -> Option<StatementKind> {
+fn unsupported_statement(statement: &TokenizedStatement) -> Option<StatementKind> {
     match statement.first_word() {
         "lock" | "unlock" | "start" | "kill" | "shutdown" | "restart" | "flush" | "reset"
         | "install" | "uninstall" | "clone" => Some(ENGINE_ADMINISTRATION),
@@ -247,7 +153,7 @@
 }
 
 /// Detects statements that leave state on their connection or read such state of an earlier statement.
-fn sticky_statement(statement: &Statement) -> Option<StatementKind> {
+fn sticky_statement(statement: &TokenizedStatement) -> Option<StatementKind> {
     if statement.has("temporary") && matches!(statement.first_word(), "create" | "drop") {
         return Some(StatementKind::MakesSticky(StickyReason::TemporaryTable));
     }
@@ -266,11 +172,11 @@
         .then_some(StatementKind::MakesSticky(StickyReason::SessionVariable))
 }
 
-fn read_or_write(statement: &Statement) -> StatementKind {
+fn read_or_write(statement: &TokenizedStatement) -> StatementKind {
     let is_read = is_read_keyword(statement.first_word())
         && !locks_rows(statement)
         && !has_write_keyword(statement)
-        && !calls_unknown_function(statement)
+        && !may_call_stored_function(statement)
         && !statement.has_engine_comment
         && !statement.has_assignment();
     match is_read {
@@ -288,12 +194,12 @@
 
 /// Returns whether the statement has FOR UPDATE or FOR SHARE. These locks end with the statement,
 /// unless a transaction is open.
-fn locks_rows(statement: &Statement) -> bool {
+fn locks_rows(statement: &TokenizedStatement) -> bool {
     let for_update = |pair: &[String]| pair[0] == "for" && pair[1] == "update";
     statement.has("for") && (statement.has("share") || statement.body().windows(2).any(for_update))
 }
 
-fn has_write_keyword(statement: &Statement) -> bool {
+fn has_write_keyword(statement: &TokenizedStatement) -> bool {
     (0..statement.end).any(|index| {
         let word = statement.word(index);
         let is_function =
@@ -302,28 +208,6 @@
     })
 }
 
-fn calls_unknown_function(statement: &Statement) -> bool {
-    (1..statement.end).any(|index| {
-        let is_call = matches!(statement.tokens[index], Token::Name { .. })
-            && statement.is_punctuation(index + 1, b'(');
-        // A name before the first SELECT of a WITH statement, followed by columns, is a common
-        // table expression.
-        let is_common_table = || {
-            statement.first_word() == "with"
-                && statement.words[1..index]
-                    .iter()
-                    .all(|word| word != "select")
-        };
-        let word = statement.word(index);
-        let is_known = || {
-            !word.is_empty()
-                && (READ_ONLY_FUNCTIONS.contains(word)
-                    || KEYWORDS_BEFORE_PARENTHESIS.contains(word))
-        };
-        is_call && !is_common_table() && !is_known()
-    })
-}
-
 /// Returns whether the statement reads the insert id of an earlier one: by LAST_INSERT_ID(), or by one of the system
 /// variables `last_insert_id` and `identity`.
 pub fn reads_last_insert_id(statement: &[u8]) -> bool {
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -46,6 +46,8 @@
 pub(super) struct Tokens<'a> {
     sql: &'a [u8],
     position: usize,
+    /// Where the last token began.
+    token_start: usize,
     /// Whether the last token was a dot.
     after_dot: bool,
     /// Whether the position is in an executable comment.
@@ -56,6 +58,7 @@
     Tokens {
         sql,
         position: 0,
+        token_start: 0,
         after_dot: false,
         in_executable_comment: false,
     }
@@ -72,7 +75,23 @@
     None,
 }
 
+/// A token, and whether it follows the previous one without anything between them.
+pub(super) struct SpacedToken {
+    pub(super) token: Token,
+    pub(super) follows_directly: bool,
+}
+
 impl Tokens<'_> {
+    /// Reads the next token.
+    pub(super) fn next_spaced(&mut self) -> Option<SpacedToken> {
+        let previous_end = self.position;
+        let token = self.next()?;
+        Some(SpacedToken {
+            token,
+            follows_directly: self.token_start == previous_end,
+        })
+    }
+
     /// Reads a quoted string or name and returns its content. A doubled or escaped quote is part of
     /// the content.
     fn quoted(&mut self, quote: u8, escapes: Escapes) -> String {
@@ -209,6 +228,7 @@
         let after_dot = std::mem::take(&mut self.after_dot);
         let sql = self.sql;
         loop {
+            self.token_start = self.position;
             let rest = sql.get(self.position..)?;
             let &byte = rest.first()?;
             // A semicolon in an executable comment is part of the body of a trigger or routine.
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -98,6 +98,68 @@
     );
 }
 
+/// Guards against a call of a stored function, which may write, that counts as a read.
+#[test]
+fn calls_count_as_reads_only_if_they_are_surely_of_built_in_functions() {
+    let cases = [
+        ("select log(7)", true),
+        ("select concat (a, b) from t", true),
+        ("select a from t where b in (1) and exists (select 1)", true),
+        ("select * from (select 1) x join u using (a)", true),
+        ("select count(*), max(a), now() from t", true),
+        ("with w as (select 1) select * from w", true),
+        (
+            "with w(a) as (select 1), v (b, c) as (select 2, 3) select * from w, v",
+            true,
+        ),
+        (
+            "with recursive w(a) as (values row(1)) select * from w",
+            true,
+        ),
+        (
+            "select * from (with w(a) as (select 1) select a from w) x",
+            true,
+        ),
+        ("table t order by abs(a)", true),
+        ("select audit.log(7, 42)", false),
+        ("select audit.log (7)", false),
+        ("select audit . log(7)", false),
+        ("select audit./* x */log/* y */(7)", false),
+        ("select `audit`.`log`(7)", false),
+        ("select audit.`log`(7)", false),
+        ("select `log`(7)", false),
+        ("select a from t where audit.abs(b) = 1", false),
+        ("select a from t order by audit.abs(b)", false),
+        (
+            "select a from t where b in (select audit.max(c) from u)",
+            false,
+        ),
+        ("select audit.in(7)", false),
+        ("values row(audit.log(7))", false),
+        ("table t order by audit.log(7)", false),
+        (
+            "with w as (values row(audit.log(7))) select 1 from w",
+            false,
+        ),
+        ("with w as (values row(trail(7))) select 1 from w", false),
+        (
+            "with w(a) as (values row(1)), v as (table t order by f(a)) select 1",
+            false,
+        ),
+        ("with w as (table t limit 1) select f(7), g(8)", false),
+        ("with w as (select 1) table w order by f(7), g(8)", false),
+        // A blank makes these names of stored functions, unless the session ignores spaces.
+        ("select max (7)", false),
+        ("select now/* x */()", false),
+        ("select count\n(*) from t", false),
+    ];
+    for (text, is_read) in cases {
+        let kind = classify(text.as_bytes());
+        assert_eq!(kind == StatementKind::Read, is_read, "{text}");
+        assert!(is_read || kind == StatementKind::Write, "{text}");
+    }
+}
+
 #[test]
 fn reads_of_an_earlier_insert_id_are_recognized() {
     for (text, expected) in [
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -419,3 +419,34 @@
         }
     });
 }
+
+/// Guards against a stored function with the name of a built-in one that counts as a read: its call was sent to a
+/// second engine after the first one may have executed it.
+#[test]
+fn call_that_may_be_a_stored_function_is_sent_once() {
+    run(async {
+        let fixture = start("function", 2, "", "").await;
+        let mut s = fixture.session().await;
+        for sql in [
+            "select audit.log(7, 42)",
+            "select audit . /* of today */ log (7, 42)",
+            "select a from t order by `audit`.log(7)",
+            "with w as (values row(audit_trail(7))) select 1 from w",
+            "with w(a) as (values row(audit.log(7))), v(b) as (values row(1)) select a from w",
+            "values row(audit.log(7), 1)",
+            "select max (7)",
+        ] {
+            for engine in &fixture.engines {
+                engine.lose_next_response(sql);
+            }
+            assert_eq!(query_error(&mut s, sql).await.0, MAY_HAVE_RUN, "{sql}");
+            assert_eq!(fixture.execution_count(sql), 1, "{sql}");
+        }
+        // A read is sent again.
+        let read = "select log(7) from t";
+        for engine in &fixture.engines {
+            engine.lose_next_response(read);
+        }
+        assert_eq!(query_rows(&mut s, read).await.len(), 1);
+    });
+}
