Hold the classification of a statement to linear time by a test

Callers saw: one sound statement below max_packet, a WITH of 95,000 rows, held the one thread for 30 s, and reads of others with 5 s were answered after it.

Cause: each call in a WITH statement walked all words before it.

--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -318,3 +318,35 @@
         assert_eq!(table_group(text.as_bytes()), expected, "{text}");
     }
 }
+
+/// Guards against a sound statement that holds the thread of all clients: each call walked all words before it, so
+/// that a WITH of 95,000 rows took 30 s.
+#[test]
+fn statements_of_the_maximum_size_are_classified_in_linear_time() {
+    const MAX_PACKET: usize = 1 << 20;
+    /// The bench counts a thread that is busy for so long as a crash.
+    const BUSY_LIMIT: std::time::Duration = std::time::Duration::from_secs(20);
+    for (head, part, tail) in [
+        (
+            "WITH a(b) AS (VALUES ROW(0)",
+            ", ROW(1)",
+            ") SELECT b FROM a",
+        ),
+        ("WITH a AS (SELECT 1)", ", b(c) AS (SELECT 1)", " SELECT 1"),
+        ("SELECT 1", ", abs(1)", ""),
+        ("SELECT a", ".a", " FROM t"),
+        ("SELECT ", "(", ""),
+        ("SELECT 1", ", @a := 1", ""),
+        ("SELECT 1", " /*!50000 , 2 */", ""),
+    ] {
+        let repeats = (MAX_PACKET - head.len() - tail.len()) / part.len();
+        let statement = format!("{head}{}{tail}", part.repeat(repeats)).into_bytes();
+        let start = std::time::Instant::now();
+        classify(&statement);
+        ConnectionEffects::of(&statement);
+        commits_implicitly(&statement);
+        reads_last_insert_id(&statement);
+        table_group(&statement);
+        assert!(start.elapsed() < BUSY_LIMIT, "{head}{part}...");
+    }
+}
