--- a/src/frontend/mysql/commands.rs
+++ b/src/frontend/mysql/commands.rs
@@ -166,13 +166,8 @@
             }
             kind => {
                 let context = self.context_for(&sql);
-                self.execute_and_reply(StatementRequest {
-                    kind,
-                    context,
-                    sql,
-                    job: Job::Query,
-                })
-                .await
+                self.execute_and_reply(StatementRequest::new(kind, context, sql, Job::Query))
+                    .await
             }
         }
     }
--- a/src/frontend/mysql/mod.rs
+++ b/src/frontend/mysql/mod.rs
@@ -12,6 +12,7 @@
 mod request;
 mod session;
 mod settings;
+mod statement_effect;
 mod sticky;
 mod stored_results;
 mod text_result;
--- a/src/frontend/mysql/prepared_statements.rs
+++ b/src/frontend/mysql/prepared_statements.rs
@@ -207,12 +207,9 @@
                 Err(error) => return self.send_error(&error).await,
             },
             None => {
-                let request = StatementRequest {
-                    kind: kind.clone(),
-                    context: self.state.context().clone(),
-                    sql: sql.clone(),
-                    job: Job::Prepare,
-                };
+                let context = self.state.context().clone();
+                let request =
+                    StatementRequest::new(kind.clone(), context, sql.clone(), Job::Prepare);
                 match self.execute(request).await? {
                     Ok(Reply::Served(Output::Inline(packets))) => {
                         packets.iter().map(<[u8]>::to_vec).collect()
@@ -280,16 +277,14 @@
                 schema,
                 sql,
                 execute,
-            } => StatementRequest {
+            } => {
                 // The schema is that of the preparation; the other settings are the session's current ones.
-                context: SessionContext {
+                let context = SessionContext {
                     schema,
                     ..self.context_for(&sql)
-                },
-                kind,
-                sql,
-                job: Job::Execute(execute),
-            },
+                };
+                StatementRequest::new(kind, context, sql, Job::Execute(execute))
+            }
         };
         match self.execute(request).await? {
             Ok(Reply::Served(output)) if with_cursor => self.open_cursor(&body, output).await,
--- a/src/frontend/mysql/request.rs
+++ b/src/frontend/mysql/request.rs
@@ -31,14 +31,40 @@
     pub(super) context: SessionContext,
     pub(super) sql: Bytes,
     pub(super) job: Job,
+    /// Changes that the statement makes to the state of its engine connection.
+    pub(super) effects: ConnectionEffects,
 }
 
 impl StatementRequest {
+    /// Creates a request; `sql` is empty if there is no statement.
+    pub(super) fn new(kind: StatementKind, context: SessionContext, sql: Bytes, job: Job) -> Self {
+        let effects = match runs_statement(&job) {
+            true => ConnectionEffects::of(&sql),
+            false => ConnectionEffects::default(),
+        };
+        StatementRequest {
+            kind,
+            context,
+            sql,
+            job,
+            effects,
+        }
+    }
+
+    /// Returns whether the engine runs a statement, rather than prepare one or enter a context.
+    pub(super) fn runs(&self) -> bool {
+        runs_statement(&self.job)
+    }
+
     pub(super) fn reads(&self) -> bool {
         self.kind == StatementKind::Read
     }
 }
 
+fn runs_statement(job: &Job) -> bool {
+    !matches!(job, Job::Prepare | Job::EnterContext)
+}
+
 /// Abandons a request when dropped, since the client may disconnect at any time.
 pub(super) struct RequestGuard<'a, U: StatementUpstream> {
     router: &'a Rc<RequestRouter<U>>,
@@ -194,10 +220,7 @@
                 binary: matches!(request.job, Job::Execute(_)),
             },
             context: request.context,
-            effects: match request.job {
-                Job::Query | Job::Execute(_) => ConnectionEffects::of(&request.sql),
-                _ => ConnectionEffects::default(),
-            },
+            effects: request.effects,
             sql: request.sql,
             job: request.job,
             admission,
--- a/src/frontend/mysql/settings.rs
+++ b/src/frontend/mysql/settings.rs
@@ -38,12 +38,12 @@
             // The next transaction begins on the held engine connection, so the SET is sent there.
             let context = self.state.context().clone();
             return self
-                .execute_and_reply(StatementRequest {
-                    kind: StatementKind::WithinTransaction,
+                .execute_and_reply(StatementRequest::new(
+                    StatementKind::WithinTransaction,
                     context,
                     sql,
-                    job: Job::Query,
-                })
+                    Job::Query,
+                ))
                 .await;
         }
         match self.evaluate_set(&sql).await? {
@@ -60,12 +60,12 @@
 
     /// Applies the state if an engine accepts it.
     async fn validate_on_engine(&mut self, state: SessionState) -> Result<(), SessionEnd> {
-        let request = StatementRequest {
-            kind: StatementKind::Read,
-            context: state.context().clone(),
-            sql: Bytes::new(),
-            job: Job::EnterContext,
-        };
+        let request = StatementRequest::new(
+            StatementKind::Read,
+            state.context().clone(),
+            Bytes::new(),
+            Job::EnterContext,
+        );
         match self.execute(request).await? {
             Ok(reply) if is_ok(&reply) => {
                 self.state = state;
@@ -125,12 +125,8 @@
             let reason = "SET takes values that can be read without leaving anything behind";
             return Ok(Err(SqlError::new(code::ER_NOT_SUPPORTED_YET, reason)));
         }
-        let request = StatementRequest {
-            kind: StatementKind::Read,
-            context: self.context_for(&select),
-            sql: select,
-            job: Job::Query,
-        };
+        let context = self.context_for(&select);
+        let request = StatementRequest::new(StatementKind::Read, context, select, Job::Query);
         let result = self.execute(request).await?;
         Ok(result.and_then(|reply| single_value(&reply)))
     }
--- /dev/null
+++ b/src/frontend/mysql/statement_effect.rs
@@ -0,0 +1,66 @@
+//! The effect of a statement on the sticky session that runs it: what it commits, and which state of the connection
+//! it acquires.
+
+use super::request::StatementRequest;
+use crate::protocol::statement::{self, StatementKind};
+use crate::sticky_sessions::{Commits, StatementEffect, StickyReason};
+use crate::upstream::mysql::work::Job;
+
+impl StatementRequest {
+    /// Returns the effect of the statement in a session with this autocommit mode.
+    pub(super) fn session_effect(&self, autocommit: bool) -> StatementEffect {
+        let commits = self.commits();
+        let acquires = match &self.kind {
+            StatementKind::MakesSticky(reason) if !matches!(self.job, Job::Prepare) => {
+                Some(*reason)
+            }
+            _ => None,
+        };
+        let opens_implicitly = !autocommit
+            && self.runs()
+            && !self.needs_held_connection()
+            && matches!(
+                commits,
+                Commits::Nothing | Commits::ChangesOutsideTransaction
+            );
+        StatementEffect {
+            acquires,
+            unlocks_tables: self.kind == StatementKind::UnlockTables,
+            commits,
+            opens_transaction: acquires == Some(StickyReason::Transaction) || opens_implicitly,
+        }
+    }
+
+    /// Returns whether the statement concerns only state of the held engine connection, and has no effect in a
+    /// session without one.
+    pub(super) fn needs_held_connection(&self) -> bool {
+        matches!(
+            self.kind,
+            StatementKind::EndsTransaction
+                | StatementKind::WithinTransaction
+                | StatementKind::UnlockTables
+        )
+    }
+
+    fn commits(&self) -> Commits {
+        match (&self.job, &self.kind) {
+            (Job::Prepare, _) => Commits::Nothing,
+            // Entering a context may turn autocommit on, which commits.
+            (Job::EnterContext, _) => Commits::OpenTransaction,
+            (_, StatementKind::EndsTransaction) if statement::is_rollback(&self.sql) => {
+                Commits::Nothing
+            }
+            (_, StatementKind::EndsTransaction | StatementKind::UnlockTables) => {
+                Commits::OpenTransaction
+            }
+            (_, StatementKind::WithinTransaction) => Commits::Nothing,
+            (
+                _,
+                StatementKind::MakesSticky(StickyReason::Transaction | StickyReason::TableLocks),
+            ) => Commits::OpenTransaction,
+            (_, _) if statement::commits_implicitly(&self.sql) => Commits::Everything,
+            (_, StatementKind::Read) => Commits::Nothing,
+            (_, _) => Commits::ChangesOutsideTransaction,
+        }
+    }
+}
--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -11,12 +11,10 @@
 use crate::protocol::mysql::packet::{
     ERR_HEADER, OK_HEADER, PacketError, PayloadReader, parse_err_packet,
 };
-use crate::protocol::statement::{self, ConnectionEffects, StatementKind};
+use crate::protocol::statement::{ConnectionEffects, StatementKind};
 use crate::spool::AdmissionRequest;
 use crate::spool_io::ResultOwner;
-use crate::sticky_sessions::{
-    Commits, ConnectionDisposition, StatementEffect, StickyReason, TransactionState,
-};
+use crate::sticky_sessions::{Commits, ConnectionDisposition, StatementEffect, TransactionState};
 use crate::upstream::mysql::sticky::{
     SessionAnswer, SessionCommand, StickyChannel, loss_reason, session_lost_error,
 };
@@ -85,17 +83,14 @@
         request: StatementRequest,
     ) -> Result<ExecutionResult, SessionEnd> {
         let is_prepare = matches!(request.job, Job::Prepare);
-        if self.sticky.is_none() && needs_held_connection(&request.kind) && !is_prepare {
+        if self.sticky.is_none() && request.needs_held_connection() && !is_prepare {
             return Ok(Ok(self.ok_reply()));
         }
-        let runs = !matches!(request.job, Job::Prepare | Job::EnterContext);
+        let runs = request.runs();
+        let dropped_schema = request.effects.dropped_schema.clone();
         *self.warnings.borrow_mut() = None;
         let makes_sticky =
             matches!(request.kind, StatementKind::MakesSticky(_)) || !self.state.autocommit();
-        let dropped_schema = match runs {
-            true => ConnectionEffects::of(&request.sql).dropped_schema,
-            false => None,
-        };
         let result = match self.sticky.is_some() || runs && makes_sticky {
             true => self.execute_sticky(request).await?,
             false => Ok(self.dispatch(request).await?),
@@ -138,29 +133,6 @@
         }
     }
 
-    /// Returns the effect of a statement on the state of the engine connection.
-    fn effect_of(&self, request: &StatementRequest) -> StatementEffect {
-        let StatementRequest { kind, job, .. } = request;
-        let commits = commits(request);
-        let acquires = match kind {
-            StatementKind::MakesSticky(reason) if !matches!(job, Job::Prepare) => Some(*reason),
-            _ => None,
-        };
-        let opens_implicitly = !self.state.autocommit()
-            && !matches!(job, Job::Prepare | Job::EnterContext)
-            && !needs_held_connection(kind)
-            && matches!(
-                commits,
-                Commits::Nothing | Commits::ChangesOutsideTransaction
-            );
-        StatementEffect {
-            acquires,
-            unlocks_tables: *kind == StatementKind::UnlockTables,
-            commits,
-            opens_transaction: acquires == Some(StickyReason::Transaction) || opens_implicitly,
-        }
-    }
-
     /// Opens the request of a sticky session, which has one attempt, on an engine that the decision module
     /// selects.
     fn begin_sticky(&mut self) -> Result<(), SqlError> {
@@ -244,11 +216,12 @@
             .class_rules
             .class_of(request.reads(), None, &request.sql);
         let admission = self.admission_request(class, &request);
-        let runs = !matches!(request.job, Job::Prepare | Job::EnterContext);
-        if runs && let Err(rejection) = self.admit_result(admission) {
+        if request.runs()
+            && let Err(rejection) = self.admit_result(admission)
+        {
             return Ok(Ok(rejection));
         }
-        let effect = self.effect_of(&request);
+        let effect = request.session_effect(self.state.autocommit());
         let rolls_back =
             request.kind == StatementKind::EndsTransaction && effect.commits == Commits::Nothing;
         let work = self.work(request, admission);
@@ -343,38 +316,6 @@
     }
 }
 
-/// Whether a statement concerns only state of the held engine connection, and has no effect in a session
-/// without one.
-fn needs_held_connection(kind: &StatementKind) -> bool {
-    matches!(
-        kind,
-        StatementKind::EndsTransaction
-            | StatementKind::WithinTransaction
-            | StatementKind::UnlockTables
-    )
-}
-
-/// Returns what a statement commits.
-fn commits(request: &StatementRequest) -> Commits {
-    let StatementRequest { kind, sql, job, .. } = request;
-    match (job, kind) {
-        (Job::Prepare, _) => Commits::Nothing,
-        // Entering a context may turn autocommit on, which commits.
-        (Job::EnterContext, _) => Commits::OpenTransaction,
-        (_, StatementKind::EndsTransaction) if statement::is_rollback(sql) => Commits::Nothing,
-        (_, StatementKind::EndsTransaction | StatementKind::UnlockTables) => {
-            Commits::OpenTransaction
-        }
-        (_, StatementKind::WithinTransaction) => Commits::Nothing,
-        (_, StatementKind::MakesSticky(StickyReason::Transaction | StickyReason::TableLocks)) => {
-            Commits::OpenTransaction
-        }
-        (_, _) if statement::commits_implicitly(sql) => Commits::Everything,
-        (_, StatementKind::Read) => Commits::Nothing,
-        (_, _) => Commits::ChangesOutsideTransaction,
-    }
-}
-
 /// Returns the insert id of an OK packet.
 fn last_insert_id(ok: &[u8]) -> Result<u64, PacketError> {
     let mut reader = PayloadReader(Bytes::copy_from_slice(ok).slice(1..));
