Scan statements for effects on their connection only where they may have some

Change: DROP, executable comments and variables are looked for before a statement is scanned for them, and a session's state is no longer copied for each statement of a held connection.

--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -225,8 +225,8 @@
         let rolls_back =
             request.kind == StatementKind::EndsTransaction && effect.commits == Commits::Nothing;
         let work = self.work(request, admission);
-        let mut executed_state = self.state.clone();
-        if let Err(error) = executed_state.hold_variables(&work.effects.assigned_variables) {
+        let assigned = work.effects.assigned_variables.clone();
+        if let Err(error) = self.state.check_held_variables(&assigned) {
             return Ok(Err(set_error(&error)));
         }
         if self.sticky.is_none()
@@ -237,7 +237,7 @@
         let result = match self.send_sticky(work, effect).await? {
             WaitOutcome::Answered(answer) => {
                 if answer.executed {
-                    self.state = executed_state;
+                    self.state.hold_variables(&assigned);
                 }
                 return Ok(Ok(self.take_answer(answer)));
             }
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -50,7 +50,8 @@
     enter(&mut connection, state.context());
     let names = assigned(&["@n", "@new"]);
     connection.forget_variables(&names);
-    state.hold_variables(&names).unwrap();
+    state.check_held_variables(&names).unwrap();
+    state.hold_variables(&names);
     assert_eq!(enter(&mut connection, state.context()), None);
     for (sql, sent) in [
         ("SET @n := 0", "SET @n = 0"),
@@ -60,7 +61,7 @@
         assert_eq!(enter(&mut connection, state.context()).unwrap(), sent);
     }
     connection.forget_variables(&assigned(&["@n"]));
-    state.hold_variables(&assigned(&["@n"])).unwrap();
+    state.hold_variables(&assigned(&["@n"]));
     // Once the session no longer holds the connection, the value is lost to it and reset for others.
     state.forget_held_variables();
     assert_eq!(
@@ -147,9 +148,12 @@
     let many = (0..super::super::MAX_HELD_VARIABLES)
         .map(|number| format!("@v{number}"))
         .collect();
-    state.hold_variables(&many).unwrap();
-    state.hold_variables(&many).unwrap();
-    assert!(state.hold_variables(&assigned(&["@one_more"])).is_err());
+    for _ in 0..2 {
+        state.check_held_variables(&many).unwrap();
+        state.hold_variables(&many);
+    }
+    let one_more = assigned(&["@one_more"]);
+    assert!(state.check_held_variables(&one_more).is_err());
     let freed = state_after(&state, "SET @v0 = 1");
     assert_eq!(
         freed.context().held_variables.len(),
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -129,24 +129,28 @@
         self.commit_mode == CommitMode::Automatic
     }
 
-    /// Records that a statement on the held engine connection assigns these user variables.
+    /// Checks whether a statement on the held engine connection may assign these user variables.
     ///
     /// # Errors
-    /// The session would hold too many; its state is unchanged.
-    pub fn hold_variables(&mut self, names: &BTreeSet<String>) -> Result<(), SetError> {
-        if names.is_empty() {
-            return Ok(());
-        }
+    /// The session would hold too many.
+    pub fn check_held_variables(&self, names: &BTreeSet<String>) -> Result<(), SetError> {
         let held = &self.context.held_variables;
-        let additional = names.iter().filter(|name| !held.contains(*name)).count();
+        let additional = names.difference(held).count();
         if held.len() + additional > MAX_HELD_VARIABLES {
             return Err(SetError::Unsupported(
                 "the statements of a session assign 1024 user variables at most",
             ));
         }
+        Ok(())
+    }
+
+    /// Records that a statement on the held engine connection has assigned these user variables.
+    pub fn hold_variables(&mut self, names: &BTreeSet<String>) {
+        if names.is_empty() {
+            return;
+        }
         Rc::make_mut(&mut self.context.variables).retain(|name, _| !names.contains(name));
         Rc::make_mut(&mut self.context.held_variables).extend(names.iter().cloned());
-        Ok(())
     }
 
     /// Forgets the variables on the held engine connection, which the session no longer holds: they are NULL.
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -1,7 +1,7 @@
 //! Classification of statements, as far as dispatching depends on it.
 
 use super::function_calls::may_call_stored_function;
-use super::scanner::{Token, tokens};
+use super::scanner::{Token, has_executable_comment, tokens};
 use super::tokenized_statement::{TokenizedStatement, bare_word};
 use super::words::{KEEP_TRANSACTION_OPEN, READ_ONLY_FUNCTIONS, WRITE_KEYWORDS};
 use crate::sticky_sessions::StickyReason;
@@ -257,15 +257,13 @@
 /// Returns whether the statement implicitly commits an open transaction, as the definition of
 /// tables or users and table locks do. What only newer engines execute may do so too.
 pub fn commits_implicitly(statement: &[u8]) -> bool {
-    let mut first_word = None;
-    for token in tokens(statement) {
-        if token == Token::VersionedComment {
-            return true;
-        }
-        let word = bare_word(&token);
-        if first_word.is_none() && !word.is_empty() {
-            first_word = Some(word);
-        }
+    let may_execute_more = has_executable_comment(statement)
+        && tokens(statement).any(|token| token == Token::VersionedComment);
+    if may_execute_more {
+        return true;
     }
+    let first_word = tokens(statement)
+        .map(|token| bare_word(&token))
+        .find(|word| !word.is_empty());
     !first_word.is_some_and(|word| KEEP_TRANSACTION_OPEN.contains(&word))
 }
--- a/src/protocol/statement/connection_effects.rs
+++ b/src/protocol/statement/connection_effects.rs
@@ -1,13 +1,16 @@
 //! What a statement changes on its engine connection besides data. The session does not see these changes in
 //! the answer.
 
-use super::scanner::{EXECUTABLE_COMMENT, Token, tokens};
+use super::scanner::{Token, has_executable_comment, tokens};
 use std::collections::BTreeSet;
 
 /// First keywords of statements whose targets may be user variables anywhere:
 /// `LOAD DATA ... (a, @b)`, `GET DIAGNOSTICS @a = NUMBER`.
 const ASSIGNING_KEYWORDS: [&str; 2] = ["load", "get"];
 
+/// First keyword of the statements that drop a schema.
+const DROP: &str = "drop";
+
 /// The changes that a statement makes to the state of its engine connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConnectionEffects {
@@ -23,13 +26,11 @@
 impl ConnectionEffects {
     /// Returns the effects of a statement.
     pub fn of(statement: &[u8]) -> Self {
-        let has_executable_comment = || {
-            statement
-                .windows(EXECUTABLE_COMMENT.len())
-                .any(|window| window == EXECUTABLE_COMMENT)
-        };
-        // Few statements name a variable, have such a comment or drop a schema; only those are scanned.
-        if !statement.contains(&b'@') && !has_executable_comment() && !begins_with_drop(statement) {
+        // Few statements have such effects; only those that may are scanned.
+        let may_have_effects = statement.contains(&b'@')
+            || has_executable_comment(statement)
+            || may_begin_with_drop(statement);
+        if !may_have_effects {
             return Self::default();
         }
         let (comments, tokens): (Vec<Token>, Vec<Token>) =
@@ -42,10 +43,12 @@
     }
 }
 
-fn begins_with_drop(statement: &[u8]) -> bool {
-    tokens(statement)
-        .next()
-        .is_some_and(|token| is_word(&token, "drop"))
+/// Returns whether the statement begins with DROP, or with something that has to be skipped first.
+fn may_begin_with_drop(statement: &[u8]) -> bool {
+    let text = statement.trim_ascii_start();
+    let begins_with_comment = matches!(text.first(), Some(b'/' | b'-' | b'#'));
+    let first_word = text.get(..DROP.len()).unwrap_or_default();
+    begins_with_comment || first_word.eq_ignore_ascii_case(DROP.as_bytes())
 }
 
 /// Returns the schema of `DROP DATABASE [IF EXISTS] name`.
@@ -54,7 +57,7 @@
         return None;
     };
     let drops_schema =
-        is_word(drop, "drop") && (is_word(database, "database") || is_word(database, "schema"));
+        is_word(drop, DROP) && (is_word(database, "database") || is_word(database, "schema"));
     let name = match rest {
         [first, second, name, ..] if is_word(first, "if") && is_word(second, "exists") => name,
         [name, ..] => name,
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -36,12 +36,19 @@
 }
 
 /// The beginning of an executable comment.
-pub(super) const EXECUTABLE_COMMENT: &[u8] = b"/*!";
+const EXECUTABLE_COMMENT: &[u8] = b"/*!";
 /// The highest version of an executable comment that every engine executes: 8.0.0.
 const OLDEST_ENGINE_VERSION: u32 = 80_000;
 /// Number of digits of the version of an executable comment: `Mmmrr` or `MMmmrr`.
 const VERSION_DIGITS: std::ops::RangeInclusive<usize> = 5..=6;
 
+/// Returns whether the statement has an executable comment, or a string that looks like one.
+pub(super) fn has_executable_comment(statement: &[u8]) -> bool {
+    statement
+        .windows(EXECUTABLE_COMMENT.len())
+        .any(|window| window == EXECUTABLE_COMMENT)
+}
+
 /// An iterator over the tokens of a statement.
 pub(super) struct Tokens<'a> {
     sql: &'a [u8],
