Find calls that quotes, digits, hyphens and vertical tabs hid from the classifier

Callers could see: a stored function, called as "f"(7) under ANSI_QUOTES, 7up(1), f<vertical tab>(7) or 5--f(7), counted as a read and was sent twice when its engine was lost; 5--(@n := 1) assigned a variable that the session took for unchanged.

Cause: looked for names alone before a parenthesis, and the scanner took any two hyphens for a comment and a vertical tab for punctuation. Found on reading the change once more; not seen in service.

Change: a text or number before a parenthesis may be a name; two hyphens begin a comment before white space only, as engines read it; a vertical tab is white space. Why it works: what may be a call is a write.

Measured: the unit tests, failing before, pass.

--- a/src/protocol/statement/function_calls.rs
+++ b/src/protocol/statement/function_calls.rs
@@ -4,6 +4,7 @@
 //! - unquoted, without a schema, and one of the known functions that only read;
 //! - without a blank before the parenthesis, for the names that a blank makes those of stored functions.
 
+use super::scanner::Token;
 use super::tokenized_statement::TokenizedStatement;
 use super::words::{FUNCTIONS_WITHOUT_BLANK, KEYWORDS_BEFORE_PARENTHESIS, READ_ONLY_FUNCTIONS};
 
@@ -11,7 +12,7 @@
 pub(super) fn may_call_stored_function(statement: &TokenizedStatement) -> bool {
     let mut position = Position::start_of(statement);
     for index in 0..statement.end {
-        let is_call = statement.is_name(index) && statement.is_punctuation(index + 1, b'(');
+        let is_call = may_be_name(statement, index) && statement.is_punctuation(index + 1, b'(');
         if is_call
             && !position.names_common_table(statement, index)
             && !is_built_in(statement, index)
@@ -23,6 +24,15 @@
     false
 }
 
+/// Returns whether the token at this index may be a name. Text in double quotes is one if the session's `sql_mode` has
+/// ANSI_QUOTES, and names may begin with a digit. Neither a text nor a number precedes a parenthesis otherwise.
+fn may_be_name(statement: &TokenizedStatement, index: usize) -> bool {
+    matches!(
+        statement.tokens.get(index),
+        Some(Token::Name { .. } | Token::Text | Token::Number)
+    )
+}
+
 /// Returns whether the call at this index is surely one of a built-in function that only reads, or the parenthesis
 /// follows a keyword.
 fn is_built_in(statement: &TokenizedStatement, index: usize) -> bool {
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -35,6 +35,7 @@
     }
 }
 
+const VERTICAL_TAB: u8 = 0x0b;
 /// The beginning of an executable comment.
 const EXECUTABLE_COMMENT: &[u8] = b"/*!";
 /// The highest version of an executable comment that every engine executes: 8.0.0.
@@ -71,6 +72,21 @@
     }
 }
 
+/// Returns whether MySQL takes the byte for white space.
+fn is_space(byte: u8) -> bool {
+    byte.is_ascii_whitespace() || byte == VERTICAL_TAB
+}
+
+/// Returns whether a comment up to the end of the line begins here. Two hyphens begin one only before white space: in
+/// `5--1` they are operators.
+fn begins_line_comment(rest: &[u8]) -> bool {
+    match rest {
+        [b'#', ..] | [b'-', b'-'] => true,
+        [b'-', b'-', next, ..] => is_space(*next) || next.is_ascii_control(),
+        _ => false,
+    }
+}
+
 fn is_name_byte(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'$' || byte >= 0x80
 }
@@ -240,7 +256,7 @@
             let &byte = rest.first()?;
             // A semicolon in an executable comment is part of the body of a trigger or routine.
             let is_inner_semicolon = self.in_executable_comment && byte == b';';
-            if byte.is_ascii_whitespace() || is_inner_semicolon {
+            if is_space(byte) || is_inner_semicolon {
                 self.position += 1;
             } else if self.in_executable_comment && rest.starts_with(b"*/") {
                 self.position += 2;
@@ -249,7 +265,7 @@
                 if let Some(token) = self.block_comment(rest) {
                     return Some(token);
                 }
-            } else if rest.starts_with(b"--") || byte == b'#' {
+            } else if begins_line_comment(rest) {
                 self.skip_past(b"\n");
             } else if byte == b'\'' {
                 self.quoted(byte, Escapes::Backslash);
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -148,6 +148,19 @@
         ),
         ("with w as (table t limit 1) select f(7), g(8)", false),
         ("with w as (select 1) table w order by f(7), g(8)", false),
+        // A name in double quotes with ANSI_QUOTES, one that begins with a digit, and other white space.
+        ("select \"trail\"(7)", false),
+        ("select audit.\"log\"(7)", false),
+        ("select 7up(1)", false),
+        ("select audit.7up(1)", false),
+        ("select trail\u{b}(7)", false),
+        ("select max\u{b}(7)", false),
+        // Two hyphens begin a comment only before white space.
+        ("select 5--trail(7)", false),
+        ("select 5--log(7)", true),
+        ("select 5 -- trail(7)", true),
+        ("select 5 --\ttrail(7)", true),
+        ("select 5 --", true),
         // A blank makes these names of stored functions, unless the session ignores spaces.
         ("select max (7)", false),
         ("select now/* x */()", false),
@@ -235,7 +248,7 @@
 /// Guards against a user variable that a statement assigns and the session takes for unchanged.
 #[test]
 fn assigned_user_variables_are_found_in_every_form() {
-    let cases: [(&str, &[&str]); 18] = [
+    let cases: [(&str, &[&str]); 19] = [
         ("select @n := @n + 1, @step from t", &["@n"]),
         (
             "select @A:=1, @`b c` := 2, @'d' := 3, @\"e\" := 4",
@@ -253,6 +266,7 @@
             &["@b"],
         ),
         ("get diagnostics @rows = row_count", &["@rows"]),
+        ("select 5--(@n := 1)", &["@n"]),
         ("insert into t values (@posting, 42)", &[]),
         ("select @n + 1, @@session.time_zone, @@n", &[]),
         ("select '@n := 1', \"into @x\" -- @y := 2", &[]),
--- a/src/protocol/statement/tokenized_statement.rs
+++ b/src/protocol/statement/tokenized_statement.rs
@@ -74,10 +74,6 @@
         self.body().iter().any(|other| other == word)
     }
 
-    pub(super) fn is_name(&self, index: usize) -> bool {
-        matches!(self.tokens.get(index), Some(Token::Name { .. }))
-    }
-
     /// Returns whether the token at this index follows the previous one without anything between them.
     pub(super) fn follows_directly(&self, index: usize) -> bool {
         self.follow_directly.get(index).copied().unwrap_or(false)
