Keep the connection of a failed statement for its variables, whatever else it does

Callers could see: SET @n = 5, then a CREATE TEMPORARY TABLE ... SELECT @n := 7 that fails: @n was NULL.

Cause: keeps a connection for assigned variables only if they are the reason that the session is sticky; here that was the table, which a failure does not leave. The session then gave up both values.

Change: assigned variables are the reason that a statement acquires, before any other. Why it works: what survives a failure decides, and a statement that assigns always keeps its connection.

--- a/src/frontend/mysql/statement_effect.rs
+++ b/src/frontend/mysql/statement_effect.rs
@@ -10,12 +10,7 @@
     /// Returns the effect of the statement in a session with this autocommit mode.
     pub(super) fn session_effect(&self, autocommit: bool) -> StatementEffect {
         let commits = self.commits();
-        let acquires = match &self.kind {
-            StatementKind::MakesSticky(reason) if !matches!(self.job, Job::Prepare) => {
-                Some(*reason)
-            }
-            _ => None,
-        };
+        let acquires = self.acquires();
         let opens_implicitly = !autocommit
             && self.runs()
             && !self.needs_held_connection()
@@ -31,6 +26,17 @@
         }
     }
 
+    fn acquires(&self) -> Option<StickyReason> {
+        // Variables stay assigned even if the statement fails, unlike what it creates.
+        if !self.effects.assigned_variables.is_empty() {
+            return Some(StickyReason::SessionVariable);
+        }
+        match &self.kind {
+            StatementKind::MakesSticky(reason) if self.runs() => Some(*reason),
+            _ => None,
+        }
+    }
+
     /// Returns whether the statement concerns only state of the held engine connection, and has no effect in a
     /// session without one.
     pub(super) fn needs_held_connection(&self) -> bool {
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -450,3 +450,22 @@
         assert_eq!(query_rows(&mut s, read).await.len(), 1);
     });
 }
+
+/// Guards against a SET that is lost with a statement that failed: it had assigned the variable, and made a temporary
+/// table besides, which is the reason that its session was sticky.
+#[test]
+fn variable_that_a_failed_definition_assigned_stays_the_sessions() {
+    const DEFINITION: &str = "create temporary table x as select @n := 7";
+    run(async {
+        let fixture = start("definition", 1, "", "").await;
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "SET @n = 5").await;
+        fixture.engines[0].fail_next(DEFINITION, STORAGE_FAILED);
+        let (number, _) = query_error(&mut session, DEFINITION).await;
+        assert_eq!(number, STORAGE_FAILED);
+        assert!(user_variable(&mut session, "@n").await.is_some());
+        query_rows(&mut session, "SET @n = 5").await;
+        let value = user_variable(&mut session, "@n").await;
+        assert_eq!(value.as_deref(), Some("5"));
+    });
+}
