--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -469,3 +469,73 @@
         assert_eq!(value.as_deref(), Some("5"));
     });
 }
+
+/// Guards against wrong reports after an error, which tells nothing of the transaction: a definition that failed has
+/// committed it, and some errors end it, so that the next write commits by itself.
+#[test]
+fn write_after_an_error_in_a_transaction_is_not_reported_as_rolled_back() {
+    const DEFINITION: &str = "create table u (a int)";
+    const FAILING_WRITE: &str = "insert into t values (0)";
+    run(async {
+        let fixture = start("errors", 1, "", "").await;
+        let engine = &fixture.engines[0];
+        for (failing, last, expected) in [
+            (FAILING_WRITE, "insert into t values (1)", MAY_HAVE_RUN),
+            (FAILING_WRITE, "select a from t", ROLLED_BACK),
+            (DEFINITION, "insert into t values (2)", MAY_HAVE_RUN),
+            (DEFINITION, "select a from t", MAY_HAVE_RUN),
+        ] {
+            let mut session = fixture.session().await;
+            query_rows(&mut session, "begin").await;
+            query_rows(&mut session, "insert into t values (9)").await;
+            engine.fail_next(failing, STORAGE_FAILED);
+            query_error(&mut session, failing).await;
+            engine.lose_next_response(last);
+            let (number, text) = query_error(&mut session, last).await;
+            assert_eq!(number, expected, "{failing}, {last}: {text}");
+        }
+    });
+}
+
+/// Guards against a connection that goes back to the pool with a transaction: with autocommit off, a statement may have
+/// opened one although it failed.
+#[test]
+fn connection_stays_with_a_session_whose_first_statement_failed_with_autocommit_off() {
+    const WRITE: &str = "insert into t values (1)";
+    run(async {
+        let fixture = start("manual", 1, "", "").await;
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "SET autocommit = 0").await;
+        fixture.engines[0].fail_next(WRITE, STORAGE_FAILED);
+        assert_eq!(query_error(&mut session, WRITE).await.0, STORAGE_FAILED);
+        let mut other = fixture.session().await;
+        let others = query_rows(&mut other, "select connection_id()").await;
+        let own = query_rows(&mut session, "select connection_id()").await;
+        assert_ne!(others, own);
+        query_rows(&mut session, "rollback").await;
+        assert_eq!(fixture.committed(), Vec::<String>::new());
+    });
+}
+
+/// Guards against a client that begins again, and repeats what was answered, because its connection was lost while
+/// nothing was under way: only an open transaction is rolled back then.
+#[test]
+fn connection_that_is_lost_between_two_statements_rolls_back_an_open_transaction_only() {
+    run(async {
+        for (first, expected) in [
+            ("select get_lock('a', 1)", MAY_HAVE_RUN),
+            ("begin", ROLLED_BACK),
+        ] {
+            let fixture = start("between", 1, "", "").await;
+            let mut session = fixture.session().await;
+            query_rows(&mut session, first).await;
+            query_rows(&mut session, "insert into t values (1)").await;
+            fixture.engines[0].stop();
+            sleep_ms(100).await;
+            let (number, text) = query_error(&mut session, "insert into t values (2)").await;
+            assert_eq!(number, expected, "{first}: {text}");
+            let committed = fixture.committed().len();
+            assert_eq!(committed, usize::from(expected == MAY_HAVE_RUN), "{first}");
+        }
+    });
+}
