--- a/crates/testbed/src/fakes/engine/connection.rs
+++ b/crates/testbed/src/fakes/engine/connection.rs
@@ -241,8 +241,9 @@
             ok[5..7].copy_from_slice(&session.warnings().to_le_bytes());
             wire.send(&ok[..]).await?;
         }
-        let mut executions = inner.executions.borrow_mut();
-        (executions[index].answered, executions[index].held) = (true, now() - executions[index].at);
+        let execution = &mut inner.executions.borrow_mut()[index];
+        execution.answered = true;
+        execution.held = now() - execution.at;
         Ok(())
     }
 }
--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -351,7 +351,8 @@
             let sum = |left: String, right: String| {
                 Some((left.parse::<i64>().ok()? + right.parse::<i64>().ok()?).to_string())
             };
-            let (left, right) = (self.evaluate(left)?, self.evaluate(right)?);
+            let left = self.evaluate(left)?;
+            let right = self.evaluate(right)?;
             return Some(left.zip(right).and_then(|(left, right)| sum(left, right)));
         }
         if let Some(name) = lower.strip_prefix("@@") {
--- a/crates/testbed/src/fixture.rs
+++ b/crates/testbed/src/fixture.rs
@@ -8,6 +8,24 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::task::LocalSet;
+
+/// Runs a test on a single-threaded runtime, as the program does, for at most this time.
+///
+/// # Panics
+/// The test takes longer, or the system has no resources for a runtime.
+pub fn run_within<T>(limit: Duration, test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let timed = async {
+        tokio::time::timeout(limit, test)
+            .await
+            .unwrap_or_else(|_| panic!("the test takes longer than {limit:?}"))
+    };
+    LocalSet::new().block_on(&runtime, timed)
+}
 
 /// Returns a loopback address whose port 0 selects a free port.
 pub fn ephemeral_address() -> SocketAddr {
--- a/src/frontend/mysql/commands.rs
+++ b/src/frontend/mysql/commands.rs
@@ -77,7 +77,7 @@
     /// connection ends an open transaction there.
     fn reset(&mut self) {
         self.statements.clear();
-        self.release_held_connection();
+        self.release_connection();
         self.state.reset();
         *self.warnings.borrow_mut() = None;
         self.last_error = None;
--- a/src/frontend/mysql/statement_effect.rs
+++ b/src/frontend/mysql/statement_effect.rs
@@ -13,11 +13,8 @@
         let acquires = self.acquires();
         let opens_implicitly = !autocommit
             && self.runs()
-            && !self.needs_held_connection()
-            && matches!(
-                commits,
-                Commits::Nothing | Commits::ChangesOutsideTransaction
-            );
+            && !self.requires_sticky_session()
+            && matches!(commits, Commits::Nothing | Commits::AutocommittedChanges);
         StatementEffect {
             acquires,
             unlocks_tables: self.kind == StatementKind::UnlockTables,
@@ -39,7 +36,7 @@
 
     /// Returns whether the statement concerns only state of the held engine connection, and has no effect in a
     /// session without one.
-    pub(super) fn needs_held_connection(&self) -> bool {
+    pub(super) fn requires_sticky_session(&self) -> bool {
         matches!(
             self.kind,
             StatementKind::EndsTransaction
@@ -66,7 +63,7 @@
             ) => Commits::OpenTransaction,
             (_, _) if statement::commits_implicitly(&self.sql) => Commits::Everything,
             (_, StatementKind::Read) => Commits::Nothing,
-            (_, _) => Commits::ChangesOutsideTransaction,
+            (_, _) => Commits::AutocommittedChanges,
         }
     }
 }
--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -83,7 +83,7 @@
         request: StatementRequest,
     ) -> Result<ExecutionResult, SessionEnd> {
         let is_prepare = matches!(request.job, Job::Prepare);
-        if self.sticky.is_none() && request.needs_held_connection() && !is_prepare {
+        if self.sticky.is_none() && request.requires_sticky_session() && !is_prepare {
             return Ok(Ok(self.ok_reply()));
         }
         let runs = request.runs();
@@ -226,7 +226,7 @@
             request.kind == StatementKind::EndsTransaction && effect.commits == Commits::Nothing;
         let work = self.work(request, admission);
         let assigned = work.effects.assigned_variables.clone();
-        if let Err(error) = self.state.check_held_variables(&assigned) {
+        if let Err(error) = self.state.check_connection_variables(&assigned) {
             return Ok(Err(set_error(&error)));
         }
         if self.sticky.is_none()
@@ -237,13 +237,13 @@
         let result = match self.send_sticky(work, effect).await? {
             WaitOutcome::Answered(answer) => {
                 if answer.executed {
-                    self.state.hold_variables(&assigned);
+                    self.state.add_connection_variables(&assigned);
                 }
-                return Ok(Ok(self.take_answer(answer)));
+                return Ok(Ok(self.record_answer(answer)));
             }
             WaitOutcome::Ended(result) => result,
         };
-        self.release_held_connection();
+        self.release_connection();
         Ok(match result {
             // The loss of the connection has rolled back the transaction, as the statement requested.
             Err(_) if rolls_back => Ok(self.ok_reply()),
@@ -252,21 +252,21 @@
     }
 
     /// Records the answer to a statement on the held connection, and returns its output.
-    fn take_answer(&mut self, answer: SessionAnswer) -> Reply<Output> {
+    fn record_answer(&mut self, answer: SessionAnswer) -> Reply<Output> {
         self.state.transaction_began();
         if let Some(sticky) = &mut self.sticky {
             sticky.transaction = answer.transaction;
         }
         if answer.disposition == ConnectionDisposition::Release {
-            self.release_held_connection();
+            self.release_connection();
         }
         Reply::Served(answer.output)
     }
 
     /// Stops being sticky. What statements have assigned to variables on the connection is lost.
-    pub(super) fn release_held_connection(&mut self) {
+    pub(super) fn release_connection(&mut self) {
         self.sticky = None;
-        self.state.forget_held_variables();
+        self.state.clear_connection_variables();
     }
 
     async fn send_sticky(
--- a/src/protocol/mysql/session/connection_context.rs
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -1,7 +1,7 @@
 //! What the dispatcher knows of the session context that an engine connection is in.
 
+use super::SessionContext;
 use super::variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement};
-use super::{HeldVariables, SessionContext};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -100,12 +100,12 @@
     /// Returns the SET that changes the variables of the connection to those of the target; `None` if nothing
     /// has to change.
     pub fn set_statement(&self, target: &SessionContext) -> Option<String> {
-        let is_known = self.unknown.is_subset(&target.held_variables);
+        let is_known = self.unknown.is_subset(&target.connection_variables);
         if is_known {
             return set_statement(&self.variables, &target.variables);
         }
         let mut current = SessionVariables::clone(&self.variables);
-        for name in self.unknown.difference(&target.held_variables) {
+        for name in self.unknown.difference(&target.connection_variables) {
             current.insert(name.clone(), UNKNOWN_VALUE.into());
         }
         set_statement(&current, &target.variables)
@@ -114,7 +114,7 @@
     /// Records that the SET for this target was executed.
     pub fn variables_set(&mut self, target: &SessionContext) {
         self.variables = target.variables.clone();
-        let held: &HeldVariables = &target.held_variables;
-        self.unknown.retain(|name| held.contains(name));
+        self.unknown
+            .retain(|name| target.connection_variables.contains(name));
     }
 }
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -23,7 +23,7 @@
 
 /// Guards against a SET that is answered OK and not sent, because the connection seems to have the value already.
 #[test]
-fn a_variable_that_a_statement_has_assigned_is_set_again() {
+fn an_assigned_variable_is_reset() {
     let mut connection = ConnectionContext::default();
     let state = state_after(&SessionState::default(), "SET @n := 0, @step = 2");
     assert_eq!(
@@ -44,14 +44,14 @@
 }
 
 #[test]
-fn the_session_that_holds_the_connection_keeps_what_its_statements_assign() {
+fn a_sticky_session_keeps_what_its_statements_assign() {
     let mut connection = ConnectionContext::default();
     let mut state = state_after(&SessionState::default(), "SET @n := 0, @step = 2");
     enter(&mut connection, state.context());
     let names = assigned(&["@n", "@new"]);
     connection.forget_variables(&names);
-    state.check_held_variables(&names).unwrap();
-    state.hold_variables(&names);
+    state.check_connection_variables(&names).unwrap();
+    state.add_connection_variables(&names);
     assert_eq!(enter(&mut connection, state.context()), None);
     for (sql, sent) in [
         ("SET @n := 0", "SET @n = 0"),
@@ -61,9 +61,9 @@
         assert_eq!(enter(&mut connection, state.context()).unwrap(), sent);
     }
     connection.forget_variables(&assigned(&["@n"]));
-    state.hold_variables(&assigned(&["@n"]));
+    state.add_connection_variables(&assigned(&["@n"]));
     // Once the session no longer holds the connection, the value is lost to it and reset for others.
-    state.forget_held_variables();
+    state.clear_connection_variables();
     assert_eq!(
         enter(&mut connection, state.context()).unwrap(),
         "SET @n = NULL"
@@ -143,21 +143,21 @@
 }
 
 #[test]
-fn the_number_of_held_variables_is_limited() {
+fn the_number_of_connection_variables_is_limited() {
     let mut state = SessionState::default();
-    let many = (0..super::super::MAX_HELD_VARIABLES)
+    let many = (0..super::super::MAX_CONNECTION_VARIABLES)
         .map(|number| format!("@v{number}"))
         .collect();
     for _ in 0..2 {
-        state.check_held_variables(&many).unwrap();
-        state.hold_variables(&many);
+        state.check_connection_variables(&many).unwrap();
+        state.add_connection_variables(&many);
     }
     let one_more = assigned(&["@one_more"]);
-    assert!(state.check_held_variables(&one_more).is_err());
+    assert!(state.check_connection_variables(&one_more).is_err());
     let freed = state_after(&state, "SET @v0 = 1");
     assert_eq!(
-        freed.context().held_variables.len(),
-        super::super::MAX_HELD_VARIABLES - 1
+        freed.context().connection_variables.len(),
+        super::super::MAX_CONNECTION_VARIABLES - 1
     );
     let validated = state.set(&parse(b"SET @v0 = 1").unwrap(), &[]).unwrap();
     assert!(matches!(
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -21,14 +21,14 @@
 const MAX_VARIABLES: usize = 64;
 /// Maximum size of the names and values of all variables of one session, in bytes.
 const MAX_VARIABLE_BYTES: usize = 16 * 1024;
-/// Maximum number of variables whose values only the held engine connection of a session knows.
-const MAX_HELD_VARIABLES: usize = 1024;
+/// Maximum number of variables of a session whose values only its engine connection knows.
+const MAX_CONNECTION_VARIABLES: usize = 1024;
 /// The error message for a character set that is not an encoding of Unicode.
 const ONLY_UNICODE: &str = "only Unicode is carried";
 
 /// Names of user variables whose values only the engine connection knows that a session holds: a statement of the
 /// session has assigned them there.
-pub type HeldVariables = BTreeSet<String>;
+pub type ConnectionVariables = BTreeSet<String>;
 
 /// The part of a session that is applied to an engine connection before it executes a statement.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -40,7 +40,7 @@
     /// The variables that the session has set.
     pub variables: Rc<SessionVariables>,
     /// The variables that keep the value that they have on the held engine connection.
-    pub held_variables: Rc<HeldVariables>,
+    pub connection_variables: Rc<ConnectionVariables>,
 }
 
 /// Whether an engine has to validate a change before it takes effect.
@@ -133,10 +133,9 @@
     ///
     /// # Errors
     /// The session would hold too many.
-    pub fn check_held_variables(&self, names: &BTreeSet<String>) -> Result<(), SetError> {
-        let held = &self.context.held_variables;
-        let additional = names.difference(held).count();
-        if held.len() + additional > MAX_HELD_VARIABLES {
+    pub fn check_connection_variables(&self, names: &BTreeSet<String>) -> Result<(), SetError> {
+        let current = &self.context.connection_variables;
+        if current.union(names).count() > MAX_CONNECTION_VARIABLES {
             return Err(SetError::Unsupported(
                 "the statements of a session assign 1024 user variables at most",
             ));
@@ -145,17 +144,17 @@
     }
 
     /// Records that a statement on the held engine connection has assigned these user variables.
-    pub fn hold_variables(&mut self, names: &BTreeSet<String>) {
+    pub fn add_connection_variables(&mut self, names: &BTreeSet<String>) {
         if names.is_empty() {
             return;
         }
         Rc::make_mut(&mut self.context.variables).retain(|name, _| !names.contains(name));
-        Rc::make_mut(&mut self.context.held_variables).extend(names.iter().cloned());
+        Rc::make_mut(&mut self.context.connection_variables).extend(names.iter().cloned());
     }
 
     /// Forgets the variables on the held engine connection, which the session no longer holds: they are NULL.
-    pub fn forget_held_variables(&mut self) {
-        self.context.held_variables = Rc::default();
+    pub fn clear_connection_variables(&mut self) {
+        self.context.connection_variables = Rc::default();
     }
 
     /// Changes the default schema.
@@ -298,8 +297,8 @@
         let is_user_variable = name.starts_with('@');
         // A user variable that was never set is NULL.
         let is_null = is_user_variable && unquoted.as_deref() == Some("null");
-        if self.context.held_variables.contains(name) {
-            Rc::make_mut(&mut self.context.held_variables).remove(name);
+        if self.context.connection_variables.contains(name) {
+            Rc::make_mut(&mut self.context.connection_variables).remove(name);
         }
         let variables = Rc::make_mut(&mut self.context.variables);
         match value {
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -164,7 +164,8 @@
     const STACK_BYTES: usize = 64 * 1024;
     const DEPTH: usize = 8_000;
     let parse_nested = || {
-        let (open, closed) = ("(".repeat(DEPTH), ")".repeat(DEPTH));
+        let open = "(".repeat(DEPTH);
+        let closed = ")".repeat(DEPTH);
         let balanced = format!("{open}1{closed}");
         let expected = Change::Assign {
             name: "@x".into(),
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -2,7 +2,7 @@
 
 use super::function_calls::may_call_stored_function;
 use super::scanner::{Token, has_executable_comment, tokens};
-use super::tokenized_statement::{TokenizedStatement, bare_word};
+use super::tokenized_statement::{TokenizedStatement, unquoted_name};
 use super::words::{KEEP_TRANSACTION_OPEN, READ_ONLY_FUNCTIONS, WRITE_KEYWORDS};
 use crate::sticky_sessions::StickyReason;
 
@@ -39,6 +39,10 @@
 const PREPARED_BY_SQL: StatementKind =
     StatementKind::Unsupported("statements are prepared by the protocol, not by SQL");
 const USER_LOCK_FUNCTIONS: [&str; 3] = ["get_lock", "release_lock", "release_all_locks"];
+/// The function and the system variable with the insert id of an earlier statement.
+const LAST_INSERT_ID: &str = "last_insert_id";
+/// Another name of the system variable.
+const IDENTITY: &str = "identity";
 const COUNT_FUNCTIONS: [&str; 2] = ["found_rows", "row_count"];
 
 /// Returns the kind of a MySQL statement. A statement that is not recognized as a read counts as a
@@ -58,7 +62,7 @@
 
 /// Detects forms that are not supported, whatever else the statement contains.
 fn unsupported_form(statement: &TokenizedStatement) -> Option<StatementKind> {
-    let first = statement.first_word();
+    let first = statement.first_keyword();
     if first == "xa" {
         return Some(StatementKind::Unsupported(
             "distributed transactions are not carried",
@@ -79,9 +83,9 @@
 }
 
 fn transaction_control(statement: &TokenizedStatement) -> Option<StatementKind> {
-    match statement.first_word() {
+    match statement.first_keyword() {
         "begin" => Some(StatementKind::MakesSticky(StickyReason::Transaction)),
-        "start" if statement.second_word() == "transaction" => {
+        "start" if statement.second_keyword() == "transaction" => {
             Some(StatementKind::MakesSticky(StickyReason::Transaction))
         }
         "commit" => Some(StatementKind::EndsTransaction),
@@ -93,8 +97,8 @@
 }
 
 fn table_lock(statement: &TokenizedStatement) -> Option<StatementKind> {
-    let is_for_tables = matches!(statement.second_word(), "table" | "tables");
-    match statement.first_word() {
+    let is_for_tables = matches!(statement.second_keyword(), "table" | "tables");
+    match statement.first_keyword() {
         "lock" if is_for_tables => Some(StatementKind::MakesSticky(StickyReason::TableLocks)),
         "unlock" if is_for_tables => Some(StatementKind::UnlockTables),
         _ => None,
@@ -104,11 +108,11 @@
 /// Classifies statements about the session, which are answered without an engine or change the
 /// session's context.
 fn session_statement(statement: &TokenizedStatement, sql: &[u8]) -> Option<StatementKind> {
-    match statement.first_word() {
-        "kill" if statement.second_word() == "query" => Some(kill_query(statement, sql)),
+    match statement.first_keyword() {
+        "kill" if statement.second_keyword() == "query" => Some(kill_query(statement, sql)),
         "show"
             if statement.has_length(2)
-                && matches!(statement.second_word(), "warnings" | "errors") =>
+                && matches!(statement.second_keyword(), "warnings" | "errors") =>
         {
             Some(StatementKind::ShowWarnings)
         }
@@ -135,7 +139,7 @@
 }
 
 fn unsupported_statement(statement: &TokenizedStatement) -> Option<StatementKind> {
-    match statement.first_word() {
+    match statement.first_keyword() {
         "lock" | "unlock" | "start" | "kill" | "shutdown" | "restart" | "flush" | "reset"
         | "install" | "uninstall" | "clone" => Some(ENGINE_ADMINISTRATION),
         "prepare" | "execute" | "deallocate" => Some(PREPARED_BY_SQL),
@@ -154,7 +158,7 @@
 
 /// Detects statements that leave state on their connection or read such state of an earlier statement.
 fn sticky_statement(statement: &TokenizedStatement) -> Option<StatementKind> {
-    if statement.has("temporary") && matches!(statement.first_word(), "create" | "drop") {
+    if statement.has("temporary") && matches!(statement.first_keyword(), "create" | "drop") {
         return Some(StatementKind::MakesSticky(StickyReason::TemporaryTable));
     }
     if statement.calls_any(&USER_LOCK_FUNCTIONS) {
@@ -173,7 +177,7 @@
 }
 
 fn read_or_write(statement: &TokenizedStatement) -> StatementKind {
-    let is_read = is_read_keyword(statement.first_word())
+    let is_read = is_read_keyword(statement.first_keyword())
         && !locks_rows(statement)
         && !has_write_keyword(statement)
         && !may_call_stored_function(statement)
@@ -201,10 +205,10 @@
 
 fn has_write_keyword(statement: &TokenizedStatement) -> bool {
     (0..statement.end).any(|index| {
-        let word = statement.word(index);
+        let keyword = statement.keyword(index);
         let is_function =
-            || statement.is_punctuation(index + 1, b'(') && READ_ONLY_FUNCTIONS.contains(word);
-        WRITE_KEYWORDS.contains(word) && !is_function()
+            || statement.is_punctuation(index + 1, b'(') && READ_ONLY_FUNCTIONS.contains(keyword);
+        WRITE_KEYWORDS.contains(keyword) && !is_function()
     })
 }
 
@@ -216,20 +220,17 @@
             .windows(name.len())
             .any(|window| window.eq_ignore_ascii_case(name.as_bytes()))
     };
-    // Few statements contain one of the words; only those are scanned.
-    if !LAST_INSERT_ID_NAMES.iter().any(|name| has_name(name)) {
+    // Few statements contain one of the names; only those are scanned.
+    if !has_name(LAST_INSERT_ID) && !has_name(IDENTITY) {
         return false;
     }
     let tokens: Vec<Token> = tokens(statement).collect();
     (0..tokens.len()).any(|index| is_last_insert_id(&tokens, index))
 }
 
-/// The name of the function LAST_INSERT_ID(), and those of the system variables with its value.
-const LAST_INSERT_ID_NAMES: [&str; 2] = ["last_insert_id", "identity"];
-
 fn is_last_insert_id(tokens: &[Token], index: usize) -> bool {
-    let word = bare_word(&tokens[index]);
-    if !LAST_INSERT_ID_NAMES.contains(&word.as_str()) {
+    let keyword = unquoted_name(&tokens[index]);
+    if keyword != LAST_INSERT_ID && keyword != IDENTITY {
         return false;
     }
     let is_call = tokens.get(index + 1) == Some(&Token::Punctuation(b'('));
@@ -240,12 +241,10 @@
             Token::SystemVariablePrefix,
             scope,
             Token::Punctuation(b'.'),
-        ] => {
-            matches!(bare_word(scope).as_str(), "session" | "local")
-        }
+        ] => matches!(unquoted_name(scope).as_str(), "session" | "local"),
         _ => false,
     };
-    is_variable || is_call && word == LAST_INSERT_ID_NAMES[0]
+    is_variable || is_call && keyword == LAST_INSERT_ID
 }
 
 /// Returns whether a statement that ends a transaction is a ROLLBACK rather than a COMMIT.
@@ -262,8 +261,8 @@
     if may_execute_more {
         return true;
     }
-    let first_word = tokens(statement)
-        .map(|token| bare_word(&token))
-        .find(|word| !word.is_empty());
-    !first_word.is_some_and(|word| KEEP_TRANSACTION_OPEN.contains(&word))
+    let first_keyword = tokens(statement)
+        .map(|token| unquoted_name(&token))
+        .find(|name| !name.is_empty());
+    !first_keyword.is_some_and(|keyword| KEEP_TRANSACTION_OPEN.contains(&keyword))
 }
--- a/src/protocol/statement/connection_effects.rs
+++ b/src/protocol/statement/connection_effects.rs
@@ -47,8 +47,8 @@
 fn may_begin_with_drop(statement: &[u8]) -> bool {
     let text = statement.trim_ascii_start();
     let begins_with_comment = matches!(text.first(), Some(b'/' | b'-' | b'#'));
-    let first_word = text.get(..DROP.len()).unwrap_or_default();
-    begins_with_comment || first_word.eq_ignore_ascii_case(DROP.as_bytes())
+    let beginning = text.get(..DROP.len()).unwrap_or_default();
+    begins_with_comment || beginning.eq_ignore_ascii_case(DROP.as_bytes())
 }
 
 /// Returns the schema of `DROP DATABASE [IF EXISTS] name`.
@@ -56,10 +56,12 @@
     let [drop, database, rest @ ..] = tokens else {
         return None;
     };
-    let drops_schema =
-        is_word(drop, DROP) && (is_word(database, "database") || is_word(database, "schema"));
+    let drops_schema = is_keyword(drop, DROP)
+        && (is_keyword(database, "database") || is_keyword(database, "schema"));
     let name = match rest {
-        [first, second, name, ..] if is_word(first, "if") && is_word(second, "exists") => name,
+        [first, second, name, ..] if is_keyword(first, "if") && is_keyword(second, "exists") => {
+            name
+        }
         [name, ..] => name,
         [] => return None,
     };
@@ -72,10 +74,10 @@
 /// Returns the user variables that are assigned by `@x :=` or `INTO @x, @y`, or as a target of a statement that
 /// assigns them in other ways.
 pub(super) fn assigned_variables(tokens: &[Token]) -> BTreeSet<String> {
-    let assigns_any = first_word(tokens).is_some_and(|word| {
+    let assigns_any = first_name(tokens).is_some_and(|name| {
         ASSIGNING_KEYWORDS
             .iter()
-            .any(|keyword| is_word(word, keyword))
+            .any(|keyword| is_keyword(name, keyword))
     });
     let mut in_into_list = false;
     let mut assigned = BTreeSet::new();
@@ -87,20 +89,20 @@
                 }
             }
             Token::Punctuation(b',') => {}
-            other => in_into_list = is_word(other, "into"),
+            other => in_into_list = is_keyword(other, "into"),
         }
     }
     assigned
 }
 
-fn first_word(tokens: &[Token]) -> Option<&Token> {
+fn first_name(tokens: &[Token]) -> Option<&Token> {
     tokens
         .iter()
         .find(|token| matches!(token, Token::Name { .. }))
 }
 
-fn is_word(token: &Token, word: &str) -> bool {
-    matches!(token, Token::Name { text, quoted: false } if text.eq_ignore_ascii_case(word))
+fn is_keyword(token: &Token, keyword: &str) -> bool {
+    matches!(token, Token::Name { text, quoted: false } if text.eq_ignore_ascii_case(keyword))
 }
 
 /// Returns whether the tokens begin with `:=`.
--- a/src/protocol/statement/function_calls.rs
+++ b/src/protocol/statement/function_calls.rs
@@ -36,15 +36,15 @@
 /// Returns whether the call at this index is surely one of a built-in function that only reads, or the parenthesis
 /// follows a keyword.
 fn is_built_in(statement: &TokenizedStatement, index: usize) -> bool {
-    let word = statement.word(index);
+    let keyword = statement.keyword(index);
     let has_schema = index > 0 && statement.is_punctuation(index - 1, b'.');
-    if has_schema || word.is_empty() {
+    if has_schema || keyword.is_empty() {
         return false;
     }
     let may_be_spaced =
-        statement.follows_directly(index + 1) || !FUNCTIONS_WITHOUT_BLANK.contains(word);
-    KEYWORDS_BEFORE_PARENTHESIS.contains(word)
-        || READ_ONLY_FUNCTIONS.contains(word) && may_be_spaced
+        statement.follows_directly(index + 1) || !FUNCTIONS_WITHOUT_BLANK.contains(keyword);
+    KEYWORDS_BEFORE_PARENTHESIS.contains(keyword)
+        || READ_ONLY_FUNCTIONS.contains(keyword) && may_be_spaced
 }
 
 /// The position in a statement, as far as it matters for the names of common table expressions.
@@ -60,7 +60,7 @@
     fn start_of(statement: &TokenizedStatement) -> Self {
         Position {
             depth: 0,
-            in_with_list: statement.word(0) == "with",
+            in_with_list: statement.keyword(0) == "with",
         }
     }
 
@@ -71,7 +71,7 @@
         };
         let continues_list =
             self.in_with_list && self.depth == 0 && statement.is_punctuation(previous, b',');
-        matches!(statement.word(previous), "with" | "recursive") || continues_list
+        matches!(statement.keyword(previous), "with" | "recursive") || continues_list
     }
 
     /// Moves past the token at this index.
@@ -82,7 +82,7 @@
             self.depth = self.depth.saturating_sub(1);
             // AS follows the columns of an expression, and a comma its query.
             let list_continues =
-                statement.is_punctuation(index + 1, b',') || statement.word(index + 1) == "as";
+                statement.is_punctuation(index + 1, b',') || statement.keyword(index + 1) == "as";
             if self.depth == 0 && !list_continues {
                 self.in_with_list = false;
             }
--- a/src/protocol/statement/tokenized_statement.rs
+++ b/src/protocol/statement/tokenized_statement.rs
@@ -11,7 +11,7 @@
     /// Whether each token follows the previous one without anything between them.
     follow_directly: Vec<bool>,
     /// The unquoted names in lower case, by the index of their token; empty for any other token.
-    pub(super) words: Vec<String>,
+    pub(super) keywords: Vec<String>,
     /// Index of the first token that is not an opening parenthesis.
     pub(super) start: usize,
     /// Index after the last token that is not a semicolon.
@@ -35,7 +35,7 @@
             tokens.push(next.token);
             follow_directly.push(next.follows_directly);
         }
-        let words = tokens.iter().map(bare_word).collect();
+        let keywords = tokens.iter().map(unquoted_name).collect();
         let start = tokens
             .iter()
             .position(|token| *token != Token::Punctuation(b'('));
@@ -45,33 +45,33 @@
         TokenizedStatement {
             tokens,
             follow_directly,
-            words,
+            keywords,
             start: start.unwrap_or(0),
             end: last.map_or(0, |index| index + 1),
             has_engine_comment,
         }
     }
 
-    /// Returns the word at this index; empty if there is none.
-    pub(super) fn word(&self, index: usize) -> &str {
-        self.words.get(index).map_or("", String::as_str)
+    /// Returns the unquoted name at this index, which may be a keyword; empty for any other token.
+    pub(super) fn keyword(&self, index: usize) -> &str {
+        self.keywords.get(index).map_or("", String::as_str)
     }
 
-    pub(super) fn first_word(&self) -> &str {
-        self.word(self.start)
+    pub(super) fn first_keyword(&self) -> &str {
+        self.keyword(self.start)
     }
 
-    pub(super) fn second_word(&self) -> &str {
-        self.word(self.start + 1)
+    pub(super) fn second_keyword(&self) -> &str {
+        self.keyword(self.start + 1)
     }
 
-    /// Returns the words without trailing semicolons.
+    /// Returns the unquoted names without trailing semicolons.
     pub(super) fn body(&self) -> &[String] {
-        &self.words[..self.end]
+        &self.keywords[..self.end]
     }
 
-    pub(super) fn has(&self, word: &str) -> bool {
-        self.body().iter().any(|other| other == word)
+    pub(super) fn has(&self, keyword: &str) -> bool {
+        self.body().iter().any(|other| other == keyword)
     }
 
     /// Returns whether the token at this index follows the previous one without anything between them.
@@ -83,14 +83,14 @@
         self.tokens.get(index) == Some(&Token::Punctuation(byte))
     }
 
-    /// Returns whether the statement has exactly this number of tokens from its first word on.
+    /// Returns whether the statement has exactly this number of tokens from its first keyword on.
     pub(super) fn has_length(&self, tokens: usize) -> bool {
         self.end == self.start + tokens
     }
 
     pub(super) fn calls_any(&self, functions: &[&str]) -> bool {
         (0..self.end).any(|index| {
-            functions.contains(&self.word(index)) && self.is_punctuation(index + 1, b'(')
+            functions.contains(&self.keyword(index)) && self.is_punctuation(index + 1, b'(')
         })
     }
 
@@ -106,7 +106,7 @@
 }
 
 /// Returns an unquoted name in lower case; empty for any other token.
-pub(super) fn bare_word(token: &Token) -> String {
+pub(super) fn unquoted_name(token: &Token) -> String {
     match token {
         Token::Name {
             text,
--- a/src/protocol/statement/words.rs
+++ b/src/protocol/statement/words.rs
@@ -37,8 +37,8 @@
 /// Functions that are built-in ones only if nothing stands between their name and the parenthesis. With a blank, the name
 /// is that of a stored function, unless the session's `sql_mode` has IGNORE_SPACE.
 pub(super) static FUNCTIONS_WITHOUT_BLANK: WordList = WordList(LazyLock::new(|| {
-    " adddate bit_and bit_or bit_xor cast count curdate curtime date_add date_sub extract group_concat max mid \
-    min now position std stddev stddev_pop stddev_samp subdate substr substring sum sysdate trim \
+    " adddate bit_and bit_or bit_xor cast count curdate curtime date_add date_sub extract \
+    group_concat max mid min now position std stddev stddev_pop stddev_samp subdate substr substring sum sysdate trim \
     var_pop var_samp variance "
         .split_ascii_whitespace()
         .collect()
--- a/src/sticky_sessions/session.rs
+++ b/src/sticky_sessions/session.rs
@@ -8,6 +8,9 @@
 #[cfg(test)]
 mod tests;
 
+/// `ER_PARSE_ERROR`: the engine cannot parse the statement, and has executed nothing of it.
+const ER_PARSE_ERROR: u16 = 1064;
+
 /// Connection state that makes a session keep its engine connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StickyReason {
@@ -51,9 +54,6 @@
     NotExecuted,
 }
 
-/// `ER_PARSE_ERROR`: the engine cannot parse the statement, and has executed nothing of it.
-const ER_PARSE_ERROR: u16 = 1064;
-
 impl EngineResponse {
     /// Returns whether the engine may have executed the statement, wholly or in part.
     pub fn follows_execution(self) -> bool {
--- a/src/sticky_sessions/session/tests.rs
+++ b/src/sticky_sessions/session/tests.rs
@@ -155,7 +155,7 @@
 
 /// Guards against a lock or a variable that stays on a pooled connection: the statement failed after it had got it.
 #[test]
-fn a_statement_that_fails_in_its_execution_may_have_left_locks_and_variables() {
+fn a_failed_statement_may_have_acquired_locks_and_variables() {
     use ConnectionDisposition::{Release, Retain};
     const STORAGE_FAILED: EngineResponse = EngineResponse::Error(1030);
     for (reason, after_failure) in [
@@ -180,7 +180,7 @@
 fn a_first_statement_that_fails_with_autocommit_off_retains_the_connection() {
     use ConnectionDisposition::{Release, Retain};
     let statement = StatementEffect {
-        commits: Commits::ChangesOutsideTransaction,
+        commits: Commits::AutocommittedChanges,
         opens_transaction: true,
         ..NO_EFFECT
     };
--- a/src/sticky_sessions/transaction.rs
+++ b/src/sticky_sessions/transaction.rs
@@ -16,7 +16,7 @@
     #[default]
     Nothing,
     /// Its own changes, unless a transaction is open, which they become part of.
-    ChangesOutsideTransaction,
+    AutocommittedChanges,
     /// The open transaction, explicitly or implicitly. The statement itself changes no data: `COMMIT`, `BEGIN`,
     /// `LOCK TABLES`.
     OpenTransaction,
@@ -101,7 +101,7 @@
             Commits::Everything => TransactionOutcome::Unknown,
             Commits::OpenTransaction if self.may_be_open() => TransactionOutcome::Unknown,
             // If the engine has rolled back the transaction, the statement has run outside of one.
-            Commits::ChangesOutsideTransaction
+            Commits::AutocommittedChanges
                 if self != TransactionState::Open && !statement.opens_transaction =>
             {
                 TransactionOutcome::Unknown
--- a/src/sticky_sessions/transaction/tests.rs
+++ b/src/sticky_sessions/transaction/tests.rs
@@ -7,7 +7,7 @@
     opens_transaction: false,
 };
 const WRITE: StatementEffect = StatementEffect {
-    commits: Commits::ChangesOutsideTransaction,
+    commits: Commits::AutocommittedChanges,
     ..READ
 };
 const COMMIT: StatementEffect = StatementEffect {
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn status_flags_settle_what_an_error_has_left_open() {
+fn status_flags_resolve_the_state_after_an_error() {
     let failed = [(BEGIN, OPEN), (WRITE, DUPLICATE_KEY)];
     let state = state_after(&failed);
     assert_eq!(state, TransactionState::OpenOrRolledBack);
--- a/src/upstream/mysql/sticky.rs
+++ b/src/upstream/mysql/sticky.rs
@@ -311,16 +311,16 @@
         TransactionOutcome::Unknown => SqlError::new(
             code::ER_QUERY_INTERRUPTED,
             format!(
-                "{reason}: it is not known whether the statement, or what it commits, has taken effect; \
-                 look before you send it again"
+                "{reason}: it is not known whether the statement, or what it commits, has \
+                 taken effect; look before you send it again"
             ),
         ),
         TransactionOutcome::NoTransaction => SqlError::new(
             code::ER_QUERY_INTERRUPTED,
             format!(
-                "{reason}, and with it the locks, temporary tables and variables that the session held \
-                 there; no transaction was open: this statement has changed nothing, and what was answered \
-                 before it stays in effect"
+                "{reason}, and with it the locks, temporary tables and variables that the \
+                 session held there; no transaction was open: this statement has changed \
+                 nothing, and what was answered before it stays in effect"
             ),
         ),
     }
--- a/tests/eureka.rs
+++ b/tests/eureka.rs
@@ -16,20 +16,10 @@
     eureka_section, register_engines,
 };
 use testbed::program::{Folder, Program};
-use tokio::task::LocalSet;
 
 /// Runs a scenario on a single-threaded runtime, with a time limit of 60 s.
 fn run_scenario(scenario: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let timed = async {
-        tokio::time::timeout(Duration::from_secs(60), scenario)
-            .await
-            .expect("the scenario exceeds 60 s")
-    };
-    LocalSet::new().block_on(&runtime, timed)
+    fixture::run_within(Duration::from_secs(60), scenario);
 }
 
 fn ms(milliseconds: u64) -> Duration {
--- a/tests/mysql_session_faults.rs
+++ b/tests/mysql_session_faults.rs
@@ -29,7 +29,7 @@
             .await
             .unwrap();
         sleep_ms(50).await;
-        let mut s = fixture.session().await;
+        let mut session = fixture.session().await;
         let nested = "(".repeat(OPEN_PARENTHESES);
         let closed = ")".repeat(OPEN_PARENTHESES / 2);
         for sql in [
@@ -39,25 +39,32 @@
             format!("SET @x = {}{closed})", &nested[..OPEN_PARENTHESES / 2]),
             format!("SET @x = '(', @y = (`(`, \"(\", {}", &nested[..16_000]),
         ] {
-            let (number, text) = query_error(&mut s, &sql).await;
+            let (number, text) = query_error(&mut session, &sql).await;
             assert_eq!(number, SYNTAX_ERROR, "{text}");
         }
         other.answer().await.unwrap();
         assert_eq!(fixture.committed(), ["insert into t values (7)"]);
-        query_rows(&mut s, "SET @x = ((((1)))), @y = (select concat('(', 'b'))").await;
-        assert_eq!(query_rows(&mut s, "select @x, @y").await, [["1", "(b"]]);
+        query_rows(
+            &mut session,
+            "SET @x = ((((1)))), @y = (select concat('(', 'b'))",
+        )
+        .await;
+        assert_eq!(
+            query_rows(&mut session, "select @x, @y").await,
+            [["1", "(b"]]
+        );
     });
 }
 
 /// Executes `earlier` in a new session, then `last`, whose response the engine loses after it has taken effect.
 /// Returns the number of the error that the client gets.
 async fn error_of_lost_response(fixture: &Fixture, earlier: &[&str], last: &str) -> u16 {
-    let mut s = fixture.session().await;
+    let mut session = fixture.session().await;
     for sql in earlier {
-        query_rows(&mut s, sql).await;
+        query_rows(&mut session, sql).await;
     }
     fixture.engines[0].lose_next_response(last);
-    query_error(&mut s, last).await.0
+    query_error(&mut session, last).await.0
 }
 
 /// Guards against a write that has committed by itself and is reported as rolled back, so that its client runs it
@@ -124,11 +131,11 @@
 fn prepared_write_outside_of_a_transaction_is_not_reported_as_rolled_back() {
     run(async {
         let fixture = start("prepared", 1, "", "").await;
-        let mut s = fixture.session().await;
-        query_rows(&mut s, "select get_lock('a', 1)").await;
-        let (id, _) = s.prepare("insert into t values (1)").await.unwrap();
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "select get_lock('a', 1)").await;
+        let (id, _) = session.prepare("insert into t values (1)").await.unwrap();
         fixture.engines[0].lose_next_response("insert");
-        let lost = error(s.execute(id, false).await).unwrap();
+        let lost = error(session.execute(id, false).await).unwrap();
         assert_eq!(lost.code, MAY_HAVE_RUN, "{}", lost.message);
         assert_eq!(fixture.committed(), ["insert into t values (1)"]);
     });
@@ -147,21 +154,21 @@
             };
             let fixture = start(&format!("ends-{}", &end[..3]), 1, "", pins).await;
             let engine = &fixture.engines[0];
-            let mut s = fixture.session().await;
-            query_rows(&mut s, "select get_lock('a', 1)").await;
+            let mut session = fixture.session().await;
+            query_rows(&mut session, "select get_lock('a', 1)").await;
             engine.set_execution_time(Duration::from_secs(5));
-            s.send(COM_QUERY, &[WRITE.as_bytes()]).await.unwrap();
+            session.send(COM_QUERY, &[WRITE.as_bytes()]).await.unwrap();
             sleep_ms(200).await;
             match end {
                 "drain" => fixture.call_operator_action("detach", engine).await,
                 "kill" => {
                     let mut other = fixture.session().await;
-                    query_rows(&mut other, &format!("kill query {}", s.number)).await;
+                    query_rows(&mut other, &format!("kill query {}", session.number)).await;
                 }
                 "engine" => engine.stop(),
                 _ => {}
             }
-            let lost = error(s.answer().await).unwrap();
+            let lost = error(session.answer().await).unwrap();
             assert_eq!(lost.code, MAY_HAVE_RUN, "{end}: {}", lost.message);
             assert_eq!(fixture.committed(), [WRITE], "{end}");
         }
@@ -173,14 +180,14 @@
 const NUMBERED_LIST: &str = "select @n := @n + 1 from goods";
 
 /// Asks for a list of five goods that the session numbers by a user variable, and returns the numbers.
-async fn numbered_list(s: &mut Session) -> Vec<String> {
-    query_rows(s, "SET @n := 0").await;
-    query_rows(s, NUMBERED_LIST).await.concat()
+async fn numbered_list(session: &mut Session) -> Vec<String> {
+    query_rows(session, "SET @n := 0").await;
+    query_rows(session, NUMBERED_LIST).await.concat()
 }
 
 /// Returns the value of a user variable; `None` if it is NULL.
-async fn user_variable(s: &mut Session, name: &str) -> Option<String> {
-    let rows = query_rows(s, &format!("select {name}")).await;
+async fn user_variable(session: &mut Session, name: &str) -> Option<String> {
+    let rows = query_rows(session, &format!("select {name}")).await;
     rows.concat().pop()
 }
 
@@ -192,12 +199,15 @@
     run(async {
         let fixture = start("numbers", 1, "", "").await;
         let engine = &fixture.engines[0];
-        let mut s = fixture.session().await;
+        let mut session = fixture.session().await;
         engine.fail_next(NUMBERED_LIST, STORAGE_FAILED);
-        query_rows(&mut s, "SET @n := 0").await;
-        assert_eq!(query_error(&mut s, NUMBERED_LIST).await.0, STORAGE_FAILED);
+        query_rows(&mut session, "SET @n := 0").await;
+        assert_eq!(
+            query_error(&mut session, NUMBERED_LIST).await.0,
+            STORAGE_FAILED
+        );
         for _ in 0..2 {
-            assert_eq!(numbered_list(&mut s).await, NUMBERS);
+            assert_eq!(numbered_list(&mut session).await, NUMBERS);
         }
         // A list whose statement cannot be parsed lets its connection go.
         let mut failing = fixture.session().await;
@@ -214,7 +224,7 @@
 
 /// Guards against the same fault in the other ways to assign a variable, and in the ways to change it back.
 #[test]
-fn session_reads_the_variables_that_its_statements_and_sets_have_left() {
+fn session_reads_what_its_statements_and_sets_assigned() {
     run(async {
         let fixture = start("assigns", 2, "", "").await;
         for (name, assignment) in [
@@ -225,31 +235,31 @@
             ("@n", "select 7 into @n"),
             ("@a.b", "select @a.b := 7"),
         ] {
-            let mut s = fixture.session().await;
-            query_rows(&mut s, "SET @n = 1, @kept = 2").await;
-            query_rows(&mut s, assignment).await;
-            let value = user_variable(&mut s, name).await;
+            let mut session = fixture.session().await;
+            query_rows(&mut session, "SET @n = 1, @kept = 2").await;
+            query_rows(&mut session, assignment).await;
+            let value = user_variable(&mut session, name).await;
             assert_eq!(value.as_deref(), Some("7"), "{assignment}");
             for (set, expected) in [
                 ("SET @n = 1", Some("1")),
                 ("SET @n = NULL", None),
                 ("SET @n = 1 + 1", Some("2")),
             ] {
-                query_rows(&mut s, assignment).await;
-                query_rows(&mut s, set).await;
-                let value = user_variable(&mut s, "@n").await;
+                query_rows(&mut session, assignment).await;
+                query_rows(&mut session, set).await;
+                let value = user_variable(&mut session, "@n").await;
                 assert_eq!(value.as_deref(), expected, "{assignment}, {set}");
             }
-            let kept = user_variable(&mut s, "@kept").await;
+            let kept = user_variable(&mut session, "@kept").await;
             assert_eq!(kept.as_deref(), Some("2"), "{assignment}");
         }
-        let mut s = fixture.session().await;
-        let (id, _) = s.prepare("select @n := @n + 1").await.unwrap();
+        let mut session = fixture.session().await;
+        let (id, _) = session.prepare("select @n := @n + 1").await.unwrap();
         for _ in 0..2 {
-            query_rows(&mut s, "SET @n := 0").await;
+            query_rows(&mut session, "SET @n := 0").await;
             for expected in ["1", "2"] {
-                s.execute(id, false).await.unwrap();
-                let value = user_variable(&mut s, "@n").await;
+                session.execute(id, false).await.unwrap();
+                let value = user_variable(&mut session, "@n").await;
                 assert_eq!(value.as_deref(), Some(expected));
             }
         }
@@ -263,19 +273,19 @@
     run(async {
         let fixture = start("left", 1, "", "").await;
         for ending in ["commit", "rollback", "reset"] {
-            let mut s = fixture.session().await;
-            query_rows(&mut s, "SET @n = 1").await;
-            query_rows(&mut s, "begin").await;
-            query_rows(&mut s, "select @n := 5").await;
+            let mut session = fixture.session().await;
+            query_rows(&mut session, "SET @n = 1").await;
+            query_rows(&mut session, "begin").await;
+            query_rows(&mut session, "select @n := 5").await;
             match ending {
                 "reset" => {
-                    s.send(COM_RESET_CONNECTION, &[]).await.unwrap();
-                    s.answer().await.unwrap();
-                    assert_eq!(user_variable(&mut s, "@n").await, None);
+                    session.send(COM_RESET_CONNECTION, &[]).await.unwrap();
+                    session.answer().await.unwrap();
+                    assert_eq!(user_variable(&mut session, "@n").await, None);
                 }
                 sql => {
-                    query_rows(&mut s, sql).await;
-                    let value = user_variable(&mut s, "@n").await;
+                    query_rows(&mut session, sql).await;
+                    let value = user_variable(&mut session, "@n").await;
                     assert_eq!(value.as_deref(), Some("5"), "{sql}");
                 }
             }
@@ -285,28 +295,34 @@
             assert_eq!(value.as_deref(), Some("1"), "{ending}");
         }
         // The value goes with the engine connection, and the client learns that.
-        let mut s = fixture.session().await;
-        query_rows(&mut s, "select @n := 5").await;
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "select @n := 5").await;
         fixture.engines[0].lose_next_response("select");
-        assert_eq!(query_error(&mut s, "select a from t").await.0, MAY_HAVE_RUN);
-        assert_eq!(user_variable(&mut s, "@n").await, None);
+        assert_eq!(
+            query_error(&mut session, "select a from t").await.0,
+            MAY_HAVE_RUN
+        );
+        assert_eq!(user_variable(&mut session, "@n").await, None);
     });
 }
 
 /// Guards against a lock that stays on a pooled connection: the statement that took it failed afterwards.
 #[test]
-fn connection_stays_with_a_session_whose_failed_statement_may_have_taken_a_lock() {
+fn session_stays_sticky_if_its_failed_statement_may_have_locked() {
     run(async {
         let fixture = start("lock", 1, "", "").await;
-        let mut s = fixture.session().await;
+        let mut session = fixture.session().await;
         fixture.engines[0].fail_next("select get_lock", STORAGE_FAILED);
-        let (number, _) = query_error(&mut s, "select get_lock('a', 1), b from t").await;
+        let (number, _) = query_error(&mut session, "select get_lock('a', 1), b from t").await;
         assert_eq!(number, STORAGE_FAILED);
-        let held = query_rows(&mut s, "select connection_id()").await;
+        let own = query_rows(&mut session, "select connection_id()").await;
         let mut other = fixture.session().await;
         let others = query_rows(&mut other, "select connection_id()").await;
-        assert_ne!(others, held);
-        assert_eq!(query_rows(&mut s, "select connection_id()").await, held);
+        assert_ne!(others, own);
+        assert_eq!(
+            query_rows(&mut session, "select connection_id()").await,
+            own
+        );
     });
 }
 
@@ -316,30 +332,30 @@
 fn setting_in_an_executable_comment_moves_with_its_session_and_reaches_no_other() {
     run(async {
         let fixture = start("dump", 1, "", "").await;
-        let mut s = fixture.session().await;
+        let mut session = fixture.session().await;
         let mut other = fixture.session().await;
         for sql in [
             "/*!40103 SET @OLD_TIME_ZONE=@@TIME_ZONE */",
             "/*!40103 SET TIME_ZONE='+00:00' */;",
         ] {
-            query_rows(&mut s, sql).await;
+            query_rows(&mut session, sql).await;
         }
         for _ in 0..2 {
             let zone = query_rows(&mut other, "select @@time_zone").await;
             assert_eq!(zone, [["SYSTEM"]]);
-            let zones = query_rows(&mut s, "select @@time_zone, @old_time_zone").await;
+            let zones = query_rows(&mut session, "select @@time_zone, @old_time_zone").await;
             assert_eq!(zones, [["+00:00", "SYSTEM"]]);
         }
-        query_rows(&mut s, "/*!40103 SET TIME_ZONE=@OLD_TIME_ZONE */").await;
-        let zone = query_rows(&mut s, "select @@time_zone").await;
+        query_rows(&mut session, "/*!40103 SET TIME_ZONE=@OLD_TIME_ZONE */").await;
+        let zone = query_rows(&mut session, "select @@time_zone").await;
         assert_eq!(zone, [["SYSTEM"]]);
         // Only newer engines execute this one, so that its connection serves no other session.
-        query_rows(&mut s, "/*!99999 SET TIME_ZONE='+00:00' */").await;
+        query_rows(&mut session, "/*!99999 SET TIME_ZONE='+00:00' */").await;
         let zone = query_rows(&mut other, "select @@time_zone").await;
         assert_eq!(zone, [["SYSTEM"]]);
-        query_rows(&mut s, "/*!50000 begin */").await;
-        query_rows(&mut s, "insert into t values (1)").await;
-        query_rows(&mut s, "/*!50000 rollback */").await;
+        query_rows(&mut session, "/*!50000 begin */").await;
+        query_rows(&mut session, "insert into t values (1)").await;
+        query_rows(&mut session, "/*!50000 rollback */").await;
         assert_eq!(fixture.committed(), Vec::<String>::new());
     });
 }
@@ -379,17 +395,17 @@
 fn schema_that_a_statement_dropped_is_selected_anew() {
     run(async {
         let fixture = start("dropped", 1, "", "").await;
-        let mut s = fixture.session().await;
+        let mut session = fixture.session().await;
         for pinning in ["select 1", "select get_lock('a', 1)"] {
-            query_rows(&mut s, pinning).await;
-            query_rows(&mut s, "use depot").await;
-            query_rows(&mut s, "select 1").await;
-            query_rows(&mut s, "drop database if exists `depot`").await;
-            let schema = query_rows(&mut s, "select database()").await;
+            query_rows(&mut session, pinning).await;
+            query_rows(&mut session, "use depot").await;
+            query_rows(&mut session, "select 1").await;
+            query_rows(&mut session, "drop database if exists `depot`").await;
+            let schema = query_rows(&mut session, "select database()").await;
             assert_eq!(schema, [Vec::<String>::new()], "after {pinning}");
-            query_rows(&mut s, "create database depot").await;
-            query_rows(&mut s, "use depot").await;
-            let schema = query_rows(&mut s, "select database()").await;
+            query_rows(&mut session, "create database depot").await;
+            query_rows(&mut session, "use depot").await;
+            let schema = query_rows(&mut session, "select database()").await;
             assert_eq!(schema, [["depot"]], "after {pinning}");
         }
     });
@@ -400,21 +416,21 @@
 fn variables_that_each_statement_changes_are_the_sessions_own_or_rejected() {
     run(async {
         let fixture = start("changing", 1, "", "").await;
-        let mut s = fixture.session().await;
+        let mut session = fixture.session().await;
         for sql in ["SET last_insert_id = 7", "SET @@session.identity = 8"] {
-            query_rows(&mut s, sql).await;
+            query_rows(&mut session, sql).await;
             let expected = sql.rsplit(' ').next().unwrap();
             for read in ["select @@last_insert_id", "select @@identity"] {
                 query_rows(&mut fixture.session().await, "select @@last_insert_id").await;
                 assert_eq!(
-                    query_rows(&mut s, read).await,
+                    query_rows(&mut session, read).await,
                     [[expected]],
                     "{sql}, {read}"
                 );
             }
         }
         for name in ["insert_id", "rand_seed1", "rand_seed2"] {
-            let (number, text) = query_error(&mut s, &format!("SET {name} = 1")).await;
+            let (number, text) = query_error(&mut session, &format!("SET {name} = 1")).await;
             assert_eq!(number, 1235, "{text}");
         }
     });
@@ -426,7 +442,7 @@
 fn call_that_may_be_a_stored_function_is_sent_once() {
     run(async {
         let fixture = start("function", 2, "", "").await;
-        let mut s = fixture.session().await;
+        let mut session = fixture.session().await;
         for sql in [
             "select audit.log(7, 42)",
             "select audit . /* of today */ log (7, 42)",
@@ -439,7 +455,11 @@
             for engine in &fixture.engines {
                 engine.lose_next_response(sql);
             }
-            assert_eq!(query_error(&mut s, sql).await.0, MAY_HAVE_RUN, "{sql}");
+            assert_eq!(
+                query_error(&mut session, sql).await.0,
+                MAY_HAVE_RUN,
+                "{sql}"
+            );
             assert_eq!(fixture.execution_count(sql), 1, "{sql}");
         }
         // A read is sent again.
@@ -447,7 +467,7 @@
         for engine in &fixture.engines {
             engine.lose_next_response(read);
         }
-        assert_eq!(query_rows(&mut s, read).await.len(), 1);
+        assert_eq!(query_rows(&mut session, read).await.len(), 1);
     });
 }
 
@@ -500,7 +520,7 @@
 /// Guards against a connection that goes back to the pool with a transaction: with autocommit off, a statement may have
 /// opened one although it failed.
 #[test]
-fn connection_stays_with_a_session_whose_first_statement_failed_with_autocommit_off() {
+fn session_stays_sticky_if_its_first_statement_failed_with_autocommit_off() {
     const WRITE: &str = "insert into t values (1)";
     run(async {
         let fixture = start("manual", 1, "", "").await;
--- a/tests/mysql_tls.rs
+++ b/tests/mysql_tls.rs
@@ -13,23 +13,13 @@
 use testbed::program::{Folder, Program};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::task::LocalSet;
 use tokio_rustls::rustls::crypto::ring;
 use tokio_rustls::rustls::pki_types::pem::PemObject;
 use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use tokio_rustls::rustls::{ClientConfig, RootCertStore, version};
 
-fn run(f: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let timed = async {
-        tokio::time::timeout(Duration::from_secs(60), f)
-            .await
-            .expect("the test takes longer than 60 seconds")
-    };
-    LocalSet::new().block_on(&runtime, timed)
+fn run(test: impl Future<Output = ()>) {
+    fixture::run_within(Duration::from_secs(60), test);
 }
 
 async fn sleep_ms(ms: u64) {
--- a/tests/recorded_state/sticky_adapter.rs
+++ b/tests/recorded_state/sticky_adapter.rs
@@ -73,7 +73,7 @@
         unlocks_tables: statement.unlocks_tables,
         commits: match statement.commits || begins {
             true => Commits::OpenTransaction,
-            false => Commits::ChangesOutsideTransaction,
+            false => Commits::AutocommittedChanges,
         },
         opens_transaction: begins,
     }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -47,7 +47,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 
 /// A request or cancellation that a fake engine received, with the channel for instructions how to answer.
 pub(crate) struct EngineRequest {
@@ -193,17 +193,8 @@
 }
 
 /// Runs a future on a single-threaded runtime, as the program does, for at most 20 s.
-pub(crate) fn on_one_thread<T>(f: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let timed = async {
-        tokio::time::timeout(Duration::from_secs(20), f)
-            .await
-            .expect("the test ends within 20 s")
-    };
-    LocalSet::new().block_on(&runtime, timed)
+pub(crate) fn on_one_thread<T>(test: impl Future<Output = T>) -> T {
+    testbed::fixture::run_within(Duration::from_secs(20), test)
 }
 
 /// Starts two engines on ephemeral ports, each running `serve` for every connection.
--- a/tests/session_fixture/mod.rs
+++ b/tests/session_fixture/mod.rs
@@ -8,20 +8,10 @@
 use testbed::fakes::engine::Engine;
 use testbed::fixture;
 use testbed::program::{Folder, Program};
-use tokio::task::LocalSet;
 
 /// Runs a test on a single-threaded runtime, for at most 60 s.
-pub(crate) fn run(f: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let timed = async {
-        tokio::time::timeout(Duration::from_secs(60), f)
-            .await
-            .expect("the test ends within 60 s")
-    };
-    LocalSet::new().block_on(&runtime, timed)
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    fixture::run_within(Duration::from_secs(60), test);
 }
 
 pub(crate) async fn sleep_ms(ms: u64) {
@@ -112,13 +102,16 @@
 }
 
 /// Runs a query that succeeds and returns its rows.
-pub(crate) async fn query_rows(s: &mut Session, sql: &str) -> Vec<Vec<String>> {
-    let answer = s.query(sql).await.unwrap_or_else(|e| panic!("{sql}: {e}"));
+pub(crate) async fn query_rows(session: &mut Session, sql: &str) -> Vec<Vec<String>> {
+    let answer = session
+        .query(sql)
+        .await
+        .unwrap_or_else(|e| panic!("{sql}: {e}"));
     answer.rows.iter().map(texts).collect()
 }
 
 /// Runs a query that fails and returns the number and the message of the error.
-pub(crate) async fn query_error(s: &mut Session, sql: &str) -> (u16, String) {
-    let e = error(s.query(sql).await).unwrap_or_else(|| panic!("{sql}: expected an error"));
+pub(crate) async fn query_error(session: &mut Session, sql: &str) -> (u16, String) {
+    let e = error(session.query(sql).await).unwrap_or_else(|| panic!("{sql}: expected an error"));
     (e.code, e.message)
 }
--- a/tests/spool.rs
+++ b/tests/spool.rs
@@ -14,22 +14,13 @@
 use testbed::fakes::engine::{Engine, padded_text};
 use testbed::fixture;
 use testbed::program::{Folder, Program};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 
 /// Maximum duration of one test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(90);
 
 fn run_test(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let timed = async {
-        tokio::time::timeout(TEST_TIMEOUT, test)
-            .await
-            .expect("the test timed out")
-    };
-    LocalSet::new().block_on(&runtime, timed)
+    fixture::run_within(TEST_TIMEOUT, test);
 }
 
 fn ms(milliseconds: u64) -> Duration {
