--- a/crates/testbed/src/platform/clients.rs
+++ b/crates/testbed/src/platform/clients.rs
@@ -283,7 +283,8 @@
     [&length[..], &[kind], &stream.to_be_bytes(), payload].concat()
 }
 
-fn encode_with_fields(kind: u8, stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+/// Encodes a frame whose payload consists of these fields and this body.
+pub fn encode_with_fields(kind: u8, stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut payload = vec![fields.len() as u8];
     for (name, value) in fields {
         payload.push(name.len() as u8);
--- a/crates/testbed/src/platform/dispatcher.rs
+++ b/crates/testbed/src/platform/dispatcher.rs
@@ -3,6 +3,7 @@
 
 use crate::platform::clients::Connection;
 use crate::program::{Folder, ProgramError};
+use query_dispatcher::server::process_metrics;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -103,6 +104,34 @@
         name: &str,
         config: &str,
         shim: Option<(&Shim, Faults)>,
+    ) -> Result<Self, ProgramError> {
+        let faults = folder.path().join(format!("{name}.faults"));
+        let environment = match shim {
+            Some((shim, initial)) => shim.environment(&faults, initial)?.to_vec(),
+            None => vec![],
+        };
+        Self::start_with(binary, folder, name, config, &environment).await
+    }
+
+    /// Starts a process like [`Dispatcher::start`] that shares its state directory with other processes.
+    pub async fn start_sharing(
+        binary: &Path,
+        folder: &Folder,
+        name: &str,
+        config: &str,
+        state_directory: &Path,
+    ) -> Result<Self, ProgramError> {
+        let environment = [("TMPDIR", state_directory.to_path_buf())];
+        Self::start_with(binary, folder, name, config, &environment).await
+    }
+
+    /// Starts a process like [`Dispatcher::start`], with these further environment variables.
+    async fn start_with(
+        binary: &Path,
+        folder: &Folder,
+        name: &str,
+        config: &str,
+        environment: &[(&'static str, PathBuf)],
     ) -> Result<Self, ProgramError> {
         let file = folder.path().join(format!("{name}.json"));
         let faults = folder.path().join(format!("{name}.faults"));
@@ -112,11 +141,9 @@
             .env_clear()
             .env("PROXY_CONFIG", &file)
             .env("PROXY_ADMIN_ADDR", "127.0.0.1:0")
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .kill_on_drop(true);
-        if let Some((shim, initial)) = shim {
-            command.envs(shim.environment(&faults, initial)?);
-        }
         let mut child = command.spawn()?;
         let log: Rc<RefCell<Vec<(Instant, String)>>> = Rc::default();
         if let Some(stderr) = child.stderr.take() {
@@ -209,6 +236,11 @@
         status.ok()?.ok()
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Kills the process and waits for its end.
     pub async fn kill(&mut self) {
         let _ = self.child.kill().await;
@@ -239,6 +271,14 @@
         Ok(value.and_then(|value| value.parse().ok()).unwrap_or(0))
     }
 
+    /// Returns the peak resident memory of the process so far, in megabytes.
+    pub fn peak_memory_mb(&self) -> f64 {
+        let id = self.child.id().unwrap_or(0);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let memory = process_metrics::parse_status(&status);
+        memory.map_or(0.0, |memory| memory.peak_kb as f64 / 1024.0)
+    }
+
     /// Returns the processor time that the process has used so far, in seconds.
     pub fn processor_seconds(&self) -> f64 {
         let id = self.child.id().unwrap_or(0);
--- a/crates/testbed/src/platform/engines.rs
+++ b/crates/testbed/src/platform/engines.rs
@@ -45,6 +45,32 @@
     Full,
 }
 
+/// Size of an engine's results.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResultSize {
+    /// One or two pages of one row each.
+    Small,
+    /// The largest result that the protocol allows: eight full pages.
+    Largest,
+}
+
+/// Number of pages of the largest result.
+const LARGEST_RESULT_PAGES: usize = 8;
+/// Maximum size of a page, in bytes.
+const MAX_PAGE_BYTES: usize = 6000;
+
+/// Returns a row of a result, which names the request and its engine.
+fn result_row(id: &str, engine: usize) -> String {
+    format!("{id}\te{engine}\t1\n")
+}
+
+/// Returns whether `body` is a whole result of this engine for this request.
+pub fn is_result(id: &str, engine: usize, body: &str) -> bool {
+    let row = result_row(id, engine);
+    let largest = LARGEST_RESULT_PAGES * (MAX_PAGE_BYTES / row.len());
+    [1, 2, largest].iter().any(|rows| body == row.repeat(*rows))
+}
+
 /// All engines of a test, and the requests that reached them.
 #[derive(Default)]
 pub struct Fleet {
@@ -61,6 +87,8 @@
     pub execution_time: Cell<Duration>,
     /// Maximum number of requests that run at once; more are rejected.
     pub slots: Cell<usize>,
+    /// Size of a result; by default, each page holds one row.
+    pub result_size: Cell<ResultSize>,
     running: Cell<usize>,
     executions: Rc<RefCell<Vec<Execution>>>,
     listener: RefCell<Option<AbortHandle>>,
@@ -86,6 +114,7 @@
             behaviour: Cell::new(Behaviour::Serving),
             execution_time: Cell::new(execution_time),
             slots: Cell::new(slots),
+            result_size: Cell::new(ResultSize::Small),
             running: Cell::new(0),
             executions: self.executions.clone(),
             listener: RefCell::default(),
@@ -215,9 +244,12 @@
         executions.len() - 1
     }
 
-    /// Returns a result page of one row, which names the request and its engine.
     fn result_page(&self, id: &str) -> String {
-        format!("{id}\te{}\t1\n", self.number)
+        let row = result_row(id, self.number);
+        match self.result_size.get() {
+            ResultSize::Small => row,
+            ResultSize::Largest => row.repeat(MAX_PAGE_BYTES / row.len()),
+        }
     }
 
     async fn run(self: Rc<Self>, id: String, position: usize, write: Rc<Mutex<OwnedWriteHalf>>) {
@@ -231,7 +263,10 @@
         }
         let _guard = RunningGuard::begin(&self);
         tokio::time::sleep(self.execution_time.get()).await;
-        let pages = 1 + position % 2;
+        let pages = match self.result_size.get() {
+            ResultSize::Small => 1 + position % 2,
+            ResultSize::Largest => LARGEST_RESULT_PAGES,
+        };
         let fields = format!("total={pages},{load}");
         let page = self.result_page(&id);
         match self.behaviour.get() {
--- a/crates/testbed/src/platform/mod.rs
+++ b/crates/testbed/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod clients;
 pub mod dispatcher;
 pub mod engines;
+pub mod hostile_clients;
 pub mod journal;
 pub mod settings;
 pub mod soak;
--- a/crates/testbed/src/platform/settings.rs
+++ b/crates/testbed/src/platform/settings.rs
@@ -32,6 +32,9 @@
 /// Maximum time from the notice of a drain to the last new request that reaches the engine, in milliseconds.
 pub const DRAIN_GRACE: f64 = 1000.0;
 
+/// Window in which requests and retries are counted for the retry budget, in milliseconds.
+const RETRY_BUDGET_WINDOW: f64 = 10_000.0;
+
 /// Settings of a fleet.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -50,6 +53,12 @@
     pub overload_window: f64,
     /// Addresses at which dispatchers receive gossip from their peers, by rank; empty without gossip.
     pub peers: Vec<SocketAddr>,
+    /// Number of retries that the fleet's rules allow for each request; `None` without such a rule.
+    pub retries_per_request: Option<f64>,
+    /// Memory limit of a dispatcher, in megabytes.
+    pub memory_mb: usize,
+    /// Descriptor limit of a dispatcher.
+    pub descriptors: usize,
 }
 
 impl Default for Settings {
@@ -63,6 +72,9 @@
             overload_multiple: 4.0,
             overload_window: 1500.0,
             peers: vec![],
+            retries_per_request: None,
+            memory_mb: 192,
+            descriptors: 1024,
         }
     }
 }
@@ -71,7 +83,7 @@
     fn json(&self, rank: usize) -> Value {
         let grades: Vec<Value> = self.classes.iter().map(class_json).collect();
         let waits = vec![false; self.classes.len()];
-        json!({
+        let mut settings = json!({
             "ceilings": {
                 "connect_timeout": 250.0, "cancel": true, "most_tries": 3, "second_copies": false,
                 "retry_after": true, "max_retry_after": 500.0, "peer_messages": true, "probes": false,
@@ -92,7 +104,12 @@
             },
             "deductions": {"peer": 0.01, "cross_zone": 0.02},
             "step": 1.0,
-        })
+        });
+        if let Some(retries) = self.retries_per_request {
+            settings["rules"]["extra_per_request"] = json!(retries);
+            settings["rules"]["budget_span"] = json!(RETRY_BUDGET_WINDOW);
+        }
+        settings
     }
 
     /// Returns the file of the dispatcher of this rank. `known` holds the journal's entries at its start.
@@ -107,7 +124,7 @@
             "name": format!("n{rank}"),
             "listen": listen.to_string(),
             "seed": format!("{:x}", 0x5eed + rank),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.descriptors},
             "journal": journal.to_string(),
             "known": known,
             "peer_listen": self.peer_listen(rank).to_string(),
--- a/crates/testbed/src/platform/verdict.rs
+++ b/crates/testbed/src/platform/verdict.rs
@@ -1,7 +1,7 @@
 //! Checks the records of clients, engines and the test itself against the rules of the protocol.
 
 use crate::platform::clients::Request;
-use crate::platform::engines::Execution;
+use crate::platform::engines::{Execution, is_result};
 use crate::platform::settings::{DEDUPLICATION_WINDOW, DRAIN_GRACE, Effect, Settings};
 use query_dispatcher::protocol::frames::code;
 use std::collections::HashMap;
@@ -140,10 +140,7 @@
 
 fn is_result_of(request: &Request, attempts: &[&Execution], body: &str) -> bool {
     let mut engines = attempts.iter().map(|attempt| attempt.engine);
-    engines.any(|engine| {
-        let row = format!("{}\te{engine}\t1\n", request.id);
-        body == row || body == row.repeat(2)
-    })
+    engines.any(|engine| is_result(&request.id, engine, body))
 }
 
 fn check_attempts(
--- /dev/null
+++ b/tests/client_memory.rs
@@ -0,0 +1,80 @@
+//! The memory of a process while clients hold all that they can, with the least memory that the platform's pages
+//! name and 1,024 descriptors. A usual client goes on with its requests.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::path::Path;
+use std::time::Duration;
+use testbed::platform::engines::Fleet;
+use testbed::platform::hostile_clients::{
+    MAX_CLIENT_CONNECTIONS, MAX_FRAME_BYTES, MAX_OPEN_STREAMS, Outcome, Scenario, encode_request,
+    hang, read_to_end,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+/// Time for which the clients hold what they can.
+const SPAN: Duration = Duration::from_secs(4);
+/// Size of a statement that makes a request one of the largest.
+const LARGE_STATEMENT_BYTES: usize = MAX_FRAME_BYTES - 200;
+
+/// Runs as many hostile clients as the descriptors allow, beside a usual one.
+async fn run_crowd<F: Future<Output = std::io::Result<()>> + 'static>(
+    name: &str,
+    prepare: impl FnOnce(&Fleet),
+    use_connection: impl Fn(usize, TcpStream) -> F + Clone + Send + 'static,
+) -> Outcome {
+    let scenario = Scenario {
+        binary: Path::new(env!("CARGO_BIN_EXE_hitchwinch")),
+        name,
+        hostile_clients: MAX_CLIENT_CONNECTIONS - 1,
+        span: SPAN,
+    };
+    let run = scenario.run(prepare, use_connection);
+    let outcome = LocalSet::new().run_until(run).await.unwrap();
+    println!("{name}: {}", outcome.summary());
+    outcome
+}
+
+fn assert_within_limits(outcome: &Outcome) {
+    assert!(outcome.is_within_limits(), "{}", outcome.summary());
+}
+
+/// Asserts also that most of the usual client's requests are served: what hostile clients hold must leave room
+/// for others.
+fn assert_usual_client_is_served(outcome: &Outcome) {
+    assert_within_limits(outcome);
+    assert!(
+        outcome.served() * 10 >= outcome.usual.len() * 9,
+        "{}",
+        outcome.summary()
+    );
+}
+
+/// Nearly all of a large request on each connection, and then nothing.
+async fn stop_half_way(client: usize, mut tcp: TcpStream) -> std::io::Result<()> {
+    let frame = encode_request(client, 1, &[], LARGE_STATEMENT_BYTES);
+    tcp.write_all(&frame[..frame.len() - 100]).await?;
+    read_to_end(&mut tcp).await
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn clients_that_stop_half_way_through_a_large_request_stay_within_the_memory_limit() {
+    assert_usual_client_is_served(&run_crowd("half", |_| {}, stop_half_way).await);
+}
+
+/// As many requests as may be open, whose heads have as many short fields as a head can have.
+async fn send_many_fields(client: usize, mut tcp: TcpStream) -> std::io::Result<()> {
+    let fields = [("note", "12345678"); 252];
+    for stream in 1..=MAX_OPEN_STREAMS {
+        tcp.write_all(&encode_request(client, stream, &fields, 0))
+            .await?;
+    }
+    read_to_end(&mut tcp).await
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn requests_with_hundreds_of_short_fields_stay_within_the_memory_limit() {
+    assert_within_limits(&run_crowd("fields", hang, send_many_fields).await);
+}
