--- a/crates/testbed/src/platform/hostile_clients.rs
+++ b/crates/testbed/src/platform/hostile_clients.rs
@@ -11,6 +11,7 @@
 use crate::platform::verdict::{Records, Violation, find_violations};
 use crate::program::{Folder, ProgramError};
 use query_dispatcher::protocol::frames::{code, kind};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -79,14 +80,25 @@
         self.usual.iter().filter(is_served).count()
     }
 
+    /// Counts the usual client's answers that are no results, by their text.
+    fn other_answers(&self) -> BTreeMap<&str, usize> {
+        let mut counts = BTreeMap::new();
+        let answers = self.usual.iter().flat_map(|request| &request.answers);
+        for answer in answers.filter(|answer| answer.code != code::SERVED) {
+            *counts.entry(answer.body.as_str()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Formats the result as one line.
     pub fn summary(&self) -> String {
         let first = self.violations.first();
         format!(
-            "peak memory {:.1} MB, {} of {} usual requests served, ended: {}, {} violations {first:?}",
+            "peak memory {:.1} MB, {} of {} usual requests served, others {:?}, ended: {}, {} violations {first:?}",
             self.peak_memory_mb,
             self.served(),
             self.usual.len(),
+            self.other_answers(),
             self.has_ended,
             self.violations.len()
         )
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -51,6 +51,8 @@
     pub membership: Rc<RefCell<Option<Rc<MembershipDriver>>>>,
     /// Spooled results that clients have yet to fetch; `None` if this process keeps none.
     pub spools: Option<Rc<Spools>>,
+    /// Formats the state of the clients' connections; `None` if the frontend reports none.
+    pub clients: Option<Rc<dyn Fn() -> String>>,
 }
 
 /// Codec that decodes requests and encodes responses.
--- a/src/admin/routes.rs
+++ b/src/admin/routes.rs
@@ -5,6 +5,7 @@
 use crate::admin::response::Response;
 use crate::dispatch::{AdministrativeDrain, Upstream};
 use crate::server::instance_registry::decode_engine_id;
+use crate::server::process_metrics;
 
 /// Path prefix of actions on one engine; the action and the encoded engine id follow it.
 const ENGINES_PREFIX: &str = "/_engines/";
@@ -14,6 +15,7 @@
     Ready,
     Metrics,
     Invariants,
+    Clients,
     Spools,
     Members,
     /// Starts the administrative drain of the engine with this encoded id.
@@ -28,6 +30,7 @@
             "/_ready" => Some(Route::Ready),
             "/_vars" => Some(Route::Metrics),
             "/_invariants" => Some(Route::Invariants),
+            "/_clients" => Some(Route::Clients),
             "/_spools" => Some(Route::Spools),
             "/_members" => Some(Route::Members),
             _ => {
@@ -45,9 +48,12 @@
     fn method(&self) -> &'static str {
         match self {
             Route::Drain(_) | Route::Undrain(_) => "POST",
-            Route::Ready | Route::Metrics | Route::Invariants | Route::Spools | Route::Members => {
-                "GET"
-            }
+            Route::Ready
+            | Route::Metrics
+            | Route::Invariants
+            | Route::Clients
+            | Route::Spools
+            | Route::Members => "GET",
         }
     }
 }
@@ -70,6 +76,7 @@
             Route::Ready => self.readiness(),
             Route::Metrics => self.metrics(),
             Route::Invariants => Response::text(200, self.router.invariants()),
+            Route::Clients => self.clients(),
             Route::Spools => self.spools(),
             Route::Members => self.members(query),
             Route::Drain(engine) => self.drain(engine),
@@ -91,6 +98,20 @@
         Response::text(200, self.router.metrics() + &spool_metrics)
     }
 
+    /// Returns the state of the clients' connections, and the memory of the process.
+    fn clients(&self) -> Response {
+        let Some(clients) = &self.sources.clients else {
+            return Response::text(404, "nothing is told of the clients here\n");
+        };
+        let memory = process_metrics::current().map_or(String::new(), |memory| {
+            format!(
+                "process.resident_kb={}\nprocess.peak_kb={}\n",
+                memory.resident_kb, memory.peak_kb
+            )
+        });
+        Response::text(200, clients() + &memory)
+    }
+
     fn spools(&self) -> Response {
         match &self.sources.spools {
             Some(spools) => Response::json(spools.status_page()),
--- a/src/frontend/frames/client.rs
+++ b/src/frontend/frames/client.rs
@@ -4,14 +4,19 @@
 use crate::core::{RejectionReason, RequestId, RequestOutcome};
 use crate::decision::model::Millis;
 use crate::dispatch::{Reply, Upstream};
-use crate::frontend::frames::replies::{enqueue_answer, enqueue_readiness, enqueue_reply};
+use crate::frontend::frames::replies::{
+    QueuedReply, enqueue_answer, enqueue_readiness, enqueue_reply,
+};
 use crate::frontend::frames::request::{InvalidRequest, Work, parse_class, parse_request};
+use crate::frontend::frames::statistics::RejectionCause;
 use crate::frontend::frames::stream_numbers::StreamNumbers;
 use crate::frontend::frames::{FramedConnection, Frontend};
-use crate::protocol::frames::{Frame, FrameError, code, kind};
+use crate::protocol::frames::{Frame, FrameError, Payload, code, kind};
 use crate::transport::buffer_pool::{BUFFER_BYTES, Buffer};
 use crate::transport::client_socket::SocketProbe;
 use crate::transport::connection_limiter::{Activity, ConnectionPermit};
+use crate::transport::memory_budget::Reservation;
+use bytes::Bytes;
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::time::{Duration, Instant};
@@ -55,7 +60,11 @@
 
 /// A frame that was read and is not processed yet.
 struct ReadAheadFrame {
-    frame: Frame,
+    kind: u8,
+    stream: u32,
+    /// Payload of a request; empty in other frames.
+    payload: Bytes,
+    memory: Reservation,
     arrived: Millis,
 }
 
@@ -76,11 +85,12 @@
     /// Number of payload bytes in `read_ahead`.
     read_ahead_bytes: usize,
     rejected: VecDeque<RejectedFrame>,
+    rejected_memory: Reservation,
     /// Number of consecutive requests that were invalid or beyond a limit.
     protocol_errors: u32,
     /// No frame is processed before this time.
     throttled_until: Instant,
-    replies: mpsc::Sender<(u32, Reply<Buffer>)>,
+    replies: mpsc::Sender<QueuedReply>,
 }
 
 impl<'a, U: Upstream<Work = Work, Output = Buffer>> Client<'a, U> {
@@ -90,7 +100,7 @@
         frontend: &'a Frontend<U>,
         permit: &'a ConnectionPermit,
         socket: SocketProbe,
-        replies: mpsc::Sender<(u32, Reply<Buffer>)>,
+        replies: mpsc::Sender<QueuedReply>,
     ) -> Self {
         Client {
             frontend,
@@ -104,6 +114,7 @@
             read_ahead: VecDeque::new(),
             read_ahead_bytes: 0,
             rejected: VecDeque::new(),
+            rejected_memory: frontend.request_memory.empty_reservation(),
             protocol_errors: 0,
             throttled_until: Instant::now(),
             replies,
@@ -136,6 +147,11 @@
         self.throttled_until
     }
 
+    /// Returns the number of open requests.
+    pub(super) fn open_requests(&self) -> usize {
+        self.open.by_stream.len()
+    }
+
     /// Closes a stream when its answer is available; returns false if the client has cancelled the request
     /// before.
     pub(super) fn close_stream(&mut self, stream: u32) -> bool {
@@ -158,31 +174,49 @@
             self.cancel(frame.stream);
             return Ok(());
         }
+        let (payload, memory) = match frame.payload {
+            Payload::Kept { bytes, memory } => (bytes, memory),
+            Payload::Ignored => (Bytes::new(), Reservation::default()),
+            Payload::Denied => {
+                let cause = RejectionCause::RequestMemory;
+                return self.reject_unread(frame.kind, frame.stream, cause);
+            }
+        };
         if self.is_read_ahead_full() {
-            return self.reject_unread(frame);
+            // A malformed request or one of an unknown class is rejected without being counted.
+            if let Some(class) = parse_class(&self.frontend.router, &payload) {
+                let router = &self.frontend.router;
+                router.record_frontend_answer(class, RequestOutcome::Overload);
+            }
+            let cause = RejectionCause::ReadAheadFull;
+            return self.reject_unread(frame.kind, frame.stream, cause);
         }
-        self.read_ahead_bytes += frame.payload.len();
+        self.read_ahead_bytes += payload.len();
         self.read_ahead.push_back(ReadAheadFrame {
-            frame,
+            kind: frame.kind,
+            stream: frame.stream,
+            payload,
+            memory,
             arrived: self.frontend.router.earliest_arrival(),
         });
         Ok(())
     }
 
-    fn reject_unread(&mut self, frame: Frame) -> Result<(), FrameError> {
-        if self.rejected.len() >= MAX_UNANSWERED_REJECTIONS {
+    fn reject_unread(
+        &mut self,
+        kind: u8,
+        stream: u32,
+        cause: RejectionCause,
+    ) -> Result<(), FrameError> {
+        self.frontend.statistics.record_rejection(cause);
+        let queue_bytes = (self.rejected.len() + 1) * size_of::<RejectedFrame>();
+        if self.rejected.len() >= MAX_UNANSWERED_REJECTIONS
+            || !self.rejected_memory.resize(queue_bytes)
+        {
             let problem = "the client sends more frames than it reads answers for";
             return Err(io::Error::other(problem).into());
         }
-        self.rejected.push_back(RejectedFrame {
-            kind: frame.kind,
-            stream: frame.stream,
-        });
-        // A malformed request or one of an unknown class is rejected without being counted.
-        if let Some(class) = parse_class(&self.frontend.router, frame) {
-            let router = &self.frontend.router;
-            router.record_frontend_answer(class, RequestOutcome::Overload);
-        }
+        self.rejected.push_back(RejectedFrame { kind, stream });
         Ok(())
     }
 
@@ -193,8 +227,8 @@
             return;
         }
         self.read_ahead
-            .retain(|ahead| ahead.frame.kind != kind::REQUEST || ahead.frame.stream != stream);
-        let payload_bytes = |ahead: &ReadAheadFrame| ahead.frame.payload.len();
+            .retain(|ahead| ahead.kind != kind::REQUEST || ahead.stream != stream);
+        let payload_bytes = |ahead: &ReadAheadFrame| ahead.payload.len();
         self.read_ahead_bytes = self.read_ahead.iter().map(payload_bytes).sum();
     }
 
@@ -203,12 +237,16 @@
         &mut self,
         wire: &mut FramedConnection,
     ) -> Result<(), FrameError> {
-        match self.rejected.pop_front() {
-            Some(rejected) if rejected.kind == kind::ASK => {
-                self.answer_readiness_query(wire, rejected.stream)
-            }
-            Some(rejected) => enqueue_limit_exceeded(wire, rejected.stream),
-            None => Ok(()),
+        let Some(rejected) = self.rejected.pop_front() else {
+            return Ok(());
+        };
+        if self.rejected.is_empty() {
+            self.rejected = VecDeque::new();
+            self.rejected_memory.resize(0);
+        }
+        match rejected.kind {
+            kind::ASK => self.answer_readiness_query(wire, rejected.stream),
+            _ => enqueue_limit_exceeded(wire, rejected.stream),
         }
     }
 
@@ -227,31 +265,31 @@
         &mut self,
         wire: &mut FramedConnection,
     ) -> Result<(), FrameError> {
-        let Some(ReadAheadFrame { frame, arrived }) = self.read_ahead.pop_front() else {
+        let Some(frame) = self.read_ahead.pop_front() else {
             return Ok(());
         };
         self.read_ahead_bytes -= frame.payload.len();
         if frame.kind == kind::ASK {
             return self.answer_readiness_query(wire, frame.stream);
         }
-        self.open_request(wire, frame, arrived)
+        self.open_request(wire, frame)
     }
 
     fn open_request(
         &mut self,
         wire: &mut FramedConnection,
-        frame: Frame,
-        arrived: Millis,
+        frame: ReadAheadFrame,
     ) -> Result<(), FrameError> {
         let frontend = self.frontend;
         let stream = frame.stream;
-        let parsed = parse_request(&frontend.router, frame.payload, arrived)?;
+        let parsed = parse_request(&frontend.router, &frame.payload, frame.arrived)?;
         let with_id = parsed.and_then(|(request, work)| {
             // An engine takes two requests with one id for the same, and the first may be another client's.
             match frontend.open_ids.reserve(&work.txn) {
                 Some(id) => Ok((request, work, id)),
                 None => Err(InvalidRequest {
                     class: Some(request.class),
+                    cause: RejectionCause::IdIsOpen,
                     reason: "txn: a request of this id is open".to_string(),
                 }),
             }
@@ -260,20 +298,24 @@
             Ok(with_id) => with_id,
             Err(invalid) => return self.fail_request(wire, stream, &invalid),
         };
-        let memory = frontend.statement_budget.reserve(work.statement.len());
-        let Some(memory) = memory.filter(|_| self.open.by_stream.len() < MAX_OPEN_STREAMS) else {
+        if self.open.by_stream.len() >= MAX_OPEN_STREAMS {
             self.record_protocol_error();
             let router = &frontend.router;
             router.record_frontend_answer(request.class, RequestOutcome::Overload);
+            let statistics = &frontend.statistics;
+            statistics.record_rejection(RejectionCause::TooManyOpen);
             return enqueue_limit_exceeded(wire, stream);
-        };
-        work.attach(memory, id, self.socket.clone());
+        }
+        work.attach(frame.memory, id, self.socket.clone());
         self.protocol_errors = 0;
         self.permit.set_activity(Activity::Busy, Instant::now());
         // The answer may arrive before the request id is known, so the stream is marked open first.
         self.open.by_stream.insert(stream, 0);
         let replies = self.replies.clone();
-        let on_reply = move |reply| drop(replies.try_send((stream, reply)));
+        let memory = frontend.answer_memory.clone();
+        let on_reply = move |reply| {
+            drop(replies.try_send(QueuedReply::new(stream, reply, &memory)));
+        };
         let request_id = frontend.router.open(request, work, Box::new(on_reply));
         self.open.by_stream.insert(stream, request_id);
         Ok(())
@@ -286,6 +328,7 @@
         invalid: &InvalidRequest,
     ) -> Result<(), FrameError> {
         self.record_protocol_error();
+        self.frontend.statistics.record_rejection(invalid.cause);
         if let Some(class) = invalid.class {
             let router = &self.frontend.router;
             router.record_frontend_answer(class, RequestOutcome::Error);
--- a/src/frontend/frames/connection.rs
+++ b/src/frontend/frames/connection.rs
@@ -3,15 +3,20 @@
 //! Thus a cancel frame, a close or a reset is seen at once, behind any number of frames, and the request that
 //! it cancels is not forwarded afterwards.
 
-use crate::dispatch::{Reply, Upstream};
+use crate::dispatch::Upstream;
 use crate::frontend::frames::client::{Client, MAX_OPEN_STREAMS};
-use crate::frontend::frames::replies::{enqueue_answer, enqueue_reply, enqueue_shutdown_notice};
+use crate::frontend::frames::replies::{
+    QueuedReply, enqueue_answer, enqueue_reply, enqueue_shutdown_notice,
+};
 use crate::frontend::frames::request::Work;
+use crate::frontend::frames::statistics::{CloseReason, RejectionCause};
 use crate::frontend::frames::{FramedConnection, Frontend, Phase};
+use crate::log_line;
 use crate::protocol::frames::{Frame, FrameCodec, FrameError, code, kind};
 use crate::transport::buffer_pool::{BUFFER_BYTES, Buffer};
 use crate::transport::connection_limiter::{Activity, ConnectionPermit, EVICTION_GRACE};
 use crate::transport::framed_connection::{ConnectionEvent, ReadInterest, Socket};
+use crate::transport::memory_budget::Reservation;
 use crate::transport::pending_input::{self, PendingInput};
 use std::io;
 use std::ops::ControlFlow;
@@ -43,23 +48,35 @@
 const MIN_SKIPPED_FRAME_BYTES: usize = 1024;
 
 /// The outcome of a connection: an error if it ended abnormally.
-type ConnectionResult = Result<(), FrameError>;
+pub(super) type ConnectionResult = Result<CloseReason, FrameError>;
 
-/// Serves one client connection until it is closed.
+/// Serves one client connection until it is closed, and logs an abnormal end.
 pub(super) async fn serve_connection<U: Upstream<Work = Work, Output = Buffer>>(
     frontend: &Frontend<U>,
     permit: &ConnectionPermit,
     tcp: TcpStream,
 ) -> ConnectionResult {
     tcp.set_nodelay(true)?;
-    let mut wire = FramedConnection::new(&frontend.pool, tcp.into(), FrameCodec);
-    Connection::new(frontend, permit, &mut wire).run().await
+    let peer = tcp.peer_addr();
+    let codec = FrameCodec::new(frontend.request_memory.clone());
+    let mut wire = FramedConnection::new(&frontend.pool, tcp.into(), codec);
+    let mut connection = Connection::new(frontend, permit, &mut wire);
+    let result = connection.run().await;
+    if let Err(error) = &result {
+        let peer = peer.map_or_else(|_| "unknown".to_string(), |peer| peer.to_string());
+        let open_requests = connection.client.open_requests();
+        let frame_bytes = connection.wire.read_buffer().len();
+        log_line!(
+            "client {peer}: {error} ({open_requests} requests open, {frame_bytes} bytes of a frame)"
+        );
+    }
+    result
 }
 
 /// An event on a connection.
 enum Event {
     /// The answer to a request is available.
-    Reply(u32, Reply<Buffer>),
+    Reply(QueuedReply),
     /// The socket was read or written.
     Wire(ConnectionEvent<Frame, FrameError>),
     /// The phase of the shutdown has changed.
@@ -83,13 +100,15 @@
     permit: &'a ConnectionPermit,
     wire: &'a mut FramedConnection,
     client: Client<'a, U>,
-    replies: mpsc::Receiver<(u32, Reply<Buffer>)>,
+    replies: mpsc::Receiver<QueuedReply>,
+    /// Memory of the result that is being written.
+    written_result: Option<Reservation>,
     phase: watch::Receiver<Phase>,
     /// The phase that was last handled on this connection.
     handled_phase: Phase,
     checks: Interval,
-    /// Whether the connection closes once all frames are answered and no input is unread.
-    closing: bool,
+    /// Why the connection closes once all frames are answered and no input is unread, if it does.
+    closing: Option<CloseReason>,
     /// The client's protocol error. After it, only cancel frames and the end of the connection are heeded.
     protocol_error: Option<FrameError>,
     /// Time for which a frame has been incomplete.
@@ -118,10 +137,11 @@
             client: Client::new(frontend, permit, socket, reply_sender),
             wire,
             replies,
+            written_result: None,
             phase,
             handled_phase: Phase::Serving,
             checks: tokio::time::interval(CHECK_INTERVAL),
-            closing: false,
+            closing: None,
             protocol_error: None,
             incomplete_for: Duration::ZERO,
             read_burst: 0,
@@ -130,7 +150,7 @@
         }
     }
 
-    async fn run(mut self) -> ConnectionResult {
+    async fn run(&mut self) -> ConnectionResult {
         loop {
             if self.client.is_fully_answered()
                 && self.wire.is_flushed()
@@ -138,6 +158,7 @@
             {
                 return result;
             }
+            self.wire.release_buffers();
             let event = self.next_event().await;
             if let ControlFlow::Break(result) = self.handle(event)? {
                 return result;
@@ -155,17 +176,47 @@
         if self.permit.activity() == Activity::Busy {
             self.permit.set_activity(Activity::Idle, Instant::now());
         }
-        self.wire.release_buffers();
-        if self.closing
-            && self.wire.read_buffer().is_empty()
+        if let Some(reason) = self.closing
+            && !self.is_within_frame()
             && pending_input::peek(self.wire.get_ref().tcp()) != PendingInput::Bytes
         {
             self.close().await;
-            return ControlFlow::Break(Ok(()));
+            return ControlFlow::Break(Ok(reason));
         }
         ControlFlow::Continue(())
     }
 
+    /// Closes the connection once all frames are answered and no input is unread.
+    fn close_when_answered(&mut self, reason: CloseReason) {
+        self.closing.get_or_insert(reason);
+    }
+
+    /// Returns the outcome of a connection that its client has closed.
+    fn closed_by_client(&mut self) -> ConnectionResult {
+        match self.protocol_error.take() {
+            Some(protocol_error) => Err(protocol_error),
+            None => Ok(CloseReason::ClosedByClient),
+        }
+    }
+
+    /// Enqueues an answer, unless the client has cancelled its request.
+    fn enqueue_reply(&mut self, queued: QueuedReply) -> Result<(), FrameError> {
+        if !self.client.close_stream(queued.stream) {
+            return Ok(());
+        }
+        if queued.memory.is_none() {
+            let statistics = &self.frontend.statistics;
+            statistics.record_rejection(RejectionCause::AnswerMemory);
+        }
+        self.written_result = queued.memory;
+        enqueue_reply(self.wire, queued.stream, queued.reply)
+    }
+
+    /// Returns whether a part of a frame has been read.
+    fn is_within_frame(&self) -> bool {
+        !self.wire.read_buffer().is_empty() || self.wire.codec().is_within_frame()
+    }
+
     /// Closes the connection after the client has read the last answer. The kernel has accepted it, but on
     /// an immediate close further input from the client would cause a reset, which discards the answer. An
     /// evicted connection is given no longer than [`EVICTION_GRACE`], after which another connection is
@@ -211,9 +262,7 @@
         let skip_period_end: tokio::time::Instant = (self.skip_period_start + SKIP_PERIOD).into();
         tokio::select! {
             biased;
-            Some((stream, reply)) = self.replies.recv(), if has_write_capacity => {
-                Event::Reply(stream, reply)
-            }
+            Some(reply) = self.replies.recv(), if has_write_capacity => Event::Reply(reply),
             event = self.wire.next_event(reads, false) => Event::Wire(event),
             Ok(()) = self.phase.changed() => Event::PhaseChanged,
             () = self.permit.eviction.notified() => Event::Evicted,
@@ -232,14 +281,10 @@
 
     fn handle(&mut self, event: Event) -> Result<ControlFlow<ConnectionResult>, FrameError> {
         match event {
-            Event::Reply(stream, reply) => {
-                if self.client.close_stream(stream) {
-                    enqueue_reply(self.wire, stream, reply)?;
-                }
-            }
+            Event::Reply(reply) => self.enqueue_reply(reply)?,
             Event::Wire(event) => return self.handle_wire(event),
             Event::PhaseChanged => self.handle_phase_change()?,
-            Event::Evicted => self.closing = true,
+            Event::Evicted => self.close_when_answered(CloseReason::Evicted),
             Event::FrameDue => {
                 self.read_burst = 0;
                 if let Err(error) = self.client.process_next_frame(self.wire) {
@@ -262,16 +307,16 @@
         event: ConnectionEvent<Frame, FrameError>,
     ) -> Result<ControlFlow<ConnectionResult>, FrameError> {
         match event {
-            ConnectionEvent::Written | ConnectionEvent::Writable => {}
+            ConnectionEvent::Written => self.written_result = None,
+            ConnectionEvent::Writable => {}
             ConnectionEvent::Discarded(bytes) => self.skipped_bytes += bytes,
             ConnectionEvent::Closed => {
-                let result = self.protocol_error.take().map_or(Ok(()), Err);
-                return Ok(ControlFlow::Break(result));
+                return Ok(ControlFlow::Break(self.closed_by_client()));
             }
             ConnectionEvent::Failed(FrameError::Io(error))
                 if error.kind() == io::ErrorKind::ConnectionReset =>
             {
-                return Ok(ControlFlow::Break(Ok(())));
+                return Ok(ControlFlow::Break(Ok(CloseReason::ClosedByClient)));
             }
             ConnectionEvent::Failed(error) => self.report_protocol_error(error)?,
             ConnectionEvent::Item(frame) => self.receive(frame)?,
@@ -283,7 +328,7 @@
         self.incomplete_for = Duration::ZERO;
         self.read_burst += 1;
         if self.protocol_error.is_some() || self.client.is_read_ahead_full() {
-            self.skipped_bytes += MIN_SKIPPED_FRAME_BYTES.max(frame.payload.len());
+            self.skipped_bytes += MIN_SKIPPED_FRAME_BYTES.max(frame.bytes);
         }
         if self.protocol_error.is_none() {
             if let Err(error) = self.client.receive(frame) {
@@ -301,7 +346,9 @@
             enqueue_shutdown_notice(self.wire)?;
         }
         self.handled_phase = phase;
-        self.closing |= phase == Phase::Closing;
+        if phase == Phase::Closing {
+            self.close_when_answered(CloseReason::Shutdown);
+        }
         Ok(())
     }
 
@@ -310,7 +357,7 @@
         if self.wire.is_write_stalled(WRITE_STALL_TIMEOUT) {
             return Err(io::Error::from(io::ErrorKind::TimedOut).into());
         }
-        let is_incomplete = !self.wire.read_buffer().is_empty() && self.protocol_error.is_none();
+        let is_incomplete = self.is_within_frame() && self.protocol_error.is_none();
         self.incomplete_for = if is_incomplete {
             self.incomplete_for + CHECK_INTERVAL
         } else {
@@ -329,7 +376,9 @@
             } else {
                 FRAME_TIMEOUT
             };
-            self.closing |= inactive_for > timeout;
+            if inactive_for > timeout {
+                self.close_when_answered(CloseReason::Idle);
+            }
         }
         Ok(())
     }
--- a/src/frontend/frames/mod.rs
+++ b/src/frontend/frames/mod.rs
@@ -2,16 +2,17 @@
 //! router.
 //!
 //! [`Frontend`] accepts connections; `connection` serves one connection, `client` tracks the requests of its
-//! client, `request` parses a request, `stream_numbers` detects reused stream numbers and `replies` encodes
-//! the answers.
+//! client, `request` parses a request, `stream_numbers` detects reused stream numbers, `replies` encodes the
+//! answers and `statistics` counts ended connections and rejected requests.
 
 mod client;
 mod connection;
 mod replies;
 mod request;
+mod statistics;
 mod stream_numbers;
 
-pub use request::{StatementBudget, Work};
+pub use request::Work;
 
 use crate::config::MachineLimits;
 use crate::dispatch::{RequestRouter, Upstream};
@@ -23,8 +24,10 @@
 use crate::transport::descriptors::DescriptorBudget;
 use crate::transport::framed_connection;
 use crate::transport::listener;
+use crate::transport::memory_budget::MemoryBudget;
 use connection::serve_connection;
 use request::OpenIds;
+use statistics::{CloseReason, Statistics, budget_text};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -34,8 +37,10 @@
 
 /// Delay after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// Open statements may hold the memory limit divided by this number.
-const STATEMENT_MEMORY_DIVISOR: usize = 4;
+/// Requests, unfinished or open, may hold the memory limit divided by this number.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+/// Results that are not written yet may hold the memory limit divided by this number.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
 
 type FramedConnection = framed_connection::FramedConnection<FrameCodec, ClientSocket>;
 
@@ -54,8 +59,12 @@
 pub struct Frontend<U: Upstream<Work = Work, Output = Buffer>> {
     router: Rc<RequestRouter<U>>,
     pool: BufferPool,
-    statement_budget: StatementBudget,
+    /// Memory of requests, from the first byte of their frame to their end.
+    request_memory: MemoryBudget,
     open_ids: OpenIds,
+    /// Memory of results that are not written yet.
+    answer_memory: MemoryBudget,
+    statistics: Statistics,
     limiter: Rc<ConnectionLimiter>,
     limits: RefCell<MachineLimits>,
     /// Number of processes of this dispatcher that share the limits.
@@ -74,8 +83,10 @@
         let frontend = Frontend {
             router,
             pool,
-            statement_budget: StatementBudget::new(0),
+            request_memory: MemoryBudget::new(0),
             open_ids: OpenIds::default(),
+            answer_memory: MemoryBudget::new(0),
+            statistics: Statistics::default(),
             limiter: ConnectionLimiter::new(0, Activity::Idle),
             limits: RefCell::new(limits.clone()),
             process_count: Cell::new(1),
@@ -103,8 +114,10 @@
         let limits = self.limits.borrow();
         let process_count = self.process_count.get();
         let memory_bytes = limits.memory_mb * 1024 * 1024;
-        self.statement_budget
-            .set_limit(memory_bytes / STATEMENT_MEMORY_DIVISOR / process_count);
+        self.request_memory
+            .set_limit(memory_bytes / REQUEST_MEMORY_DIVISOR / process_count);
+        self.answer_memory
+            .set_limit(memory_bytes / ANSWER_MEMORY_DIVISOR / process_count);
         self.limiter
             .set_limit(DescriptorBudget::per_process(limits.max_sockets, process_count).clients);
     }
@@ -126,6 +139,15 @@
         self.connections.get()
     }
 
+    /// Formats the state of the clients for operators, a line `NAME=VALUE` for each figure: connections, why
+    /// connections ended, why requests were not opened, and the memory that is reserved for clients.
+    pub fn client_report(&self) -> String {
+        let connections = format!("connections={}\n", self.connection_count());
+        let requests = budget_text("requests", self.request_memory.usage());
+        let answers = budget_text("answers", self.answer_memory.usage());
+        connections + &self.statistics.text() + &requests + &answers
+    }
+
     /// Returns the number of requests that have been read and not answered.
     pub fn unanswered_requests(&self) -> usize {
         self.router.unanswered_requests()
@@ -187,11 +209,10 @@
             let served = tokio::select! {
                 biased;
                 served = serve_connection(&self, &permit, tcp) => served,
-                () = permit.evicted_before_request() => Ok(()),
+                () = permit.evicted_before_request() => Ok(CloseReason::Evicted),
             };
-            if let Err(error) = served {
-                log_line!("client: {error}");
-            }
+            let reason = served.unwrap_or_else(|error| CloseReason::from(&error));
+            self.statistics.record_close(reason);
             self.connections.set(self.connections.get() - 1);
         });
     }
--- a/src/frontend/frames/replies.rs
+++ b/src/frontend/frames/replies.rs
@@ -1,9 +1,45 @@
 //! Encodes answers to clients as frames.
 
+use crate::core::FailureReason;
 use crate::dispatch::Reply;
 use crate::frontend::frames::FramedConnection;
 use crate::protocol::frames::{FrameError, OutgoingFrame, code, kind};
 use crate::transport::buffer_pool::Buffer;
+use crate::transport::memory_budget::{MemoryBudget, Purpose, Reservation};
+
+/// The text of an answer whose result is withheld, because too many answers are unread.
+const RESULT_WITHHELD: FailureReason =
+    FailureReason::Adapter("the result was withheld: clients read too few of their answers");
+
+/// The final answer to a request, until it is written.
+pub(super) struct QueuedReply {
+    pub(super) stream: u32,
+    pub(super) reply: Reply<Buffer>,
+    /// Memory of the result. `None` if the result was withheld, since there was none for it.
+    pub(super) memory: Option<Reservation>,
+}
+
+impl QueuedReply {
+    /// Reserves memory for the result of a request; without it, the request fails.
+    pub(super) fn new(stream: u32, reply: Reply<Buffer>, budget: &MemoryBudget) -> Self {
+        let result_bytes = match &reply {
+            Reply::Served(result) => result.capacity(),
+            _ => 0,
+        };
+        let memory = budget.reserve(result_bytes, Purpose::Small);
+        let reply = match &memory {
+            Some(_) => reply,
+            None => Reply::Failed {
+                reason: RESULT_WITHHELD,
+            },
+        };
+        QueuedReply {
+            stream,
+            reply,
+            memory,
+        }
+    }
+}
 
 /// Enqueues the final answer to a request.
 pub(super) fn enqueue_reply(
--- a/src/frontend/frames/request.rs
+++ b/src/frontend/frames/request.rs
@@ -7,12 +7,14 @@
 use crate::frontend::estimates::{
     MAX_ESTIMATED_MEMORY_MB, MAX_ESTIMATED_WORK_MS, MAX_TIME_LIMIT_MS,
 };
-use crate::protocol::frames::{Frame, FrameError, parse_fields};
+use crate::frontend::frames::statistics::RejectionCause;
+use crate::protocol::frames::{Fields, FrameError, parse_fields};
 use crate::protocol::statement;
 use crate::transport::client_socket::SocketProbe;
+use crate::transport::memory_budget::Reservation;
 use crate::transport::pending_input::PendingInput;
 use bytes::Bytes;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -28,60 +30,11 @@
     pub class: String,
     /// The statement.
     pub statement: Bytes,
-    _memory: ReservedMemory,
+    _memory: Reservation,
     _id: ReservedId,
     client: Option<SocketProbe>,
 }
 
-/// Bounds the bytes of all open statements; without it, a few connections could exhaust the memory.
-pub struct StatementBudget {
-    limit: Cell<usize>,
-    reserved: Rc<Cell<usize>>,
-}
-
-/// The part of the budget that a statement reserves while its request is open.
-#[derive(Debug, Default)]
-pub(super) struct ReservedMemory {
-    bytes: usize,
-    reserved: Option<Rc<Cell<usize>>>,
-}
-
-impl StatementBudget {
-    /// Creates a budget of `limit` bytes.
-    pub(super) fn new(limit: usize) -> Self {
-        StatementBudget {
-            limit: Cell::new(limit),
-            reserved: Rc::default(),
-        }
-    }
-
-    /// Sets the limit, in bytes; existing reservations are kept.
-    pub(super) fn set_limit(&self, limit: usize) {
-        self.limit.set(limit);
-    }
-
-    /// Reserves `bytes` bytes; returns `None` if that would exceed the limit.
-    pub(super) fn reserve(&self, bytes: usize) -> Option<ReservedMemory> {
-        let reserved = self.reserved.get() + bytes;
-        if reserved > self.limit.get() {
-            return None;
-        }
-        self.reserved.set(reserved);
-        Some(ReservedMemory {
-            bytes,
-            reserved: Some(self.reserved.clone()),
-        })
-    }
-}
-
-impl Drop for ReservedMemory {
-    fn drop(&mut self) {
-        if let Some(reserved) = &self.reserved {
-            reserved.set(reserved.get() - self.bytes);
-        }
-    }
-}
-
 /// The ids of open requests, as numbers. The size of the set is bounded by the number of open requests.
 #[derive(Clone, Default)]
 pub(super) struct OpenIds(Rc<RefCell<HashSet<u64>>>);
@@ -126,14 +79,14 @@
             txn: txn.into(),
             class: class.into(),
             statement,
-            _memory: ReservedMemory::default(),
+            _memory: Reservation::default(),
             _id: ReservedId::default(),
             client: None,
         }
     }
 
     /// Attaches the reservations, which are released when the work is dropped, and the socket of its client.
-    pub(super) fn attach(&mut self, memory: ReservedMemory, id: ReservedId, client: SocketProbe) {
+    pub(super) fn attach(&mut self, memory: Reservation, id: ReservedId, client: SocketProbe) {
         self._memory = memory;
         self._id = id;
         self.client = Some(client);
@@ -152,15 +105,19 @@
 pub(super) struct InvalidRequest {
     /// The class that the request names, if it is known.
     pub(super) class: Option<ClassId>,
+    /// The cause that is counted.
+    pub(super) cause: RejectionCause,
     /// The error message to the client.
     pub(super) reason: String,
 }
 
 /// Returns the class that a request names, or `None` if the frame is malformed or the class is unknown.
-pub(super) fn parse_class<U: Upstream>(router: &RequestRouter<U>, frame: Frame) -> Option<ClassId> {
-    let (fields, _) = parse_fields(frame.payload).ok()?;
-    let (_, class) = fields.iter().find(|(name, _)| name == "verb")?;
-    position_of(&router.names().classes, class)
+pub(super) fn parse_class<U: Upstream>(
+    router: &RequestRouter<U>,
+    payload: &[u8],
+) -> Option<ClassId> {
+    let fields = RequestFields(parse_fields(payload).ok()?);
+    fields.class(router).ok()
 }
 
 /// Parses a request that arrived at `arrived`, in milliseconds of the process clock.
@@ -169,16 +126,17 @@
 /// The payload ends inside its fields. Invalid fields are returned as [`InvalidRequest`].
 pub(super) fn parse_request<U: Upstream>(
     router: &RequestRouter<U>,
-    payload: Bytes,
+    payload: &Bytes,
     arrived: Millis,
 ) -> Result<Result<(NewRequest, Work), InvalidRequest>, FrameError> {
-    let (fields, statement) = parse_fields(payload)?;
-    let fields = RequestFields(fields);
+    let fields = RequestFields(parse_fields(payload)?);
+    let statement = statement_of(payload, fields.0.bytes);
     let class = match fields.class(router) {
         Ok(class) => class,
         Err(reason) => {
             return Ok(Err(InvalidRequest {
                 class: None,
+                cause: RejectionCause::Invalid,
                 reason,
             }));
         }
@@ -186,16 +144,27 @@
     let parsed = fields.request(router, class, statement, arrived);
     Ok(parsed.map_err(|reason| InvalidRequest {
         class: Some(class),
+        cause: RejectionCause::Invalid,
         reason,
     }))
 }
 
+/// Returns the statement behind the fields. If the fields are most of the payload, they are not kept with it.
+fn statement_of(payload: &Bytes, field_bytes: usize) -> Bytes {
+    let statement = payload.slice(field_bytes..);
+    if statement.len() >= field_bytes {
+        return statement;
+    }
+    Bytes::copy_from_slice(&statement)
+}
+
 /// Names and values of a request's fields. Errors of the methods are messages to the client.
-struct RequestFields(Vec<(String, String)>);
+struct RequestFields<'a>(Fields<'a>);
 
-impl RequestFields {
+impl RequestFields<'_> {
     fn get(&self, name: &str) -> Option<&str> {
-        let (_, value) = self.0.iter().find(|(field, _)| field == name)?;
+        let mut entries = self.0.entries.iter();
+        let (_, value) = entries.find(|(field, _)| field == name)?;
         Some(value)
     }
 
--- a/src/protocol/frames.rs
+++ b/src/protocol/frames.rs
@@ -5,7 +5,9 @@
 //! bytes.
 
 use crate::transport::buffer_pool::BUFFER_BYTES;
+use crate::transport::memory_budget::{MemoryBudget, Purpose, Reservation};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::borrow::Cow;
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -41,16 +43,39 @@
 const HEADER_BYTES: usize = 5;
 /// Maximum length, in bytes, of a frame without the length itself.
 const MAX_LENGTH: usize = 262_144;
+/// Maximum capacity of a buffer that the connection gets from the pool, or gives back to it.
+const MAX_SHARED_BUFFER_BYTES: usize = 2 * BUFFER_BYTES;
+/// Memory that an open request takes beside its payload, in bytes: its records in the router, in the decision module
+/// and on a connection to an engine.
+const OPEN_REQUEST_BYTES: usize = 2048;
 
 /// A received frame.
-#[derive(Debug, PartialEq)]
+#[derive(Debug)]
 pub struct Frame {
     /// One of [`kind`].
     pub kind: u8,
     /// The stream of the frame.
     pub stream: u32,
+    /// The size of the payload, in bytes.
+    pub bytes: usize,
     /// The bytes after the stream number.
-    pub payload: Bytes,
+    pub payload: Payload,
+}
+
+/// The payload of a received frame.
+#[derive(Debug)]
+pub enum Payload {
+    /// The payload of a request, and the memory that is reserved for it.
+    Kept {
+        /// The bytes after the stream number.
+        bytes: Bytes,
+        /// Reservation of these bytes and of what an open request takes beside them.
+        memory: Reservation,
+    },
+    /// The payload was read and not kept, since the budget has no room for it.
+    Denied,
+    /// The payload was read and not kept, since frames of this kind have none.
+    Ignored,
 }
 
 /// Why a client's bytes are rejected, or its connection failed.
@@ -68,6 +93,9 @@
     /// The stream number of a request was already used on the connection.
     #[error("stream {0} is not new on its connection")]
     Stream(u32),
+    /// The client closed the connection within a frame.
+    #[error("the client closed within a frame")]
+    Unfinished,
     /// The rest of a frame did not arrive in time.
     #[error("a frame does not come whole")]
     Stalled,
@@ -76,14 +104,47 @@
     Io(#[from] io::Error),
 }
 
-/// Decodes and encodes frames.
-pub struct FrameCodec;
+/// Decodes and encodes frames. The payloads of requests are kept within a memory budget; what it has no room for, and
+/// the payloads of other frames, are skipped as they arrive.
+pub struct FrameCodec {
+    budget: MemoryBudget,
+    /// The frame of which a part has been decoded.
+    partial: Option<PartialFrame>,
+}
 
-impl Decoder for FrameCodec {
-    type Item = Frame;
-    type Error = FrameError;
+/// A frame whose head is decoded.
+struct PartialFrame {
+    kind: u8,
+    stream: u32,
+    /// The size of the payload.
+    bytes: usize,
+    rest: Rest,
+}
 
-    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+/// The rest of a partial frame.
+enum Rest {
+    /// The whole payload of this many bytes is collected in the connection's buffer.
+    Collected { bytes: usize, memory: Reservation },
+    /// This many bytes are still to be skipped.
+    Skipped { bytes: usize, payload: Payload },
+}
+
+impl FrameCodec {
+    /// Creates a codec that keeps payloads within this budget.
+    pub fn new(budget: MemoryBudget) -> Self {
+        FrameCodec {
+            budget,
+            partial: None,
+        }
+    }
+
+    /// Returns whether a frame has been decoded in part.
+    pub fn is_within_frame(&self) -> bool {
+        self.partial.is_some()
+    }
+
+    /// Decodes the head of a frame, once it has arrived.
+    fn decode_head(&self, src: &mut BytesMut) -> Result<Option<PartialFrame>, FrameError> {
         let Some((head, _)) = src.split_first_chunk::<LENGTH_BYTES>() else {
             return Ok(None);
         };
@@ -92,27 +153,178 @@
         if !(HEADER_BYTES..=MAX_LENGTH).contains(&length) {
             return Err(FrameError::Length(length));
         }
-        if src.len() < LENGTH_BYTES + length {
-            src.reserve(LENGTH_BYTES + length - src.len());
+        if src.len() < LENGTH_BYTES + HEADER_BYTES {
             return Ok(None);
         }
         src.advance(LENGTH_BYTES);
         let kind = src.get_u8();
         let stream = src.get_u32();
-        // The payload is copied, so that the connection can reuse its buffer.
-        let payload = Bytes::copy_from_slice(&src[..length - HEADER_BYTES]);
-        src.advance(length - HEADER_BYTES);
-        // A buffer that grew for a large frame is released: if every connection kept one, they
-        // would exhaust memory.
-        if src.is_empty() && src.capacity() > 2 * BUFFER_BYTES {
-            *src = BytesMut::with_capacity(BUFFER_BYTES);
-        }
-        Ok(Some(Frame {
+        let bytes = length - HEADER_BYTES;
+        let rest = match kind {
+            kind::REQUEST => self.begin_request(bytes, src.len()),
+            _ => Rest::Skipped {
+                bytes,
+                payload: Payload::Ignored,
+            },
+        };
+        Ok(Some(PartialFrame {
             kind,
             stream,
-            payload,
+            bytes,
+            rest,
         }))
     }
+
+    /// Reserves memory for a request's payload of this size, of which `arrived` bytes or more have arrived.
+    fn begin_request(&self, bytes: usize, arrived: usize) -> Rest {
+        let (reserved, purpose) = if arrived >= bytes {
+            (bytes + OPEN_REQUEST_BYTES, complete_purpose(bytes))
+        } else {
+            (arrived, Purpose::Unfinished)
+        };
+        match self.budget.reserve(reserved, purpose) {
+            Some(memory) => Rest::Collected { bytes, memory },
+            None => Rest::Skipped {
+                bytes,
+                payload: Payload::Denied,
+            },
+        }
+    }
+}
+
+impl Rest {
+    /// Continues with what has arrived in `src`; returns the payload once it is complete.
+    fn advance(&mut self, src: &mut BytesMut) -> Option<Payload> {
+        if let Rest::Collected { bytes, memory } = self {
+            if src.len() >= *bytes {
+                return Some(take_payload(src, *bytes, std::mem::take(memory)));
+            }
+            if reserve_rest(src, *bytes, memory) {
+                return None;
+            }
+            *self = Rest::Skipped {
+                bytes: *bytes,
+                payload: Payload::Denied,
+            };
+        }
+        self.skip(src)
+    }
+
+    fn skip(&mut self, src: &mut BytesMut) -> Option<Payload> {
+        let Rest::Skipped { bytes, payload } = self else {
+            return None;
+        };
+        let skipped = src.len().min(*bytes);
+        src.advance(skipped);
+        *bytes -= skipped;
+        shrink_if_empty(src);
+        (*bytes == 0).then(|| std::mem::replace(payload, Payload::Ignored))
+    }
+}
+
+/// Makes room in `src` for more of a payload of `bytes` bytes, at most twice of what has arrived; returns whether
+/// the reservation allows it.
+fn reserve_rest(src: &mut BytesMut, bytes: usize, memory: &mut Reservation) -> bool {
+    let is_full = src.len() == src.capacity();
+    let capacity = match src.capacity() {
+        _ if is_full => bytes.min(2 * src.len()),
+        // The connection stores what has arrived in a buffer of that size while it waits for more.
+        0..=MAX_SHARED_BUFFER_BYTES => src.len(),
+        capacity => capacity,
+    };
+    if !memory.resize(capacity) {
+        return false;
+    }
+    if is_full {
+        *src = copy_with_capacity(src, capacity);
+    }
+    true
+}
+
+fn copy_with_capacity(bytes: &[u8], capacity: usize) -> BytesMut {
+    let mut copy = BytesMut::with_capacity(capacity);
+    copy.extend_from_slice(bytes);
+    copy
+}
+
+/// Takes a complete payload out of `src`; returns [`Payload::Denied`] if an open request's memory is not available.
+fn take_payload(src: &mut BytesMut, bytes: usize, mut memory: Reservation) -> Payload {
+    memory.set_purpose(complete_purpose(bytes));
+    let has_room = memory.resize(bytes + OPEN_REQUEST_BYTES);
+    // A small payload is copied, so that the connection can reuse its buffer.
+    let payload = match bytes {
+        0..=BUFFER_BYTES => {
+            let copy = Bytes::copy_from_slice(&src[..bytes]);
+            src.advance(bytes);
+            copy
+        }
+        _ => take_large_payload(src, bytes),
+    };
+    shrink_if_empty(src);
+    if has_room {
+        Payload::Kept {
+            bytes: payload,
+            memory,
+        }
+    } else {
+        Payload::Denied
+    }
+}
+
+/// Returns what the memory of a complete payload of this size is held for.
+fn complete_purpose(bytes: usize) -> Purpose {
+    match bytes {
+        0..=BUFFER_BYTES => Purpose::Small,
+        _ => Purpose::Large,
+    }
+}
+
+/// Takes a payload with the buffer that holds it; what follows it moves to a new buffer.
+fn take_large_payload(src: &mut BytesMut, bytes: usize) -> Bytes {
+    let payload = src.split_to(bytes);
+    *src = copy_with_capacity(src, BUFFER_BYTES.max(src.len()));
+    payload.freeze()
+}
+
+/// Releases a buffer that grew for a large frame: if every connection kept one, they would exhaust memory.
+fn shrink_if_empty(src: &mut BytesMut) {
+    if src.is_empty() && src.capacity() > MAX_SHARED_BUFFER_BYTES {
+        *src = BytesMut::with_capacity(BUFFER_BYTES);
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = FrameError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+        if self.partial.is_none() {
+            self.partial = self.decode_head(src)?;
+        }
+        let Some(partial) = &mut self.partial else {
+            return Ok(None);
+        };
+        let Some(payload) = partial.rest.advance(src) else {
+            return Ok(None);
+        };
+        let frame = Frame {
+            kind: partial.kind,
+            stream: partial.stream,
+            bytes: partial.bytes,
+            payload,
+        };
+        self.partial = None;
+        Ok(Some(frame))
+    }
+
+    /// The end of the connection within a frame is an error, whether the frame's bytes are kept or skipped.
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+        match self.decode(src)? {
+            Some(frame) => Ok(Some(frame)),
+            None if src.is_empty() && self.partial.is_none() => Ok(None),
+            None => Err(FrameError::Unfinished),
+        }
+    }
 }
 
 /// A frame to be sent. Its body is copied once, into the connection's buffer.
@@ -159,24 +371,42 @@
     }
 }
 
-/// Parses the fields of a client's payload; returns them and the body that follows.
+/// The fields of a client's payload, and where they end.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    /// Names and values, in the order of the frame.
+    pub entries: Vec<(Cow<'a, str>, Cow<'a, str>)>,
+    /// Number of bytes that the fields take; the body follows them.
+    pub bytes: usize,
+}
+
+/// Parses the fields at the beginning of a client's payload.
 ///
 /// # Errors
 /// The payload ends within its fields.
-pub fn parse_fields(mut payload: Bytes) -> Result<(Vec<(String, String)>, Bytes), FrameError> {
-    let text = |payload: &mut Bytes, size: usize| {
-        (payload.len() >= size)
-            .then(|| String::from_utf8_lossy(&payload.split_to(size)).into_owned())
-            .ok_or(FrameError::Truncated)
-    };
-    let count = payload.try_get_u8().map_err(|_| FrameError::Truncated)?;
-    let mut fields = Vec::with_capacity(count.into());
+pub fn parse_fields(payload: &[u8]) -> Result<Fields<'_>, FrameError> {
+    let mut rest = payload;
+    let count = rest.try_get_u8().map_err(|_| FrameError::Truncated)?;
+    let mut entries = Vec::with_capacity(count.into());
     for _ in 0..count {
-        let name_bytes = payload.try_get_u8().map_err(|_| FrameError::Truncated)?;
-        let name = text(&mut payload, name_bytes.into())?;
-        let value_bytes = payload.try_get_u16().map_err(|_| FrameError::Truncated)?;
-        let value = text(&mut payload, value_bytes.into())?;
-        fields.push((name, value));
+        let name_bytes = rest.try_get_u8().map_err(|_| FrameError::Truncated)?;
+        let name = split_text(&mut rest, name_bytes.into())?;
+        let value_bytes = rest.try_get_u16().map_err(|_| FrameError::Truncated)?;
+        let value = split_text(&mut rest, value_bytes.into())?;
+        entries.push((name, value));
     }
-    Ok((fields, payload))
+    Ok(Fields {
+        entries,
+        bytes: payload.len() - rest.len(),
+    })
+}
+
+/// Removes a text of this size from the beginning of `rest`.
+fn split_text<'a>(rest: &mut &'a [u8], bytes: usize) -> Result<Cow<'a, str>, FrameError> {
+    let (text, after) = rest.split_at_checked(bytes).ok_or(FrameError::Truncated)?;
+    *rest = after;
+    Ok(String::from_utf8_lossy(text))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/server/mysql.rs
+++ b/src/server/mysql.rs
@@ -70,6 +70,7 @@
         sources: ReportSources {
             membership: membership.clone(),
             spools: Some(spools.clone()),
+            clients: None,
         },
         max_callers: DescriptorBudget::per_process(descriptor_limit, 1).operators,
     };
--- a/src/server/platform.rs
+++ b/src/server/platform.rs
@@ -50,11 +50,16 @@
             limited_frontend.set_process_count(processes);
         },
     )?;
+    let reported_frontend = frontend.clone();
+    let client_report = Rc::new(move || reported_frontend.client_report());
     let operators = OperatorsListener {
         router: router.clone(),
         pool,
         instances,
-        sources: ReportSources::default(),
+        sources: ReportSources {
+            clients: Some(client_report),
+            ..ReportSources::default()
+        },
         max_callers: DescriptorBudget::per_process(config.limits.max_sockets, 1).operators,
     };
     operators.listen(config.admin_address).await?;
--- a/src/transport/buffer_pool.rs
+++ b/src/transport/buffer_pool.rs
@@ -37,6 +37,8 @@
     /// Returns the storage of a buffer to the pool, or frees it if it has grown or the pool is full.
     pub(super) fn recycle(&self, mut bytes: BytesMut) {
         bytes.clear();
+        // What was consumed at the front of the storage counts again; nothing is allocated.
+        let _ = bytes.try_reclaim(BUFFER_BYTES);
         let mut idle = self.0.borrow_mut();
         let pooled_capacity = BUFFER_BYTES..=BUFFER_BYTES + GROWTH_TOLERANCE_BYTES;
         if idle.len() < MAX_IDLE_BUFFERS && pooled_capacity.contains(&bytes.capacity()) {
--- a/src/transport/framed_connection.rs
+++ b/src/transport/framed_connection.rs
@@ -2,7 +2,7 @@
 
 use crate::transport::buffer_pool::BufferPool;
 use crate::transport::plain_socket::{PlainSocket, is_interrupted};
-use bytes::Buf;
+use bytes::{Buf, BytesMut};
 use std::future::poll_fn;
 use std::io;
 use std::ops::{Deref, DerefMut};
@@ -19,6 +19,8 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes that are discarded while a connection closes.
 const CLOSE_DISCARD_BYTES: u64 = 16 << 20;
+/// A read buffer is compacted if its capacity divided by this number holds what is not decoded yet.
+const COMPACTION_DIVISOR: usize = 2;
 
 /// A stream over a TCP connection.
 pub trait Socket: AsyncRead + AsyncWrite + Unpin {
@@ -30,7 +32,9 @@
 pub struct FramedConnection<C, S = PlainSocket> {
     framed: Option<Framed<S, C>>,
     pool: BufferPool,
-    buffers_released: bool,
+    /// The read buffer holds no more than what is not decoded yet.
+    read_buffer_released: bool,
+    write_buffer_released: bool,
     write_progress: WriteProgress,
 }
 
@@ -78,11 +82,12 @@
     {
         let mut parts = Framed::new(stream, codec).into_parts();
         parts.read_buf = pool.take().into_bytes();
-        parts.write_buf = pool.take().into_bytes();
+        parts.write_buf = BytesMut::new();
         FramedConnection {
             framed: Some(Framed::from_parts(parts)),
             pool: pool.clone(),
-            buffers_released: false,
+            read_buffer_released: false,
+            write_buffer_released: true,
             write_progress: WriteProgress {
                 remaining: 0,
                 since: Instant::now(),
@@ -90,25 +95,57 @@
         }
     }
 
-    /// Returns the buffers to the pool if they are empty: otherwise each idle connection would keep
-    /// the memory of its largest answer.
+    /// Returns the buffers to the pool that are empty: otherwise each idle connection would keep the memory of
+    /// its largest answer.
     pub fn release_buffers(&mut self) {
-        let Some(framed) = self.framed.as_mut().filter(|_| !self.buffers_released) else {
+        let Some(framed) = self.framed.as_mut() else {
             return;
         };
-        if framed.read_buffer().is_empty() && framed.write_buffer().is_empty() {
+        if !self.read_buffer_released && framed.read_buffer().is_empty() {
             self.pool.recycle(std::mem::take(framed.read_buffer_mut()));
+            self.read_buffer_released = true;
+        }
+        if !self.write_buffer_released && framed.write_buffer().is_empty() {
             self.pool.recycle(std::mem::take(framed.write_buffer_mut()));
-            self.buffers_released = true;
+            self.write_buffer_released = true;
+        }
+    }
+
+    /// Moves a few undecoded bytes to a buffer of their size, until more can be read: hundreds of clients may have
+    /// sent part of a message.
+    fn compact_read_buffer(&mut self) {
+        let is_released = self.read_buffer_released;
+        let Some(framed) = self.framed.as_mut().filter(|_| !is_released) else {
+            return;
+        };
+        let undecoded = framed.read_buffer();
+        if undecoded.len() > undecoded.capacity() / COMPACTION_DIVISOR {
+            return;
         }
+        let compact = BytesMut::from(&undecoded[..]);
+        let released = std::mem::replace(framed.read_buffer_mut(), compact);
+        self.pool.recycle(released);
+        self.read_buffer_released = true;
+    }
+
+    /// Takes a read buffer from the pool, if it was released.
+    fn acquire_read_buffer(&mut self) {
+        let is_released = self.read_buffer_released;
+        let Some(framed) = self.framed.as_mut().filter(|_| is_released) else {
+            return;
+        };
+        let mut buffer = self.pool.take().into_bytes();
+        buffer.extend_from_slice(framed.read_buffer());
+        *framed.read_buffer_mut() = buffer;
+        self.read_buffer_released = false;
     }
 
-    /// Takes buffers from the pool again before a read or write, if they were released.
-    fn acquire_buffers(&mut self) {
-        if let Some(framed) = self.framed.as_mut().filter(|_| self.buffers_released) {
-            *framed.read_buffer_mut() = self.pool.take().into_bytes();
+    /// Takes a write buffer from the pool, if it was released.
+    fn acquire_write_buffer(&mut self) {
+        let is_released = self.write_buffer_released;
+        if let Some(framed) = self.framed.as_mut().filter(|_| is_released) {
             *framed.write_buffer_mut() = self.pool.take().into_bytes();
-            self.buffers_released = false;
+            self.write_buffer_released = false;
         }
     }
 
@@ -120,7 +157,7 @@
     where
         C: Encoder<I>,
     {
-        self.acquire_buffers();
+        self.acquire_write_buffer();
         let mut bytes = std::mem::take(self.write_buffer_mut());
         if bytes.is_empty() {
             self.write_progress.remaining = 0;
@@ -213,12 +250,16 @@
     where
         C: Decoder,
     {
-        if self.buffers_released {
+        if self.read_buffer_released {
             // An error here is returned again by the read.
             drop(ready!(self.get_ref().tcp().poll_read_ready(cx)));
-            self.acquire_buffers();
+            self.acquire_read_buffer();
+        }
+        let item = futures_util::Stream::poll_next(Pin::new(&mut **self), cx);
+        if item.is_pending() {
+            self.compact_read_buffer();
         }
-        futures_util::Stream::poll_next(Pin::new(&mut **self), cx)
+        item
     }
 
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod descriptors;
 pub mod framed_connection;
 pub mod listener;
+pub mod memory_budget;
 pub mod pending_input;
 pub mod plain_socket;
 pub mod stream;
--- a/src/upstream/resp/connection_task.rs
+++ b/src/upstream/resp/connection_task.rs
@@ -195,6 +195,7 @@
     /// Updates the connection once all output is flushed, and releases its buffers if it has no pending
     /// attempt. Returns whether the connection ends.
     fn handle_flushed(&mut self) -> bool {
+        self.wire.release_buffers();
         if !self.wire.is_flushed() {
             return false;
         }
@@ -211,7 +212,6 @@
         if connection.closing.get() || self.task.pool.waiting_connections.get() > 0 {
             return true;
         }
-        self.wire.release_buffers();
         false
     }
 
