Start no attempt while its client has unread input, behind which it may have closed

Cause: before an attempt the client's socket was looked at, and unread input was given one yield to be read; after it the attempt was written, whatever was still unread. With some megabytes unread (a client that writes faster than is read, or a process that stood still) the close is seen only behind them. Class: a state is taken as current although what would change it has arrived and is not read. Change: an attempt whose client has unread input waits, beside the other attempts of its connection, until all of it is read; a close that has arrived counts also while bytes before it are unread (the runtime's readiness), for attempts and for the connection itself.

--- a/src/frontend/frames/connection.rs
+++ b/src/frontend/frames/connection.rs
@@ -152,6 +152,9 @@
 
     async fn run(&mut self) -> ConnectionResult {
         loop {
+            if self.has_client_left() {
+                return self.closed_by_client();
+            }
             if self.client.is_fully_answered()
                 && self.wire.is_flushed()
                 && let ControlFlow::Break(result) = self.handle_no_pending_answers().await
@@ -199,6 +202,13 @@
         }
     }
 
+    /// Returns whether the client has left while it has unanswered frames. What it sent before is not read any
+    /// more: reading all of it may take longer than attempts may start after the close.
+    fn has_client_left(&self) -> bool {
+        !self.client.is_fully_answered()
+            && pending_input::is_closed_by_peer(self.wire.get_ref().tcp())
+    }
+
     /// Enqueues an answer, unless the client has cancelled its request.
     fn enqueue_reply(&mut self, queued: QueuedReply) -> Result<(), FrameError> {
         if !self.client.close_stream(queued.stream) {
--- a/src/upstream/resp/commands.rs
+++ b/src/upstream/resp/commands.rs
@@ -22,6 +22,20 @@
         }
     }
 
+    /// Tries again to write the attempts whose clients had unread input, until one has to wait for this
+    /// connection.
+    pub(super) fn retry_deferred(&mut self) -> Result<(), RespError> {
+        let mut due = self.deferred.take_due().into_iter();
+        while self.blocked.is_none()
+            && self.wire.is_flushed()
+            && let Some(txn) = due.next()
+        {
+            self.write_attempt(txn)?;
+        }
+        self.deferred.extend(due);
+        Ok(())
+    }
+
     /// Writes an attempt, unless it was cancelled, is too late or its engine is out of service.
     fn write_attempt(&mut self, txn: String) -> Result<(), RespError> {
         let task = self.task;
@@ -61,16 +75,15 @@
             router.attempt_ended(id, outcome, vec![]);
             return Ok(());
         }
-        // The engine may have closed the connection, and the client may have disconnected, since their
-        // tasks last ran: the sockets are checked, and unread input is read first. No attempt begins for
-        // a client that has disconnected.
-        let client_input = work.client_input();
+        // No attempt begins for a client that has disconnected. Its close may be behind any amount of
+        // unread input, so that is read first; meanwhile other clients' attempts are written.
+        if work.client_input() != PendingInput::Empty {
+            self.deferred.push(txn);
+            return Ok(());
+        }
+        // The engine may have closed the connection since this task last read it.
         let is_first_check = !std::mem::replace(input_checked, true);
-        let has_unread_input = || {
-            client_input == PendingInput::Bytes
-                || pending_input::peek(self.wire.get_ref().tcp()) != PendingInput::Empty
-        };
-        if client_input == PendingInput::Closed || is_first_check && has_unread_input() {
+        if is_first_check && pending_input::peek(self.wire.get_ref().tcp()) != PendingInput::Empty {
             self.blocked = Some((Command::Send(txn), BlockedOn::UnreadInput));
             return Ok(());
         }
--- a/src/upstream/resp/connection_task.rs
+++ b/src/upstream/resp/connection_task.rs
@@ -12,13 +12,14 @@
 use crate::upstream::resp::connection::{BlockedOn, Command, Connection, Stage};
 use crate::upstream::resp::engine_pool::{ConnectionPool, DescriptorGuard};
 use bytes::Bytes;
+use std::collections::VecDeque;
 use std::io;
 use std::ops::ControlFlow;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Interval, MissedTickBehavior};
+use tokio::time::{Instant, Interval, MissedTickBehavior};
 
 /// Interval at which the time limits of a connection are checked, in milliseconds.
 const CHECK_INTERVAL_MS: Millis = 150.0;
@@ -37,6 +38,8 @@
 /// for the time until the disconnect is noticed here and until the engine reads its socket. Afterwards
 /// the connection is closed, so that the attempt is never completed.
 pub(super) const CANCELLED_WRITE_GRACE_MS: Millis = 50.0;
+/// Interval at which attempts are tried again whose clients have unread input.
+const DEFERRED_RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The task of one connection.
 pub(super) struct ConnectionTask {
@@ -78,6 +81,7 @@
             partial_reply_checks: 0,
             unrecorded_dispatches: 0,
             blocked: None,
+            deferred: DeferredAttempts::default(),
         };
         established.run().await
     }
@@ -151,6 +155,8 @@
     Command(Option<Command>),
     /// Unread input has been read: the blocked command may be tried again.
     InputRead,
+    /// The attempts whose clients had unread input may be tried again.
+    DeferredDue,
     /// A cancelled attempt is still partially written after its grace period.
     CancelledWriteExpired,
     /// The state of the connection has changed.
@@ -173,6 +179,36 @@
     pub(super) unrecorded_dispatches: usize,
     /// A command that cannot be written yet. It is held here, where it can still be cancelled.
     pub(super) blocked: Option<(Command, BlockedOn)>,
+    /// Attempts whose clients have unread input.
+    pub(super) deferred: DeferredAttempts,
+}
+
+/// Attempts that wait until their clients' input is read. They are held here, where they can still be
+/// cancelled, and no other attempt waits behind them.
+#[derive(Default)]
+pub(super) struct DeferredAttempts {
+    ids: VecDeque<String>,
+    retry_at: Option<Instant>,
+}
+
+impl DeferredAttempts {
+    /// Adds an attempt, to be tried again after [`DEFERRED_RETRY_INTERVAL`].
+    pub(super) fn push(&mut self, txn: String) {
+        self.ids.push_back(txn);
+        self.retry_at
+            .get_or_insert_with(|| Instant::now() + DEFERRED_RETRY_INTERVAL);
+    }
+
+    /// Adds attempts in their order.
+    pub(super) fn extend(&mut self, ids: impl Iterator<Item = String>) {
+        ids.for_each(|txn| self.push(txn));
+    }
+
+    /// Takes all attempts.
+    pub(super) fn take_due(&mut self) -> VecDeque<String> {
+        self.retry_at = None;
+        std::mem::take(&mut self.ids)
+    }
 }
 
 impl EstablishedConnection<'_> {
@@ -226,6 +262,8 @@
         let has_unread = !self.wire.read_buffer().is_empty();
         let blocked_on = self.blocked.as_ref().map(|(_, blocked_on)| *blocked_on);
         let until_writable = blocked_on == Some(BlockedOn::WriteCapacity);
+        let has_deferred = self.deferred.retry_at.is_some();
+        let deferred_until = self.deferred.retry_at.unwrap_or_else(Instant::now);
         let write_grace = connection.unwanted_since.get().map(|since| {
             duration_from_millis(since + CANCELLED_WRITE_GRACE_MS - process_clock_millis())
         });
@@ -245,6 +283,8 @@
             () = tokio::task::yield_now(), if blocked_on == Some(BlockedOn::UnreadInput) => {
                 Event::InputRead
             }
+            () = tokio::time::sleep_until(deferred_until),
+                if is_flushed && blocked_on.is_none() && has_deferred => Event::DeferredDue,
             () = tokio::time::sleep(write_grace.unwrap_or_default()), if write_grace.is_some() => {
                 Event::CancelledWriteExpired
             }
@@ -260,6 +300,7 @@
             Event::Wire(event) => return self.handle_wire(event),
             Event::Command(Some(command)) => self.write_command(command)?,
             Event::InputRead => self.retry_blocked()?,
+            Event::DeferredDue => self.retry_deferred()?,
             Event::CancelledWriteExpired => return Err(RespError::Stalled),
             Event::Changed => {}
             Event::Check => self.check()?,
--- /dev/null
+++ b/tests/request_ids.rs
@@ -0,0 +1,119 @@
+//! Requests of clients that have left.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use testbed::platform::clients::{Connection, RequestLog, Target, encode_frame};
+use testbed::platform::dispatcher::Dispatcher;
+use testbed::platform::engines::Fleet;
+use testbed::platform::hostile_clients::{encode_request, in_service, settings};
+use testbed::platform::journal::{Instance, Journal};
+use testbed::program::Folder;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+use query_dispatcher::protocol::frames::{code, kind};
+
+/// Time after a client's close by which the last of its requests has to reach an engine.
+const MAX_START_AFTER_CLOSE: Duration = Duration::from_millis(100);
+const ID: &str = "00000000000000a1";
+const LIMIT: Duration = Duration::from_millis(3000);
+/// Number of requests of a closing client, and of the frames behind them.
+const UNREAD_REQUESTS: u32 = 20;
+const UNREAD_FRAMES: usize = 50_000;
+const CLOSING_CLIENTS: usize = 4;
+/// Time for which a closing client writes.
+const FILLER_FRAMES: usize = 200;
+const FILLER_BYTES: usize = 200_000;
+const WRITE_TIME: Duration = Duration::from_millis(300);
+struct Environment {
+    folder: Folder,
+    fleet: Fleet,
+    journal: Rc<Journal>,
+}
+
+impl Environment {
+    async fn start(name: &str, execution_time: Duration) -> Self {
+        let fleet = Fleet::start(2, execution_time, 10_000).await.unwrap();
+        let listed: Vec<Instance> = fleet.engines.iter().map(in_service).collect();
+        Environment {
+            folder: Folder::new(&format!("request-ids-{name}")).unwrap(),
+            journal: Journal::start(&listed).await.unwrap(),
+            fleet,
+        }
+    }
+
+    /// Starts a process; processes of one environment share the state directory.
+    async fn process(&self, name: &str) -> Dispatcher {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let known = self.journal.known_section();
+        let config = settings().config_file(0, listen, self.journal.address(), &known);
+        let binary = Path::new(env!("CARGO_BIN_EXE_hitchwinch"));
+        let state_directory = self.folder.path();
+        Dispatcher::start_sharing(binary, &self.folder, name, &config, state_directory)
+            .await
+            .unwrap()
+    }
+}
+
+fn target(dispatcher: &Dispatcher) -> Target {
+    Target {
+        address: dispatcher.address,
+        dispatcher: 0,
+        process: 0,
+    }
+}
+
+/// Sends the id on a new connection and returns the code of its answer.
+async fn answer_code(dispatcher: &Dispatcher, class: &'static str, id: &str) -> Option<u8> {
+    let log = RequestLog::default();
+    let connection = Connection::open(target(dispatcher), &log).await.unwrap();
+    connection.send(id, class, LIMIT).await.unwrap();
+    connection.wait_until_idle(LIMIT * 2).await;
+    let requests = log.requests();
+    requests[0].answers.first().map(|answer| answer.code)
+}
+
+/// The process stands still while clients write requests, much behind them, and close. When it goes on, the close
+/// is longer ago than an attempt may begin after it.
+#[tokio::test(flavor = "current_thread")]
+async fn requests_that_are_unread_when_their_client_closes_are_not_forwarded() {
+    let run = async {
+        let environment = Environment::start("unread", Duration::from_millis(2)).await;
+        let dispatcher = environment.process("first").await;
+        let mut clients = vec![];
+        for _ in 0..CLOSING_CLIENTS {
+            let mut tcp = TcpStream::connect(dispatcher.address).await.unwrap();
+            // The kernel's receive buffer grows to its maximum with the traffic.
+            let filler = encode_frame(kind::LEAVE, 1, &[0; FILLER_BYTES]);
+            for _ in 0..FILLER_FRAMES {
+                tcp.write_all(&filler).await.unwrap();
+            }
+            clients.push(tcp);
+        }
+        // The connections have warmed up: engines and clients are connected.
+        assert_eq!(
+            answer_code(&dispatcher, "lookup", ID).await,
+            Some(code::SERVED)
+        );
+        let unread = encode_frame(kind::LEAVE, 1, &[0; 100]).repeat(UNREAD_FRAMES);
+        dispatcher.signal("STOP").await;
+        for (client, mut tcp) in clients.into_iter().enumerate() {
+            let requests =
+                (1..=UNREAD_REQUESTS).flat_map(|stream| encode_request(client, stream, &[], 0));
+            let frames: Vec<u8> = requests.chain(unread.iter().copied()).collect();
+            let _ = tokio::time::timeout(WRITE_TIME, tcp.write_all(&frames)).await;
+        }
+        tokio::time::sleep(2 * MAX_START_AFTER_CLOSE).await;
+        let before = environment.fleet.executions().len();
+        dispatcher.signal("CONT").await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let late = environment.fleet.executions().len() - before;
+        assert_eq!(late, 0, "attempts of clients that had closed");
+    };
+    LocalSet::new().run_until(run).await;
+}
