Run an id of a class with an effect once, also after its client left and at both processes

Cause: ids were reserved only while their request was open at this process. When a client leaves, the engine may still run the request, or have run it, and the id was free again. Class: what must hold over the life of an effect was tied to the life of a connection, and of a process. Processes share them in a file of the state directory to which each appends its claim: the first line of an id is granted. A repeated id is answered as failed; while another process runs and the file cannot be used, such requests are refused. An id that never ran may come again, before and after.

--- a/src/core/request_core.rs
+++ b/src/core/request_core.rs
@@ -282,6 +282,11 @@
         self.commands.push(Command::Answer { request, answer });
     }
 
+    /// Returns whether running a request of this class twice has no further effect.
+    pub fn is_idempotent(&self, class: ClassId) -> bool {
+        self.idempotency_by_class.get(class) == Some(&Idempotency::Idempotent)
+    }
+
     /// Counts a request that a frontend answered itself, without opening it in the core.
     pub fn record_frontend_answer(&mut self, class: ClassId, outcome: RequestOutcome) {
         self.metrics.record_answer(class, outcome);
--- a/src/dispatch/request_router.rs
+++ b/src/dispatch/request_router.rs
@@ -148,6 +148,11 @@
         self.run_commands();
     }
 
+    /// Returns whether running a request of this class twice has no further effect.
+    pub fn is_idempotent(&self, class: ClassId) -> bool {
+        self.core.borrow().is_idempotent(class)
+    }
+
     /// Counts a request that a frontend answered itself, without opening it in the core.
     pub fn record_frontend_answer(&self, class: ClassId, outcome: RequestOutcome) {
         self.core
--- a/src/frontend/frames/client.rs
+++ b/src/frontend/frames/client.rs
@@ -283,22 +283,9 @@
         let frontend = self.frontend;
         let stream = frame.stream;
         let parsed = parse_request(&frontend.router, &frame.payload, frame.arrived)?;
-        let with_id = parsed.and_then(|(request, work)| {
-            // An engine takes two requests with one id for the same, and the first may be another client's.
-            match frontend.open_ids.reserve(&work.txn) {
-                Some(id) => Ok((request, work, id)),
-                None => Err(InvalidRequest {
-                    class: Some(request.class),
-                    cause: RejectionCause::IdIsOpen,
-                    reason: "txn: a request of this id is open".to_string(),
-                }),
-            }
-        });
-        let (request, mut work, id) = match with_id {
-            Ok(with_id) => with_id,
-            Err(invalid) => return self.fail_request(wire, stream, &invalid),
-        };
-        if self.open.by_stream.len() >= MAX_OPEN_STREAMS {
+        if let Ok((request, _)) = &parsed
+            && self.open.by_stream.len() >= MAX_OPEN_STREAMS
+        {
             self.record_protocol_error();
             let router = &frontend.router;
             router.record_frontend_answer(request.class, RequestOutcome::Overload);
@@ -306,6 +293,18 @@
             statistics.record_rejection(RejectionCause::TooManyOpen);
             return enqueue_limit_exceeded(wire, stream);
         }
+        let with_id = parsed.and_then(|(request, work)| {
+            // An engine takes two requests with one id for the same, and the first may be another client's.
+            let must_not_run_twice = !frontend.router.is_idempotent(request.class);
+            match frontend.ids.reserve(&work.txn, must_not_run_twice) {
+                Ok(id) => Ok((request, work, id)),
+                Err(conflict) => Err(InvalidRequest::id_conflict(request.class, conflict)),
+            }
+        });
+        let (request, mut work, id) = match with_id {
+            Ok(with_id) => with_id,
+            Err(invalid) => return self.answer_invalid(wire, stream, &invalid),
+        };
         work.attach(frame.memory, id, self.socket.clone());
         self.protocol_errors = 0;
         self.permit.set_activity(Activity::Busy, Instant::now());
@@ -321,7 +320,7 @@
         Ok(())
     }
 
-    fn fail_request(
+    fn answer_invalid(
         &mut self,
         wire: &mut FramedConnection,
         stream: u32,
@@ -329,9 +328,16 @@
     ) -> Result<(), FrameError> {
         self.record_protocol_error();
         self.frontend.statistics.record_rejection(invalid.cause);
+        let never_ran = invalid.cause == RejectionCause::IdsUnavailable;
         if let Some(class) = invalid.class {
-            let router = &self.frontend.router;
-            router.record_frontend_answer(class, RequestOutcome::Error);
+            let outcome = match never_ran {
+                true => RequestOutcome::Overload,
+                false => RequestOutcome::Error,
+            };
+            self.frontend.router.record_frontend_answer(class, outcome);
+        }
+        if never_ran {
+            return enqueue_limit_exceeded(wire, stream);
         }
         enqueue_answer(wire, stream, code::FAILED, invalid.reason.as_bytes())
     }
--- a/src/frontend/frames/mod.rs
+++ b/src/frontend/frames/mod.rs
@@ -2,17 +2,19 @@
 //! router.
 //!
 //! [`Frontend`] accepts connections; `connection` serves one connection, `client` tracks the requests of its
-//! client, `request` parses a request, `stream_numbers` detects reused stream numbers, `replies` encodes the
+//! client, `request` parses a request, `request_ids` keeps an id from running twice, `stream_numbers` detects reused stream numbers, `replies` encodes the
 //! answers and `statistics` counts ended connections and rejected requests.
 
 mod client;
 mod connection;
 mod replies;
 mod request;
+mod request_ids;
 mod statistics;
 mod stream_numbers;
 
 pub use request::Work;
+pub use request_ids::Executions;
 
 use crate::config::MachineLimits;
 use crate::dispatch::{RequestRouter, Upstream};
@@ -26,9 +28,11 @@
 use crate::transport::listener;
 use crate::transport::memory_budget::MemoryBudget;
 use connection::serve_connection;
-use request::OpenIds;
+use request_ids::RequestIds;
 use statistics::{CloseReason, Statistics, budget_text};
 use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
@@ -61,7 +65,7 @@
     pool: BufferPool,
     /// Memory of requests, from the first byte of their frame to their end.
     request_memory: MemoryBudget,
-    open_ids: OpenIds,
+    ids: RequestIds,
     /// Memory of results that are not written yet.
     answer_memory: MemoryBudget,
     statistics: Statistics,
@@ -84,7 +88,7 @@
             router,
             pool,
             request_memory: MemoryBudget::new(0),
-            open_ids: OpenIds::default(),
+            ids: RequestIds::default(),
             answer_memory: MemoryBudget::new(0),
             statistics: Statistics::default(),
             limiter: ConnectionLimiter::new(0, Activity::Idle),
@@ -107,9 +111,19 @@
     /// Sets the number of processes of this dispatcher that share the limits.
     pub fn set_process_count(&self, processes: u32) {
         self.process_count.set(processes.max(1) as usize);
+        self.ids.set_process_count(self.process_count.get());
         self.divide_limits();
     }
 
+    /// Shares the ids of requests that must not run twice with the dispatcher's other processes, in a file in this
+    /// directory.
+    ///
+    /// # Errors
+    /// The file cannot be opened or read.
+    pub fn share_request_ids(&self, directory: &Path) -> io::Result<()> {
+        self.ids.share(directory)
+    }
+
     fn divide_limits(&self) {
         let limits = self.limits.borrow();
         let process_count = self.process_count.get();
--- a/src/frontend/frames/request.rs
+++ b/src/frontend/frames/request.rs
@@ -7,6 +7,7 @@
 use crate::frontend::estimates::{
     MAX_ESTIMATED_MEMORY_MB, MAX_ESTIMATED_WORK_MS, MAX_TIME_LIMIT_MS,
 };
+use crate::frontend::frames::request_ids::{Executions, IdConflict, ReservedId};
 use crate::frontend::frames::statistics::RejectionCause;
 use crate::protocol::frames::{Fields, FrameError, parse_fields};
 use crate::protocol::statement;
@@ -14,9 +15,6 @@
 use crate::transport::memory_budget::Reservation;
 use crate::transport::pending_input::PendingInput;
 use bytes::Bytes;
-use std::cell::RefCell;
-use std::collections::HashSet;
-use std::rc::Rc;
 
 /// Length of a request id, in hexadecimal digits.
 const ID_DIGITS: usize = 16;
@@ -31,47 +29,10 @@
     /// The statement.
     pub statement: Bytes,
     _memory: Reservation,
-    _id: ReservedId,
+    id: ReservedId,
     client: Option<SocketProbe>,
 }
 
-/// The ids of open requests, as numbers. The size of the set is bounded by the number of open requests.
-#[derive(Clone, Default)]
-pub(super) struct OpenIds(Rc<RefCell<HashSet<u64>>>);
-
-/// Reserves a request id until it is dropped.
-#[derive(Default)]
-pub(super) struct ReservedId {
-    number: u64,
-    ids: Option<OpenIds>,
-}
-
-impl OpenIds {
-    /// Reserves a request id; returns `None` if an open request has this id.
-    pub(super) fn reserve(&self, txn: &str) -> Option<ReservedId> {
-        let number = u64::from_str_radix(txn, 16).ok()?;
-        let is_new = self.0.borrow_mut().insert(number);
-        is_new.then(|| ReservedId {
-            number,
-            ids: Some(self.clone()),
-        })
-    }
-}
-
-impl Drop for ReservedId {
-    fn drop(&mut self) {
-        if let Some(ids) = &self.ids {
-            ids.0.borrow_mut().remove(&self.number);
-        }
-    }
-}
-
-impl std::fmt::Debug for ReservedId {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:x}", self.number)
-    }
-}
-
 impl Work {
     /// Creates work that counts towards no budget and reserves no id.
     pub fn unbudgeted(txn: &str, class: &str, statement: Bytes) -> Self {
@@ -80,7 +41,7 @@
             class: class.into(),
             statement,
             _memory: Reservation::default(),
-            _id: ReservedId::default(),
+            id: ReservedId::default(),
             client: None,
         }
     }
@@ -88,10 +49,15 @@
     /// Attaches the reservations, which are released when the work is dropped, and the socket of its client.
     pub(super) fn attach(&mut self, memory: Reservation, id: ReservedId, client: SocketProbe) {
         self._memory = memory;
-        self._id = id;
+        self.id = id;
         self.client = Some(client);
     }
 
+    /// Returns the record of the request's attempts.
+    pub fn executions(&self) -> Executions {
+        self.id.executions()
+    }
+
     /// Checks for unread input or a close on the client's socket. Called before an attempt starts, since the
     /// client may have disconnected.
     pub fn client_input(&self) -> PendingInput {
@@ -111,6 +77,28 @@
     pub(super) reason: String,
 }
 
+impl InvalidRequest {
+    /// Describes a request whose id cannot be used.
+    pub(super) fn id_conflict(class: ClassId, conflict: IdConflict) -> Self {
+        let (cause, reason) = match conflict {
+            IdConflict::Open => (RejectionCause::IdIsOpen, "a request of this id is open"),
+            IdConflict::MayHaveRun => (
+                RejectionCause::IdMayHaveRun,
+                "a request of this id may have run",
+            ),
+            IdConflict::Unknown => (
+                RejectionCause::IdsUnavailable,
+                "the ids of the other process are not known",
+            ),
+        };
+        InvalidRequest {
+            class: Some(class),
+            cause,
+            reason: format!("txn: {reason}"),
+        }
+    }
+}
+
 /// Returns the class that a request names, or `None` if the frame is malformed or the class is unknown.
 pub(super) fn parse_class<U: Upstream>(
     router: &RequestRouter<U>,
--- a/src/frontend/frames/statistics.rs
+++ b/src/frontend/frames/statistics.rs
@@ -72,6 +72,10 @@
     Invalid,
     /// An open request has the same id.
     IdIsOpen,
+    /// A request of the same id, in a class that must not run twice, may have run.
+    IdMayHaveRun,
+    /// The ids at the dispatcher's other process are not known.
+    IdsUnavailable,
     /// As many requests are open on the connection as may be.
     TooManyOpen,
     /// The client sent more requests than are read ahead.
@@ -83,9 +87,11 @@
 }
 
 impl RejectionCause {
-    const ALL: [RejectionCause; 6] = [
+    const ALL: [RejectionCause; 8] = [
         RejectionCause::Invalid,
         RejectionCause::IdIsOpen,
+        RejectionCause::IdMayHaveRun,
+        RejectionCause::IdsUnavailable,
         RejectionCause::TooManyOpen,
         RejectionCause::ReadAheadFull,
         RejectionCause::RequestMemory,
@@ -96,6 +102,8 @@
         match self {
             RejectionCause::Invalid => "invalid",
             RejectionCause::IdIsOpen => "id_is_open",
+            RejectionCause::IdMayHaveRun => "id_may_have_run",
+            RejectionCause::IdsUnavailable => "ids_unavailable",
             RejectionCause::TooManyOpen => "too_many_open",
             RejectionCause::ReadAheadFull => "read_ahead_full",
             RejectionCause::RequestMemory => "request_memory",
--- a/src/server/instance_registry.rs
+++ b/src/server/instance_registry.rs
@@ -57,6 +57,11 @@
         })))
     }
 
+    /// Returns the directory that the dispatcher's processes share, if there is one.
+    pub fn directory(&self) -> Option<&Path> {
+        self.0.as_ref().map(|directory| directory.path.as_path())
+    }
+
     /// Counts the live processes of this dispatcher, including this one. Removes the files of processes that
     /// have ended.
     ///
--- a/src/server/platform.rs
+++ b/src/server/platform.rs
@@ -50,6 +50,13 @@
             limited_frontend.set_process_count(processes);
         },
     )?;
+    if let Some(directory) = instances.directory() {
+        let failed = |source| ServerError::StateDirectory {
+            directory: Some(directory.to_path_buf()),
+            source,
+        };
+        frontend.share_request_ids(directory).map_err(failed)?;
+    }
     let reported_frontend = frontend.clone();
     let client_report = Rc::new(move || reported_frontend.client_report());
     let operators = OperatorsListener {
--- a/src/upstream/resp/commands.rs
+++ b/src/upstream/resp/commands.rs
@@ -95,6 +95,7 @@
             return Ok(());
         }
         // From here on the attempt counts as written, even if the write is interrupted.
+        attempt.executions.record_start();
         attempt.stage = Stage::Written;
         if !self.wire.is_flushed() {
             *connection.partially_written.borrow_mut() = Some(txn);
--- a/src/upstream/resp/connection.rs
+++ b/src/upstream/resp/connection.rs
@@ -5,7 +5,7 @@
 use crate::core::AttemptId;
 use crate::decision::model::Millis;
 use crate::dispatch::StartAttempt;
-use crate::frontend::frames::Work;
+use crate::frontend::frames::{Executions, Work};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -68,9 +68,20 @@
     pub(super) attempt: AttemptId,
     /// Whether the attempt must not share its connection.
     pub(super) exclusive: bool,
+    /// Record of the attempts of its request.
+    pub(super) executions: Executions,
     pub(super) stage: Stage,
 }
 
+impl PendingAttempt {
+    /// Records the engine's statement that the attempt never ran.
+    pub(super) fn record_never_ran(&self) {
+        if !matches!(self.stage, Stage::Queued { .. }) {
+            self.executions.record_never_ran();
+        }
+    }
+}
+
 /// The state that a connection shares with the pool and with its task.
 pub(super) struct Connection {
     pub(super) number: u64,
--- a/src/upstream/resp/mod.rs
+++ b/src/upstream/resp/mod.rs
@@ -54,6 +54,7 @@
         let pending = PendingAttempt {
             attempt,
             exclusive,
+            executions: work.executions(),
             stage: Stage::Queued {
                 start,
                 work,
--- a/src/upstream/resp/replies.rs
+++ b/src/upstream/resp/replies.rs
@@ -70,6 +70,10 @@
             // After a reply of an unknown form, nothing else on this connection can be trusted.
             _ => return Err(RespError::Malformed),
         };
+        let never_ran = matches!(outcome, Outcome::Rejected | Outcome::NeverStarted);
+        if never_ran && let Some(pending) = self.task.connection.pending.borrow().get(txn) {
+            pending.record_never_ran();
+        }
         self.remove_attempt(txn, attempt);
         let report = load_report(&fields, &self.task.pool.report_fields);
         router.attempt_ended(attempt, outcome, report);
--- a/tests/request_ids.rs
+++ b/tests/request_ids.rs
@@ -1,4 +1,5 @@
-//! Requests of clients that have left.
+//! Requests of clients that have left, and ids that come again: an id of a class with an effect runs once, at
+//! whichever process of the dispatcher it arrives.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -8,7 +9,7 @@
 use std::time::Duration;
 use testbed::platform::clients::{Connection, RequestLog, Target, encode_frame};
 use testbed::platform::dispatcher::Dispatcher;
-use testbed::platform::engines::Fleet;
+use testbed::platform::engines::{Behaviour, Fleet};
 use testbed::platform::hostile_clients::{encode_request, in_service, settings};
 use testbed::platform::journal::{Instance, Journal};
 use testbed::program::Folder;
@@ -30,6 +31,9 @@
 const FILLER_FRAMES: usize = 200;
 const FILLER_BYTES: usize = 200_000;
 const WRITE_TIME: Duration = Duration::from_millis(300);
+/// Time until a forwarded request has reached its engine.
+const FORWARDING_TIME: Duration = Duration::from_millis(150);
+
 struct Environment {
     folder: Folder,
     fleet: Fleet,
@@ -58,6 +62,12 @@
             .await
             .unwrap()
     }
+
+    /// Returns how often the id has reached an engine.
+    fn runs(&self, id: &str) -> usize {
+        let executions = self.fleet.executions();
+        executions.iter().filter(|run| run.request == id).count()
+    }
 }
 
 fn target(dispatcher: &Dispatcher) -> Target {
@@ -78,6 +88,112 @@
     requests[0].answers.first().map(|answer| answer.code)
 }
 
+/// Sends a request of class `load` that stays at its engine, and closes the connection.
+async fn leave_running_load(environment: &Environment, dispatcher: &Dispatcher) {
+    let log = RequestLog::default();
+    let connection = Connection::open(target(dispatcher), &log).await.unwrap();
+    connection.send(ID, "load", LIMIT).await.unwrap();
+    tokio::time::sleep(FORWARDING_TIME).await;
+    assert_eq!(environment.runs(ID), 1);
+    connection.close().await;
+    tokio::time::sleep(FORWARDING_TIME).await;
+}
+
+async fn leave_and_come_again(name: &str, processes: usize) {
+    let environment = Environment::start(name, Duration::from_millis(600)).await;
+    let first = environment.process("first").await;
+    let second = match processes {
+        1 => None,
+        _ => Some(environment.process("second").await),
+    };
+    leave_running_load(&environment, &first).await;
+    let code = answer_code(second.as_ref().unwrap_or(&first), "load", ID).await;
+    assert_eq!(environment.runs(ID), 1, "the second answer was {code:?}");
+    assert_eq!(code, Some(code::FAILED));
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_id_that_comes_again_after_its_client_has_left_runs_once() {
+    LocalSet::new()
+        .run_until(leave_and_come_again("again", 1))
+        .await;
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_id_that_comes_again_at_the_other_process_of_an_upgrade_runs_once() {
+    LocalSet::new()
+        .run_until(leave_and_come_again("upgrade", 2))
+        .await;
+}
+
+/// The second process starts after the id was forwarded, as in an upgrade under load.
+#[tokio::test(flavor = "current_thread")]
+async fn an_id_that_was_forwarded_before_the_new_process_of_an_upgrade_started_runs_once() {
+    let run = async {
+        let environment = Environment::start("upgrade-later", Duration::from_millis(600)).await;
+        let first = environment.process("first").await;
+        leave_running_load(&environment, &first).await;
+        let second = environment.process("second").await;
+        let code = answer_code(&second, "load", ID).await;
+        assert_eq!(environment.runs(ID), 1, "the second answer was {code:?}");
+        assert_eq!(code, Some(code::FAILED));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Both processes get the id in the same moment: one forwards it.
+#[tokio::test(flavor = "current_thread")]
+async fn an_id_at_both_processes_of_an_upgrade_in_the_same_moment_runs_once() {
+    let run = async {
+        let environment = Environment::start("upgrade-both", Duration::from_millis(50)).await;
+        let first = environment.process("first").await;
+        let second = environment.process("second").await;
+        for number in 0..50 {
+            let id = format!("{number:016x}");
+            let (one, other) = tokio::join!(
+                answer_code(&first, "load", &id),
+                answer_code(&second, "load", &id)
+            );
+            assert_eq!(environment.runs(&id), 1, "answers {one:?} and {other:?}");
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_id_that_comes_again_after_its_answer_runs_once() {
+    let run = async {
+        let environment = Environment::start("served", Duration::from_millis(20)).await;
+        let dispatcher = environment.process("first").await;
+        let first = answer_code(&dispatcher, "load", ID).await;
+        assert_eq!(first, Some(code::SERVED));
+        let again = answer_code(&dispatcher, "load", ID).await;
+        assert_eq!(environment.runs(ID), 1, "the second answer was {again:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// An id of which the engine said that it never ran may come again.
+#[tokio::test(flavor = "current_thread")]
+async fn an_id_that_never_ran_may_come_again() {
+    let run = async {
+        let environment = Environment::start("refused", Duration::from_millis(20)).await;
+        let dispatcher = environment.process("first").await;
+        for engine in &environment.fleet.engines {
+            engine.behaviour.set(Behaviour::Full);
+        }
+        let first = answer_code(&dispatcher, "load", ID).await;
+        assert_eq!(first, Some(code::REFUSED));
+        for engine in &environment.fleet.engines {
+            engine.behaviour.set(Behaviour::Serving);
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let again = answer_code(&dispatcher, "load", ID).await;
+        assert_eq!(again, Some(code::SERVED));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// The process stands still while clients write requests, much behind them, and close. When it goes on, the close
 /// is longer ago than an attempt may begin after it.
 #[tokio::test(flavor = "current_thread")]
