Kill an abandoned MySQL connection only at the process that it was opened to

Cause: an engine goes on with a statement whose client has left, so the dispatcher sends KILL NUMBER on a new connection to the same address. If the engine's machine vanished meanwhile (its connections stay open and silent) and a new process took the address, the number is that of another client's connection: numbers begin at 1 with each process. Class: an identity that is valid within one process used at an address, whoever answers there.

--- a/crates/testbed/src/fakes/engine.rs
+++ b/crates/testbed/src/fakes/engine.rs
@@ -9,11 +9,13 @@
 use query_dispatcher::protocol::mysql::error::SqlError;
 use query_dispatcher::protocol::mysql::packet::PacketError;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 
 /// Password that the `[engines]` section of a dispatcher has to contain.
@@ -90,7 +92,13 @@
     running: Cell<usize>,
     max_running: Cell<usize>,
     tasks: RefCell<Vec<AbortHandle>>,
+    /// Number of connections of the current process so far.
     connections: Cell<u32>,
+    /// Connections of the current process that a KILL ends, by their numbers.
+    killable: RefCell<HashMap<u32, Rc<Notify>>>,
+    listener: RefCell<Option<AbortHandle>>,
+    /// Processes up to this one have vanished: their connections stay open and silent.
+    vanished: Cell<u32>,
     /// Whether the next result that contains a break point ends there.
     break_result: Cell<bool>,
 }
@@ -129,6 +137,9 @@
             max_running: Cell::new(0),
             tasks: RefCell::default(),
             connections: Cell::new(0),
+            killable: RefCell::default(),
+            listener: RefCell::default(),
+            vanished: Cell::new(0),
             break_result: Cell::new(false),
         };
         let engine = Engine(Rc::new(inner));
@@ -145,6 +156,8 @@
         self.0.address.set(listener.local_addr()?);
         self.0.process.set(self.0.process.get() + 1);
         self.0.started.set(now());
+        self.0.connections.set(0);
+        self.0.killable.borrow_mut().clear();
         let inner = Rc::downgrade(&self.0);
         let accepting = spawn_local(async move {
             while let Ok((tcp, _)) = listener.accept().await {
@@ -158,12 +171,32 @@
                 tasks.push(task.abort_handle());
             }
         });
-        self.0.tasks.borrow_mut().push(accepting.abort_handle());
+        *self.0.listener.borrow_mut() = Some(accepting.abort_handle());
         Ok(())
     }
 
+    /// Simulates the loss of the engine's machine: new connections are refused, and open ones stay open and silent.
+    pub fn vanish(&self) {
+        self.0.vanished.set(self.0.process.get());
+        self.stop_listening();
+    }
+
+    fn stop_listening(&self) {
+        if let Some(listener) = self.0.listener.take() {
+            listener.abort();
+        }
+    }
+
+    /// Ends a connection of the current process, as KILL does.
+    fn kill(&self, number: u32) {
+        if let Some(connection) = self.0.killable.borrow().get(&number) {
+            connection.notify_one();
+        }
+    }
+
     /// Ends the engine's process: open connections are closed and new ones are refused.
     pub fn stop(&self) {
+        self.stop_listening();
         self.0.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
     }
 
@@ -267,6 +300,9 @@
 
 impl Drop for Inner {
     fn drop(&mut self) {
+        if let Some(listener) = self.listener.take() {
+            listener.abort();
+        }
         self.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
     }
 }
--- a/crates/testbed/src/fakes/engine/connection.rs
+++ b/crates/testbed/src/fakes/engine/connection.rs
@@ -10,12 +10,16 @@
 use query_dispatcher::protocol::mysql::error::{SqlError, code};
 use query_dispatcher::protocol::mysql::packet::*;
 use std::collections::HashMap;
+use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio_stream::StreamExt;
 use tokio_util::codec::Framed;
 
 /// Maximum size of a packet, in bytes.
 const MAX_PACKET: usize = 1 << 22;
+/// Query for the time that the engine's process has run.
+const UPTIME_QUERY: &str = "SHOW GLOBAL STATUS LIKE 'Uptime'";
 
 /// A statement that is to be executed.
 struct Statement {
@@ -33,6 +37,8 @@
     prepared: HashMap<u32, String>,
     /// Id of the last statement that was prepared.
     last_id: u32,
+    /// Number of the engine's process that it was opened to.
+    process: u32,
 }
 
 impl Engine {
@@ -53,8 +59,14 @@
             session: Session::new(number, &self.0.name),
             prepared: HashMap::new(),
             last_id: 0,
+            process: self.0.process.get(),
         };
-        connection.serve().await
+        let killed = Rc::new(Notify::new());
+        self.0.killable.borrow_mut().insert(number, killed.clone());
+        tokio::select! {
+            end = connection.serve() => end,
+            () = killed.notified() => Ok(()),
+        }
     }
 
     /// Logs a client in and returns the number of its connection; `None` if it is turned away.
@@ -107,6 +119,7 @@
         let text = String::from_utf8_lossy(&command[1..]).into_owned();
         let id = PayloadReader(command.slice(1..)).u32().unwrap_or(0);
         match command[0] {
+            COM_QUERY if text == UPTIME_QUERY => self.answer_uptime().await?,
             COM_QUERY if text.starts_with("SET ") || text.starts_with("KILL ") => {
                 self.answer_control(&text).await?;
             }
@@ -147,8 +160,23 @@
         self.wire.send(&ok[..]).await
     }
 
+    /// Answers how long the engine's process has run, in seconds.
+    async fn answer_uptime(&mut self) -> Result<(), PacketError> {
+        let uptime = ((now() - self.engine.started()) / 1000.0) as u64;
+        let names = vec!["Variable_name".to_string(), "Value".to_string()];
+        let row = vec![Some("Uptime".to_string()), Some(uptime.to_string())];
+        let response = SessionResponse::Row(names, row);
+        let status = self.session.status();
+        self.engine
+            .send_response(&mut self.wire, response, false, status)
+            .await
+    }
+
     /// Answers a SET or KILL of the dispatcher, which is not recorded as an execution.
     async fn answer_control(&mut self, sql: &str) -> Result<(), PacketError> {
+        if let Some(number) = sql.strip_prefix("KILL ").and_then(|n| n.parse().ok()) {
+            self.engine.kill(number);
+        }
         let response = self.session.execute(sql);
         self.record_commits();
         match response {
@@ -208,6 +236,9 @@
         if !inner.execution_time.get().is_zero() {
             tokio::time::sleep(inner.execution_time.get()).await;
         }
+        if self.process <= inner.vanished.get() {
+            return std::future::pending().await;
+        }
         drop(running);
         let mut end = eof_packet(session.status());
         end[1..3].copy_from_slice(&session.warnings().to_le_bytes());
--- a/src/upstream/mysql/connection.rs
+++ b/src/upstream/mysql/connection.rs
@@ -28,6 +28,8 @@
     pub(super) address: SocketAddr,
     /// Connection number that the engine assigned.
     pub(super) number: u32,
+    /// Time at which opening it began, in milliseconds on the clock of the process.
+    pub(super) opened: Millis,
 }
 
 /// The client of a request and the deadline of the request, which are checked before each write on the
--- a/src/upstream/mysql/login.rs
+++ b/src/upstream/mysql/login.rs
@@ -49,7 +49,11 @@
             .map_err(io::Error::from)??;
         Ok(Connection::new(
             wire,
-            ConnectionId { address, number },
+            ConnectionId {
+                address,
+                number,
+                opened,
+            },
             opened,
         ))
     }
