Refuse requests without memory on their connection instead of closing it

Callers would see: a connection closed with its requests unanswered while the memory for requests is exhausted. Change: the first 256 rejections of a connection need no reservation (2 KB; 0.8 MB on all connections).

--- a/src/frontend/frames/client.rs
+++ b/src/frontend/frames/client.rs
@@ -38,6 +38,8 @@
 /// Maximum number of frames that were rejected unprocessed and are not answered yet. A client that sends more
 /// without reading its answers is disconnected, which cancels its requests.
 const MAX_UNANSWERED_REJECTIONS: usize = 8192;
+/// Number of these frames for which no memory is reserved: requests are rejected just when there is none.
+const UNRESERVED_REJECTIONS: usize = 256;
 /// Reason for rejecting requests beyond these limits.
 const LIMIT_EXCEEDED: RejectionReason = RejectionReason::Adapter("too much is open");
 /// Time after which a request that was rejected for this reason may be retried, in milliseconds.
@@ -209,7 +211,8 @@
         cause: RejectionCause,
     ) -> Result<(), FrameError> {
         self.frontend.statistics.record_rejection(cause);
-        let queue_bytes = (self.rejected.len() + 1) * size_of::<RejectedFrame>();
+        let reserved_entries = (self.rejected.len() + 1).saturating_sub(UNRESERVED_REJECTIONS);
+        let queue_bytes = reserved_entries * size_of::<RejectedFrame>();
         if self.rejected.len() >= MAX_UNANSWERED_REJECTIONS
             || !self.rejected_memory.resize(queue_bytes)
         {
