--- a/src/frontend/frames/client.rs
+++ b/src/frontend/frames/client.rs
@@ -161,7 +161,10 @@
     }
 
     /// Accepts a complete frame. A cancel frame takes effect at once, whatever frames wait before it.
-    pub(super) fn receive(&mut self, frame: Frame) -> Result<(), FrameError> {
+    ///
+    /// `no_input_at` is when the socket last had no input, in milliseconds on the process clock: the frame arrived
+    /// later.
+    pub(super) fn receive(&mut self, frame: Frame, no_input_at: Millis) -> Result<(), FrameError> {
         if !matches!(frame.kind, kind::REQUEST | kind::LEAVE | kind::ASK) {
             return Err(FrameError::Kind(frame.kind));
         }
@@ -199,7 +202,7 @@
             stream: frame.stream,
             payload,
             memory,
-            arrived: self.frontend.router.earliest_arrival(),
+            arrived: self.frontend.router.earliest_arrival().max(no_input_at),
         });
         Ok(())
     }
--- a/src/frontend/frames/connection.rs
+++ b/src/frontend/frames/connection.rs
@@ -341,7 +341,8 @@
             self.skipped_bytes += MIN_SKIPPED_FRAME_BYTES.max(frame.bytes);
         }
         if self.protocol_error.is_none() {
-            if let Err(error) = self.client.receive(frame) {
+            let no_input_at = self.wire.get_ref().empty_at();
+            if let Err(error) = self.client.receive(frame, no_input_at) {
                 self.report_protocol_error(error)?;
             }
         } else if frame.kind == kind::LEAVE {
--- a/src/transport/client_socket.rs
+++ b/src/transport/client_socket.rs
@@ -2,9 +2,12 @@
 //! system is queried for whether the client has closed the connection or sent bytes that are not
 //! read yet: the task that reads the socket may not have been scheduled since they arrived.
 
+use crate::clock::process_clock_millis;
+use crate::decision::model::Millis;
 use crate::transport::framed_connection::Socket;
 use crate::transport::pending_input::{self, PendingInput};
 use crate::transport::plain_socket;
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
@@ -13,7 +16,11 @@
 use tokio::net::TcpStream;
 
 /// The socket, owned by the task that serves the client.
-pub struct ClientSocket(Rc<TcpStream>);
+pub struct ClientSocket {
+    tcp: Rc<TcpStream>,
+    /// When a read last found no input, in milliseconds on the clock of the process.
+    empty_at: Cell<Millis>,
+}
 
 /// Queries the state of a client's socket without keeping the socket open.
 #[derive(Clone, Debug, Default)]
@@ -21,14 +28,23 @@
 
 impl From<TcpStream> for ClientSocket {
     fn from(tcp: TcpStream) -> Self {
-        ClientSocket(Rc::new(tcp))
+        ClientSocket {
+            tcp: Rc::new(tcp),
+            empty_at: Cell::new(f64::NEG_INFINITY),
+        }
     }
 }
 
 impl ClientSocket {
     /// Returns a probe of this socket.
     pub fn probe(&self) -> SocketProbe {
-        SocketProbe(Rc::downgrade(&self.0))
+        SocketProbe(Rc::downgrade(&self.tcp))
+    }
+
+    /// Returns when a read last found no input, in milliseconds on the clock of the process: what has been read since
+    /// then arrived later. Negative infinity if there was no such read.
+    pub fn empty_at(&self) -> Millis {
+        self.empty_at.get()
     }
 }
 
@@ -44,7 +60,7 @@
 
 impl Socket for ClientSocket {
     fn tcp(&self) -> &TcpStream {
-        &self.0
+        &self.tcp
     }
 }
 
@@ -54,7 +70,8 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        plain_socket::poll_read(&self.0, cx, buffer)
+        let record_empty = || self.empty_at.set(process_clock_millis());
+        plain_socket::poll_read(&self.tcp, cx, buffer, record_empty)
     }
 }
 
@@ -64,7 +81,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        plain_socket::poll_write(&self.0, cx, bytes)
+        plain_socket::poll_write(&self.tcp, cx, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -72,6 +89,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(plain_socket::shut_down(&self.0))
+        Poll::Ready(plain_socket::shut_down(&self.tcp))
     }
 }
--- a/src/transport/plain_socket.rs
+++ b/src/transport/plain_socket.rs
@@ -16,17 +16,20 @@
     error.kind() == io::ErrorKind::Interrupted
 }
 
-/// Reads the available bytes, at most as many as the buffer holds.
+/// Reads the available bytes, at most as many as the buffer holds. Calls `on_empty` when the operating system has
+/// none.
 pub(super) fn poll_read(
     tcp: &TcpStream,
     cx: &mut Context<'_>,
     buffer: &mut ReadBuf<'_>,
+    on_empty: impl Fn(),
 ) -> Poll<io::Result<()>> {
     loop {
         ready!(tcp.poll_read_ready(cx))?;
         match tcp.try_read_buf(buffer) {
             Ok(_) => return Poll::Ready(Ok(())),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock || is_interrupted(&e) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => on_empty(),
+            Err(e) if is_interrupted(&e) => {}
             Err(e) => return Poll::Ready(Err(e)),
         }
     }
@@ -73,7 +76,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        poll_read(&self.0, cx, buffer)
+        poll_read(&self.0, cx, buffer, || {})
     }
 }
 
