Read results slowly with small receive buffers in the memory test, and measure the judge's lag

Cause: the kernel took most of the unread results of 340 clients, and the 10,880 requests at once kept the unoptimized program busy for seconds, so that the memory was tested little and answers came late. Change: hostile clients have receive buffers of 4 KB; 100 of them leave 3,200 of the largest results unread. The summary tells how late the judge's own timers were, shared with the soak.

--- a/crates/testbed/src/platform/hostile_clients.rs
+++ b/crates/testbed/src/platform/hostile_clients.rs
@@ -7,6 +7,7 @@
 use crate::platform::dispatcher::Dispatcher;
 use crate::platform::engines::{Behaviour, Engine, Fleet};
 use crate::platform::journal::{Instance, Journal, Lifecycle};
+use crate::platform::lag::{measure_timer_lag, timer_lag};
 use crate::platform::settings::{Class, Effect, Settings};
 use crate::platform::verdict::{Records, Violation, find_violations};
 use crate::program::{Folder, ProgramError};
@@ -18,9 +19,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::oneshot;
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{JoinSet, LocalSet, spawn_local};
 
 /// Least memory that the platform's pages name for a dispatcher, in megabytes.
 pub const LEAST_MEMORY_MB: usize = 32;
@@ -36,6 +37,8 @@
 pub const USUAL_LIMIT: Duration = Duration::from_millis(1500);
 /// Interval of the usual client's requests.
 const USUAL_INTERVAL: Duration = Duration::from_millis(20);
+/// Size of a hostile client's receive buffer, in bytes.
+const RECEIVE_BUFFER_BYTES: u32 = 4096;
 /// Pause of a hostile client before it connects again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which the hostile clients run before the usual client starts.
@@ -66,8 +69,12 @@
     pub violations: Vec<Violation>,
     /// Whether the process ended by itself.
     pub has_ended: bool,
-    /// The metrics page at the end.
+    /// What the dispatcher tells of its clients at the end.
     pub metrics: String,
+    /// The dispatcher's log.
+    pub log: Vec<String>,
+    /// Maximum delay of the timers of the thread that records times.
+    pub lag: Duration,
 }
 
 impl Outcome {
@@ -94,12 +101,13 @@
     pub fn summary(&self) -> String {
         let first = self.violations.first();
         format!(
-            "peak memory {:.1} MB, {} of {} usual requests served, others {:?}, ended: {}, {} violations {first:?}",
+            "peak memory {:.1} MB, {} of {} usual requests served, others {:?}, ended: {}, judge late by {:?}, {} violations {first:?}",
             self.peak_memory_mb,
             self.served(),
             self.usual.len(),
             self.other_answers(),
             self.has_ended,
+            self.lag,
             self.violations.len()
         )
     }
@@ -170,9 +178,11 @@
         let hostile = std::thread::spawn(move || {
             run_hostile_clients(address, hostile_clients, use_connection, stopped)
         });
+        let lag_meter = spawn_local(measure_timer_lag());
         tokio::time::sleep(HEAD_START).await;
         let log = RequestLog::default();
         usual_client(address, &log, self.span).await?;
+        lag_meter.abort();
         drop(stop);
         let _ = hostile.join();
         let usual = log.requests();
@@ -185,8 +195,10 @@
             peak_memory_mb: dispatcher.peak_memory_mb(),
             violations: find_violations(&records, &settings(), epoch),
             usual,
-            metrics: dispatcher.fetch_page("/_vars").await.unwrap_or_default(),
+            metrics: dispatcher.fetch_page("/_clients").await.unwrap_or_default(),
+            log: dispatcher.log().into_iter().map(|(_, line)| line).collect(),
             has_ended: dispatcher.has_ended(),
+            lag: timer_lag(),
         })
     }
 }
@@ -214,13 +226,20 @@
     Ok(())
 }
 
+/// Connects with a small receive buffer, so that the kernel holds little of what is not read.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.connect(address).await
+}
+
 /// Uses one connection after another, without end.
 async fn hostile_client<F: Future<Output = io::Result<()>>>(
     address: SocketAddr,
     use_connection: impl Fn(TcpStream) -> F,
 ) {
     loop {
-        if let Ok(tcp) = TcpStream::connect(address).await {
+        if let Ok(tcp) = connect(address).await {
             let _ = tcp.set_nodelay(true);
             let _ = use_connection(tcp).await;
         }
--- a/crates/testbed/src/platform/mod.rs
+++ b/crates/testbed/src/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod engines;
 pub mod hostile_clients;
 pub mod journal;
+pub mod lag;
 pub mod settings;
 pub mod soak;
 pub mod verdict;
--- a/crates/testbed/src/platform/soak/mod.rs
+++ b/crates/testbed/src/platform/soak/mod.rs
@@ -9,6 +9,7 @@
 use crate::platform::dispatcher::{Dispatcher, Faults, Shim, send_signal};
 use crate::platform::engines::{Behaviour, Engine, Fleet};
 use crate::platform::journal::{Instance, Journal, Lifecycle, Mode};
+use crate::platform::lag::{measure_timer_lag, timer_lag};
 use crate::platform::settings::{Class, Effect, Settings};
 use crate::platform::verdict::{
     DrainNotice, ProcessEnd, Records, SlowStart, Violation, find_violations,
@@ -227,21 +228,6 @@
     Ok(soak.outcome())
 }
 
-thread_local! {
-    static TIMER_LAG: Cell<Duration> = const { Cell::new(Duration::ZERO) };
-}
-
-/// Measures the maximum delay of this thread's timers.
-async fn measure_timer_lag() {
-    const STEP: Duration = Duration::from_millis(5);
-    TIMER_LAG.set(Duration::ZERO);
-    loop {
-        let due = Instant::now() + STEP;
-        tokio::time::sleep(STEP).await;
-        TIMER_LAG.set(TIMER_LAG.get().max(due.elapsed()));
-    }
-}
-
 impl SoakRun {
     /// Starts the engines, the journal service and the dispatchers.
     async fn start(binary: &Path, seed: u64, scale: Scale) -> Result<Self, ProgramError> {
@@ -311,7 +297,7 @@
             failed: count_answers(code::FAILED),
             processes: self.nodes.iter().map(|node| node.process.get()).sum(),
             faults: self.faults.borrow().clone(),
-            lag: TIMER_LAG.get(),
+            lag: timer_lag(),
             violations: find_violations(&records, &self.settings, self.started_at),
             reported_violations: self.reported_violations.borrow().clone(),
             crashes: self.crashes.borrow().clone(),
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -17,22 +17,25 @@
 
 /// Time for which the clients hold what they can.
 const SPAN: Duration = Duration::from_secs(4);
+/// Number of hostile clients: together with the usual one, as many as the descriptors allow.
+const CROWD: usize = MAX_CLIENT_CONNECTIONS - 1;
 /// Size of a statement that makes a request one of the largest.
 const LARGE_STATEMENT_BYTES: usize = MAX_FRAME_BYTES - 200;
 
 /// The scenarios run one at a time: together their connections exceed the usual limit of descriptors.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
-/// Runs as many hostile clients as the descriptors allow, beside a usual one.
+/// Runs hostile clients beside a usual one.
 async fn run_crowd<F: Future<Output = std::io::Result<()>> + 'static>(
     name: &str,
+    hostile_clients: usize,
     prepare: impl FnOnce(&Fleet),
     use_connection: impl Fn(usize, TcpStream) -> F + Clone + Send + 'static,
 ) -> Outcome {
     let scenario = Scenario {
         binary: Path::new(env!("CARGO_BIN_EXE_hitchwinch")),
         name,
-        hostile_clients: MAX_CLIENT_CONNECTIONS - 1,
+        hostile_clients,
         span: SPAN,
     };
     let _guard = ONE_AT_A_TIME.lock().await;
@@ -66,7 +69,7 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn clients_that_stop_half_way_through_a_large_request_stay_within_the_memory_limit() {
-    assert_usual_client_is_served(&run_crowd("half", |_| {}, stop_half_way).await);
+    assert_usual_client_is_served(&run_crowd("half", CROWD, |_| {}, stop_half_way).await);
 }
 
 /// A large request, written slowly.
@@ -82,7 +85,7 @@
 #[tokio::test(flavor = "current_thread")]
 async fn clients_that_write_large_requests_slowly_stay_within_the_memory_limit() {
     // These requests are complete in the end, and compete with the usual client's for the engines.
-    assert_within_limits(&run_crowd("slow", |_| {}, write_slowly).await);
+    assert_within_limits(&run_crowd("slow", CROWD, |_| {}, write_slowly).await);
 }
 
 /// As many requests as may be open, whose heads have as many short fields as a head can have.
@@ -97,7 +100,7 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn requests_with_hundreds_of_short_fields_stay_within_the_memory_limit() {
-    assert_within_limits(&run_crowd("fields", hang, send_many_fields).await);
+    assert_within_limits(&run_crowd("fields", CROWD, hang, send_many_fields).await);
 }
 
 /// More requests than may be open, nearly all of each in the fields of its head.
@@ -113,9 +116,12 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn requests_with_large_heads_stay_within_the_memory_limit() {
-    assert_within_limits(&run_crowd("heads", hang, send_large_heads).await);
+    assert_within_limits(&run_crowd("heads", CROWD, hang, send_large_heads).await);
 }
 
+/// Number of clients that read nothing: their results together are many times the memory.
+const SILENT_READERS: usize = 100;
+
 /// As many of the largest results as may be open, of which the client reads nothing.
 async fn read_nothing(client: usize, mut tcp: TcpStream) -> std::io::Result<()> {
     for stream in 1..=MAX_OPEN_STREAMS {
@@ -133,7 +139,7 @@
             engine.result_size.set(ResultSize::Largest);
         }
     };
-    assert_within_limits(&run_crowd("results", prepare, read_nothing).await);
+    assert_within_limits(&run_crowd("results", SILENT_READERS, prepare, read_nothing).await);
 }
 
 /// Readiness requests without end, whose answers nobody reads.
@@ -146,7 +152,7 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn answers_that_no_client_reads_stay_within_the_memory_limit() {
-    let outcome = run_crowd("unread", |_| {}, ask_without_reading).await;
+    let outcome = run_crowd("unread", CROWD, |_| {}, ask_without_reading).await;
     assert!(!outcome.has_ended, "{}", outcome.summary());
     assert!(
         outcome.peak_memory_mb <= LEAST_MEMORY_MB as f64,
