Bound the arrivals that the retry budget counts, also while no query is sent

Cause: RetryUsage appended a time for each arrival and only an attempt discarded old ones, also without a budget; each attempt and each check of the budget walked all of them. Class: state that only a success prunes.

--- a/src/decision/model/request_lifecycle.rs
+++ b/src/decision/model/request_lifecycle.rs
@@ -34,7 +34,8 @@
     /// pending.
     pub(crate) fn enqueue(&mut self, mut query: Query) -> Option<QueryId> {
         query.sanitize();
-        self.retry_usage.record_arrival(self.now);
+        let budget = self.settings.rules.retry_budget;
+        self.retry_usage.record_arrival(self.now, budget);
         if query.class >= self.classes.len() || self.requests.contains_key(&query.id) {
             return None;
         }
