Bound the memory of MySQL packets, prepared statements and long data over all sessions

Cause: each session was bounded (max_packet, 256 statements), their sum was not: 256 clients, logged in or not, could each leave a packet of 1 MiB unfinished or execute one, and one session could prepare 256 statements of 1 MiB and give each as much long data. A read buffer that grew for a large packet was kept for the connection's life. Change: packets have 32 MB over all sessions until their commands have ended, prepared statements and long data 32 MB, divided among the processes of an upgrade. Without memory a packet ends its session with 1041, a PREPARE is answered with 1041, and long data is reported at execution as data above the bound is. The platform's codec and this one share transport::incoming_message. client_memory runs alone in the checks, as large_fleet does and for its reason.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 # The whole verdict, as CI asks for it: tests run the programs of the dev profile, so that nothing is built twice. What
 # moves gigabytes through the spool runs beside the rest, which mostly waits.
 LONG = spool
-# Keeps one thread busy for seconds and asserts deadlines meanwhile: nothing else runs beside it.
-ALONE = large_fleet
+# Keep one thread busy for seconds and assert deadlines meanwhile: nothing else runs beside them.
+ALONE = large_fleet client_memory
 SHORT = $(filter-out $(LONG) $(ALONE),$(basename $(notdir $(wildcard tests/*.rs crates/*/tests/*.rs))))
 check: module lint
 	cargo test --locked --workspace --no-run
--- a/crates/testbed/src/clients/mysql.rs
+++ b/crates/testbed/src/clients/mysql.rs
@@ -5,6 +5,7 @@
 use query_dispatcher::protocol::mysql::auth;
 use query_dispatcher::protocol::mysql::error::SqlError;
 use query_dispatcher::protocol::mysql::packet::*;
+use query_dispatcher::transport::memory_budget::Reservation;
 use query_dispatcher::transport::stream::{PrereadStream, Stream};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -107,6 +108,7 @@
             PacketCodec {
                 max_packet: (1 << 24) - 2,
                 sequence: 0,
+                memory: Reservation::default(),
             },
         );
         let Some(greeting) = wire.next().await else {
--- a/crates/testbed/src/fakes/engine/connection.rs
+++ b/crates/testbed/src/fakes/engine/connection.rs
@@ -9,6 +9,7 @@
 use query_dispatcher::protocol::mysql::auth;
 use query_dispatcher::protocol::mysql::error::{SqlError, code};
 use query_dispatcher::protocol::mysql::packet::*;
+use query_dispatcher::transport::memory_budget::Reservation;
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -48,6 +49,7 @@
         let codec = PacketCodec {
             max_packet: MAX_PACKET,
             sequence: 0,
+            memory: Reservation::default(),
         };
         let mut wire = Framed::new(tcp, codec);
         let Some(number) = self.log_in(&mut wire).await? else {
--- a/src/frontend/mysql/accept.rs
+++ b/src/frontend/mysql/accept.rs
@@ -106,6 +106,7 @@
         let codec = PacketCodec {
             max_packet: self.config().max_packet,
             sequence: 0,
+            memory: self.packet_memory.empty_reservation(),
         };
         FramedConnection::new(&self.buffers, Stream::from(tcp), codec)
     }
--- a/src/frontend/mysql/mod.rs
+++ b/src/frontend/mysql/mod.rs
@@ -25,6 +25,7 @@
 use crate::transport::buffer_pool::BufferPool;
 use crate::transport::connection_limiter::{Activity, ConnectionLimiter};
 use crate::transport::descriptors::DescriptorBudget;
+use crate::transport::memory_budget::MemoryBudget;
 use crate::transport::tls::TlsKeys;
 use crate::upstream::mysql::downstream::Downstream;
 use crate::upstream::mysql::work::{Output, Work};
@@ -62,6 +63,10 @@
     sticky_sessions: RefCell<StickySessionTable>,
     /// Open sessions by session number.
     sessions: RefCell<BTreeMap<u32, SessionEntry>>,
+    /// Memory of clients' packets, until their commands have ended.
+    packet_memory: MemoryBudget,
+    /// Memory of clients' prepared statements and their long data.
+    statement_memory: MemoryBudget,
     stopping: tokio::sync::watch::Sender<bool>,
     /// Whether another process accepts this dispatcher's clients.
     handed_over: Cell<bool>,
@@ -75,6 +80,11 @@
     downstream: Rc<Downstream>,
 }
 
+/// Maximum memory of all clients' packets, until their commands have ended, in bytes.
+const PACKET_MEMORY_BYTES: usize = 32 << 20;
+/// Maximum memory of all clients' prepared statements, in bytes.
+const STATEMENT_MEMORY_BYTES: usize = 32 << 20;
+
 /// Counts a pending answer to a client until it is dropped.
 struct PendingAnswerGuard<'a>(&'a Cell<usize>);
 
@@ -115,6 +125,8 @@
             tls_keys: RefCell::default(),
             sticky_sessions: RefCell::default(),
             sessions: RefCell::default(),
+            packet_memory: MemoryBudget::new(PACKET_MEMORY_BYTES),
+            statement_memory: MemoryBudget::new(STATEMENT_MEMORY_BYTES),
             stopping,
             handed_over: Cell::new(false),
             pending_answers: Cell::new(0),
@@ -139,6 +151,11 @@
     /// Sets the number of processes of this dispatcher that share the limit of clients.
     pub fn set_process_count(&self, processes: u32) {
         self.process_count.set(processes.max(1) as usize);
+        let processes = self.process_count.get();
+        self.packet_memory
+            .set_limit(PACKET_MEMORY_BYTES / processes);
+        self.statement_memory
+            .set_limit(STATEMENT_MEMORY_BYTES / processes);
         self.apply_client_limit();
     }
 
--- a/src/frontend/mysql/prepared_statements.rs
+++ b/src/frontend/mysql/prepared_statements.rs
@@ -12,6 +12,8 @@
 use crate::protocol::mysql::session::SessionContext;
 use crate::protocol::mysql::values::{self, Execute, ParameterType};
 use crate::protocol::statement::{self, StatementKind};
+use crate::transport::incoming_message::complete_purpose;
+use crate::transport::memory_budget::Reservation;
 use crate::upstream::mysql::work::{Job, Output};
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
@@ -22,6 +24,8 @@
 const STATEMENT_ID_BYTES: usize = 4;
 /// Bytes reserved for the header of COM_STMT_SEND_LONG_DATA to an engine, besides the data.
 const LONG_DATA_OVERHEAD_BYTES: usize = 16;
+/// Memory of a prepared statement beside its text and long data, in bytes.
+const STATEMENT_OVERHEAD_BYTES: usize = 512;
 /// Length in bytes of the first packet of an answer to COM_STMT_PREPARE: header, statement id, number of
 /// columns and of parameters, filler and warning count.
 const PREPARE_OK_BYTES: usize = 12;
@@ -36,6 +40,8 @@
     /// Parameter types, as the client sent them last.
     bound_types: Option<Vec<ParameterType>>,
     long_data: BTreeMap<u16, BytesMut>,
+    /// Memory of the statement's text and its long data.
+    memory: Reservation,
     /// Long data exceeded its limit; reported at execution, since COM_STMT_SEND_LONG_DATA has no answer.
     long_data_too_large: bool,
     /// Set if the frontend answers the statement instead of an engine.
@@ -85,6 +91,7 @@
     pub(super) fn reset(&mut self, body: &Bytes) -> Result<(), SqlError> {
         let statement = self.get(body)?;
         statement.long_data.clear();
+        statement.reserve_long_data(0);
         statement.long_data_too_large = false;
         statement.cursor = None;
         Ok(())
@@ -117,9 +124,16 @@
 }
 
 impl PreparedStatement {
+    /// Reserves memory for the statement with this number of bytes of long data; returns whether there is enough.
+    fn reserve_long_data(&mut self, bytes: usize) -> bool {
+        self.memory
+            .resize(statement_memory_bytes(&self.sql) + bytes)
+    }
+
     /// Reads the flags and parameters of COM_STMT_EXECUTE, and consumes the long data sent before.
     fn bind(&mut self, body: &Bytes) -> Result<Execution, SqlError> {
         let long_data = std::mem::take(&mut self.long_data);
+        self.reserve_long_data(0);
         self.cursor = None;
         if std::mem::take(&mut self.long_data_too_large) {
             return Err(SqlError::new(
@@ -164,6 +178,11 @@
     }
 }
 
+/// Returns the memory of a prepared statement without long data, in bytes.
+fn statement_memory_bytes(sql: &[u8]) -> usize {
+    sql.len() + STATEMENT_OVERHEAD_BYTES
+}
+
 fn truncated_error(_: PacketError) -> SqlError {
     SqlError::new(code::ER_MALFORMED_PACKET, "the command ends too early")
 }
@@ -201,6 +220,14 @@
             let error = SqlError::new(code::ER_MAX_PREPARED_STMT_COUNT_REACHED, message);
             return self.send_error(&error).await;
         }
+        let statement_bytes = statement_memory_bytes(&sql);
+        let purpose = complete_purpose(statement_bytes);
+        let budget = &self.frontend.statement_memory;
+        let Some(memory) = budget.reserve(statement_bytes, purpose) else {
+            let message = "there is no memory for another prepared statement now";
+            let error = SqlError::new(code::ER_OUT_OF_RESOURCES, message);
+            return self.send_error(&error).await;
+        };
         let description = match &administrative {
             Some(statement) => match self.describe_administrative(statement).await {
                 Ok(description) => description,
@@ -225,6 +252,7 @@
             parameter_count: 0,
             bound_types: None,
             long_data: BTreeMap::new(),
+            memory,
             long_data_too_large: false,
             administrative,
             cursor: None,
@@ -306,7 +334,8 @@
         let collected: usize = statement.long_data.values().map(BytesMut::len).sum();
         // All long data of the statement together has to fit in one packet to the engine.
         let is_too_large = collected + data.len() + LONG_DATA_OVERHEAD_BYTES > max_packet;
-        if is_too_large || usize::from(parameter) >= statement.parameter_count {
+        let is_invalid = is_too_large || usize::from(parameter) >= statement.parameter_count;
+        if is_invalid || !statement.reserve_long_data(collected + data.len()) {
             statement.long_data_too_large = true;
             return;
         }
--- a/src/frontend/mysql/session.rs
+++ b/src/frontend/mysql/session.rs
@@ -160,6 +160,7 @@
         }
         // The client has received the answer or has disconnected.
         self.answer_pending = false;
+        self.connection.codec_mut().release_memory();
         end
     }
 
@@ -190,6 +191,7 @@
                 return Ok(());
             }
             PacketError::TooLarge(_) => code::ER_NET_PACKET_TOO_LARGE,
+            PacketError::OutOfMemory(_) => code::ER_OUT_OF_RESOURCES,
             _ => code::ER_MALFORMED_PACKET,
         };
         self.connection.codec_mut().sequence = 1;
--- a/src/protocol/frames.rs
+++ b/src/protocol/frames.rs
@@ -5,6 +5,9 @@
 //! bytes.
 
 use crate::transport::buffer_pool::BUFFER_BYTES;
+use crate::transport::incoming_message::{
+    complete_purpose, copy_with_capacity, reserve_rest, shrink_if_empty,
+};
 use crate::transport::memory_budget::{MemoryBudget, Purpose, Reservation};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::borrow::Cow;
@@ -43,8 +46,6 @@
 const HEADER_BYTES: usize = 5;
 /// Maximum length, in bytes, of a frame without the length itself.
 const MAX_LENGTH: usize = 262_144;
-/// Maximum capacity of a buffer that the connection gets from the pool, or gives back to it.
-const MAX_SHARED_BUFFER_BYTES: usize = 2 * BUFFER_BYTES;
 /// Memory that an open request takes beside its payload, in bytes: its records in the router, in the decision module
 /// and on a connection to an engine.
 const OPEN_REQUEST_BYTES: usize = 2048;
@@ -222,31 +223,6 @@
     }
 }
 
-/// Makes room in `src` for more of a payload of `bytes` bytes, at most twice of what has arrived; returns whether
-/// the reservation allows it.
-fn reserve_rest(src: &mut BytesMut, bytes: usize, memory: &mut Reservation) -> bool {
-    let is_full = src.len() == src.capacity();
-    let capacity = match src.capacity() {
-        _ if is_full => bytes.min(2 * src.len()),
-        // The connection stores what has arrived in a buffer of that size while it waits for more.
-        0..=MAX_SHARED_BUFFER_BYTES => src.len(),
-        capacity => capacity,
-    };
-    if !memory.resize(capacity) {
-        return false;
-    }
-    if is_full {
-        *src = copy_with_capacity(src, capacity);
-    }
-    true
-}
-
-fn copy_with_capacity(bytes: &[u8], capacity: usize) -> BytesMut {
-    let mut copy = BytesMut::with_capacity(capacity);
-    copy.extend_from_slice(bytes);
-    copy
-}
-
 /// Takes a complete payload out of `src`; returns [`Payload::Denied`] if an open request's memory is not available.
 fn take_payload(src: &mut BytesMut, bytes: usize, mut memory: Reservation) -> Payload {
     memory.set_purpose(complete_purpose(bytes));
@@ -271,14 +247,6 @@
     }
 }
 
-/// Returns what the memory of a complete payload of this size is held for.
-fn complete_purpose(bytes: usize) -> Purpose {
-    match bytes {
-        0..=BUFFER_BYTES => Purpose::Small,
-        _ => Purpose::Large,
-    }
-}
-
 /// Takes a payload with the buffer that holds it; what follows it moves to a new buffer.
 fn take_large_payload(src: &mut BytesMut, bytes: usize) -> Bytes {
     let payload = src.split_to(bytes);
@@ -286,13 +254,6 @@
     payload.freeze()
 }
 
-/// Releases a buffer that grew for a large frame: if every connection kept one, they would exhaust memory.
-fn shrink_if_empty(src: &mut BytesMut) {
-    if src.is_empty() && src.capacity() > MAX_SHARED_BUFFER_BYTES {
-        *src = BytesMut::with_capacity(BUFFER_BYTES);
-    }
-}
-
 impl Decoder for FrameCodec {
     type Item = Frame;
     type Error = FrameError;
--- a/src/protocol/mysql/error.rs
+++ b/src/protocol/mysql/error.rs
@@ -43,6 +43,8 @@
     use super::ErrorCode;
 
     /// The request was rejected: nothing ran, or the request is safe to retry. The message contains
+    /// Too little memory is left.
+    pub const ER_OUT_OF_RESOURCES: ErrorCode = ErrorCode::new(1041, "HY000");
     /// the retry delay.
     pub const ER_SERVER_ISNT_AVAILABLE: ErrorCode = ErrorCode::new(3168, "HY000");
     /// The request's deadline has passed.
--- a/src/protocol/mysql/packet/codec.rs
+++ b/src/protocol/mysql/packet/codec.rs
@@ -1,6 +1,8 @@
 //! Packet framing: a length of three bytes, a sequence number and the payload.
 
 use super::error::PacketError;
+use crate::transport::incoming_message::{complete_purpose, reserve_rest, shrink_if_empty};
+use crate::transport::memory_budget::{Purpose, Reservation};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use std::io;
@@ -17,6 +19,15 @@
     pub max_packet: usize,
     /// The sequence number of the next packet, in either direction.
     pub sequence: u8,
+    /// Memory of the packet that is being received, or was received last. A default reservation has no limit.
+    pub memory: Reservation,
+}
+
+impl PacketCodec {
+    /// Frees the memory of the packet that was received last, once its command has ended.
+    pub fn release_memory(&mut self) {
+        self.memory.resize(0);
+    }
 }
 
 impl Decoder for PacketCodec {
@@ -37,13 +48,21 @@
         }
         let packet_bytes = HEADER_BYTES + length;
         if buffer.len() < packet_bytes {
-            buffer.reserve(packet_bytes - buffer.len());
+            self.memory.set_purpose(Purpose::Unfinished);
+            if !reserve_rest(buffer, packet_bytes, &mut self.memory) {
+                return Err(PacketError::OutOfMemory(length));
+            }
             return Ok(None);
         }
+        self.memory.set_purpose(complete_purpose(length));
+        if !self.memory.resize(length) {
+            return Err(PacketError::OutOfMemory(length));
+        }
         self.sequence = sequence.wrapping_add(1);
         buffer.advance(HEADER_BYTES);
         let payload = Bytes::copy_from_slice(&buffer[..length]);
         buffer.advance(length);
+        shrink_if_empty(buffer);
         Ok(Some(payload))
     }
 }
--- a/src/protocol/mysql/packet/error.rs
+++ b/src/protocol/mysql/packet/error.rs
@@ -10,6 +10,9 @@
     /// A packet is larger than the limit of the codec; contains its length in bytes.
     #[error("a packet of {0} bytes is above the bound")]
     TooLarge(usize),
+    /// Clients hold all the memory that their packets may take; contains the packet's length in bytes.
+    #[error("there is no memory for a packet of {0} bytes now")]
+    OutOfMemory(usize),
     /// The payload ends before a field is complete.
     #[error("a packet ends too early")]
     Truncated,
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod connection_limiter;
 pub mod descriptors;
 pub mod framed_connection;
+pub mod incoming_message;
 pub mod listener;
 pub mod memory_budget;
 pub mod pending_input;
--- a/src/upstream/mysql/login.rs
+++ b/src/upstream/mysql/login.rs
@@ -10,6 +10,7 @@
 };
 use crate::transport::buffer_pool::BufferPool;
 use crate::transport::framed_connection::FramedConnection;
+use crate::transport::memory_budget::Reservation;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use std::io;
@@ -42,6 +43,7 @@
         let codec = PacketCodec {
             max_packet: self.credentials.max_packet,
             sequence: 0,
+            memory: Reservation::default(),
         };
         let mut wire = FramedConnection::new(&self.buffers, tcp.into(), codec);
         let number = tokio::time::timeout(limit, self.log_in(&mut wire))
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -16,6 +16,7 @@
 use query_dispatcher::protocol::mysql::packet::*;
 use query_dispatcher::spool_io::Spools;
 use query_dispatcher::transport::buffer_pool::BufferPool;
+use query_dispatcher::transport::memory_budget::Reservation;
 use query_dispatcher::upstream::mysql::MysqlUpstream;
 use scenario::*;
 use std::collections::{BTreeSet, HashMap};
@@ -38,6 +39,7 @@
         PacketCodec {
             max_packet: 1 << 20,
             sequence: 0,
+            memory: Reservation::default(),
         },
     )
 }
--- a/tests/mysql_client_disconnect.rs
+++ b/tests/mysql_client_disconnect.rs
@@ -23,6 +23,7 @@
 use query_dispatcher::spool_io::Spools;
 use query_dispatcher::sticky_sessions::StickySessionLimits;
 use query_dispatcher::transport::buffer_pool::BufferPool;
+use query_dispatcher::transport::memory_budget::Reservation;
 use query_dispatcher::transport::tls::TlsKeys;
 use query_dispatcher::upstream::mysql::MysqlUpstream;
 use scenario::*;
@@ -60,6 +61,7 @@
         PacketCodec {
             max_packet: 1 << 20,
             sequence: 0,
+            memory: Reservation::default(),
         },
     )
 }
@@ -70,6 +72,7 @@
         PacketCodec {
             max_packet: 1 << 20,
             sequence,
+            memory: Reservation::default(),
         },
         BytesMut::new(),
     );
