Tell processes of a dispatcher apart that have the same process id

Cause: a living process is a locked file named after its process id. Two processes in PID namespaces of their own may have the same id; the second's file took the place of the first's. Class: an identity that is unique in one scope only. Change: the file's name has a random number behind the id. Result: the unit test (two registries of one process on one folder) counts 2; before, the second open replaced the first's file, so that each counted 1 (by reading; the test was written after the change).

--- a/src/server/instance_registry.rs
+++ b/src/server/instance_registry.rs
@@ -10,9 +10,9 @@
 
 /// Name of the dispatcher's subdirectory of the configured directory.
 pub(super) const DIRECTORY: &str = "hitchwinch";
-/// File name prefix of live processes; the process id follows it.
+/// File name prefix of live processes; the process id and a random number follow it.
 const PROCESS_PREFIX: &str = "here-";
-/// File name prefix of a process's file before the file is locked; the process id follows it.
+/// File name prefix of a process's file before the file is locked; what follows is the same.
 const DRAFT_PREFIX: &str = "new-";
 /// File name prefix of drained engines; the encoded engine id follows it.
 const DRAINED_PREFIX: &str = "out-";
@@ -42,13 +42,15 @@
             return Ok(InstanceRegistry(None));
         };
         std::fs::create_dir_all(&path)?;
-        let process_id = std::process::id();
+        // The process id alone does not identify a process: each PID namespace has its own, and ids are used again.
+        let random = getrandom::u64().map_err(|error| io::Error::other(error.to_string()))?;
+        let instance = format!("{}-{random:016x}", std::process::id());
         // The file is locked before it gets its final name, because other processes take an unlocked file of
         // that name for one of a process that has ended.
-        let draft = path.join(format!("{DRAFT_PREFIX}{process_id}"));
+        let draft = path.join(format!("{DRAFT_PREFIX}{instance}"));
         let process_file = File::create(&draft)?;
         process_file.try_lock()?;
-        let process_file_name = OsString::from(format!("{PROCESS_PREFIX}{process_id}"));
+        let process_file_name = OsString::from(format!("{PROCESS_PREFIX}{instance}"));
         std::fs::rename(draft, path.join(&process_file_name))?;
         Ok(InstanceRegistry(Some(Directory {
             path,
--- a/src/server/instance_registry/tests.rs
+++ b/src/server/instance_registry/tests.rs
@@ -28,3 +28,17 @@
     std::fs::remove_dir_all(directory).unwrap();
     assert_eq!(decode_engine_id("%4"), None);
 }
+
+/// Guards against a process that is taken for another one with the same process id, as in another PID namespace.
+#[test]
+fn processes_with_the_same_id_are_counted_apart() {
+    let parent = std::env::temp_dir().join(format!("hitchwinch-same-id-{}", std::process::id()));
+    std::fs::create_dir_all(&parent).unwrap();
+    let first = InstanceRegistry::open(Some(&parent)).unwrap();
+    let second = InstanceRegistry::open(Some(&parent)).unwrap();
+    assert_eq!(first.live_process_count().unwrap(), 2);
+    assert_eq!(second.live_process_count().unwrap(), 2);
+    drop(first);
+    assert_eq!(second.live_process_count().unwrap(), 1);
+    std::fs::remove_dir_all(parent).unwrap();
+}
