Bound an engine's reply as a whole, not only each of its strings

Change: a reply is at most 68 KB; a valid one has a page of 6,000 bytes. Result: unit test; no run with real processes showed it.

--- a/src/protocol/resp/mod.rs
+++ b/src/protocol/resp/mod.rs
@@ -12,6 +12,9 @@
 const MAX_STRINGS: usize = 16;
 /// Maximum size of a string from an engine, in bytes.
 const MAX_STRING_BYTES: usize = 64 * 1024;
+/// Maximum size of an array from an engine, in bytes. A valid one has a page of 6,000 bytes; with 16 strings of the largest
+/// size each, hundreds of connections could exhaust memory.
+const MAX_ARRAY_BYTES: usize = MAX_STRING_BYTES + 4096;
 /// Number of bytes in which the digits of a length must end; a length has fewer digits than this.
 const MAX_LENGTH_DIGITS: usize = 12;
 
@@ -86,6 +89,9 @@
             };
             offset += used;
             let end = offset + length;
+            if end > MAX_ARRAY_BYTES {
+                return Err(RespError::Length(end));
+            }
             if src.len() < end + 2 {
                 return Ok(None);
             }
@@ -115,3 +121,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
