--- a/crates/testbed/src/platform/engines.rs
+++ b/crates/testbed/src/platform/engines.rs
@@ -107,7 +107,18 @@
 
     /// Starts one more engine.
     pub async fn add(&mut self, execution_time: Duration, slots: usize) -> io::Result<Rc<Engine>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let any_address = SocketAddr::from(([127, 0, 0, 1], 0));
+        self.add_at(any_address, execution_time, slots).await
+    }
+
+    /// Starts one more engine at this address, which an engine that is gone may have had before.
+    pub async fn add_at(
+        &mut self,
+        address: SocketAddr,
+        execution_time: Duration,
+        slots: usize,
+    ) -> io::Result<Rc<Engine>> {
+        let listener = TcpListener::bind(address).await?;
         let engine = Rc::new(Engine {
             number: self.engines.len(),
             address: listener.local_addr()?,
@@ -157,6 +168,14 @@
         self.reset_connections();
     }
 
+    /// Simulates the loss of the machine: open connections stay open and silent, and the address is free again.
+    pub fn vanish(&self) {
+        self.behaviour.set(Behaviour::Hanging);
+        if let Some(listener) = self.listener.take() {
+            listener.abort();
+        }
+    }
+
     /// Resets every connection to the engine.
     pub fn reset_connections(&self) {
         for connection in self.connections.borrow_mut().drain(..) {
