Wait for the complete list, not only for no held engine, in the test of a shrinking list

Cause: the test failed once in the whole checks beside a build: 'engines are held again' was not seen. Traced: where the test is late by more than the hold of 3 s, the hold has ended with 199 engines removed, 'no engine is held' is true at once, and both faults of the list fall into one poll, so that the list is never seen complete and nothing can vanish again. Change: the condition also asks for more than one ready engine, which holds only after the complete list was taken. It is stricter than before.

--- a/tests/eureka.rs
+++ b/tests/eureka.rs
@@ -376,7 +376,9 @@
         // effect.
         node.set_fault(Fault::None);
         program
-            .wait_for_members("no engine is held", |page| page["counts"]["held"] == 0)
+            .wait_for_members("the list is complete and no engine is held", |page| {
+                page["counts"]["held"] == 0 && page["counts"]["ready"].as_u64() > Some(1)
+            })
             .await
             .unwrap();
         // If the list stays short, the hold ends and the engines are removed.
