Play hostile clients in half of the soak's runs, at 32 MB, and check each process's peak memory

Cause: the soak had crowds of idle clients, and none that hold what they can; memory was not checked. A process over its limit is a crash.

--- a/crates/testbed/src/platform/hostile_clients.rs
+++ b/crates/testbed/src/platform/hostile_clients.rs
@@ -203,8 +203,12 @@
     }
 }
 
-/// Runs all hostile clients until `stopped`, on a thread of their own: they delay no other client here.
-fn run_hostile_clients<F: Future<Output = io::Result<()>> + 'static>(
+/// Runs hostile clients on a runtime of their own until `stopped`, for a thread of their own: they delay no other client
+/// of the test.
+///
+/// # Errors
+/// The runtime cannot be built.
+pub fn run_hostile_clients<F: Future<Output = io::Result<()>> + 'static>(
     address: SocketAddr,
     count: usize,
     use_connection: impl Fn(usize, TcpStream) -> F + Clone + 'static,
--- a/crates/testbed/src/platform/soak/mod.rs
+++ b/crates/testbed/src/platform/soak/mod.rs
@@ -3,11 +3,13 @@
 
 mod clients;
 mod engine_faults;
+mod hostile_clients;
 mod process_faults;
 
 use crate::platform::clients::{Connection, RequestLog, Target};
 use crate::platform::dispatcher::{Dispatcher, Faults, Shim, send_signal};
 use crate::platform::engines::{Behaviour, Engine, Fleet};
+use crate::platform::hostile_clients::LEAST_MEMORY_MB;
 use crate::platform::journal::{Instance, Journal, Lifecycle, Mode};
 use crate::platform::lag::{measure_timer_lag, timer_lag};
 use crate::platform::settings::{Class, Effect, Settings};
@@ -50,12 +52,17 @@
     pub span: Duration,
     /// Number of idle connections that are opened at once; 0 for none.
     pub crowd: usize,
+    /// Number of hostile clients that connect at once; 0 for none.
+    pub hostile_clients: usize,
+    /// Memory limit of a dispatcher, in megabytes.
+    pub memory_mb: usize,
 }
 
 impl Scale {
     /// Draws the size of a run from its seed: some runs have bursts of idle connections, some many engines.
     pub fn draw(seed: u64, span: Duration) -> Self {
         let mut random = Streams::new(seed).stream("scale");
+        let has_hostile_clients = Streams::new(seed).stream("hostile").chance(0.5);
         Scale {
             dispatchers: 6 + random.below(7),
             engines: match random.below(4) {
@@ -66,6 +73,12 @@
             think_time_ms: 150.0,
             span,
             crowd: if random.chance(0.3) { 500 } else { 0 },
+            hostile_clients: if has_hostile_clients { 150 } else { 0 },
+            memory_mb: if has_hostile_clients {
+                LEAST_MEMORY_MB
+            } else {
+                192
+            },
         }
     }
 }
@@ -86,8 +99,10 @@
     pub violations: Vec<Violation>,
     /// Number of violations that the dispatchers reported themselves, by name.
     pub reported_violations: BTreeMap<String, u64>,
-    /// Processes that exited by themselves with an error, or did not start.
+    /// Processes that exited by themselves with an error, did not start, or passed their memory limit.
     pub crashes: Vec<String>,
+    /// Highest peak memory of a process, in megabytes.
+    pub peak_memory_mb: f64,
     /// Log lines by process.
     pub logs: BTreeMap<String, Vec<String>>,
 }
@@ -104,14 +119,15 @@
         let violations = self.violations.iter().take(6);
         let violations: String = violations.map(|v| format!("\n    {v:?}")).collect();
         format!(
-            "{} requests, {} attempts, {} served, {} refused, {} failed, {} processes, faults {:?}, judge late by \
-             {:?}{}, counted {:?}, crashes {:?}, {} violations{violations}",
+            "{} requests, {} attempts, {} served, {} refused, {} failed, {} processes, {:.1} MB at most, faults {:?}, \
+             judge late by {:?}{}, counted {:?}, crashes {:?}, {} violations{violations}",
             self.requests,
             self.attempts,
             self.served,
             self.refused,
             self.failed,
             self.processes,
+            self.peak_memory_mb,
             self.faults,
             self.lag,
             if self.is_void() { " (void)" } else { "" },
@@ -151,6 +167,7 @@
         ],
         dispatchers: scale.dispatchers,
         cores: 2.0,
+        memory_mb: scale.memory_mb,
         ..Settings::default()
     }
 }
@@ -178,6 +195,7 @@
     records: RefCell<Records>,
     faults: RefCell<BTreeMap<&'static str, usize>>,
     crashes: RefCell<Vec<String>>,
+    peak_memory_mb: Cell<f64>,
     logs: RefCell<BTreeMap<String, Vec<String>>>,
     reported_violations: RefCell<BTreeMap<String, u64>>,
     journal_restored_at: Cell<Option<Instant>>,
@@ -211,6 +229,10 @@
         spawn_local(soak.clone().signals(streams.stream("signals"))),
         spawn_local(soak.clone().machine_faults(streams.stream("machines"))),
         spawn_local(soak.clone().crowds(streams.stream("crowds"))),
+        spawn_local(
+            soak.clone()
+                .hostile_clients(streams.stream("hostile clients")),
+        ),
     ];
     tokio::time::sleep(scale.span).await;
     faults.iter().for_each(JoinHandle::abort);
@@ -257,6 +279,7 @@
             records: RefCell::default(),
             faults: RefCell::default(),
             crashes: RefCell::default(),
+            peak_memory_mb: Cell::new(0.0),
             logs: RefCell::default(),
             reported_violations: RefCell::default(),
             journal_restored_at: Cell::new(None),
@@ -301,6 +324,7 @@
             violations: find_violations(&records, &self.settings, self.started_at),
             reported_violations: self.reported_violations.borrow().clone(),
             crashes: self.crashes.borrow().clone(),
+            peak_memory_mb: self.peak_memory_mb.get(),
             logs: self.logs.borrow().clone(),
         }
     }
--- a/crates/testbed/src/platform/soak/process_faults.rs
+++ b/crates/testbed/src/platform/soak/process_faults.rs
@@ -92,6 +92,9 @@
     /// Sends SIGTERM, then SIGKILL after the shortest delay that operators use.
     pub(super) async fn stop(self: Rc<Self>, node: Rc<Node>) {
         node.is_busy.set(true);
+        if let Some(process) = node.dispatcher.borrow().as_ref() {
+            self.check_memory(&node, process);
+        }
         signal(&node, "TERM").await;
         // A second SIGTERM and a reload have no effect during the shutdown.
         tokio::time::sleep(SIGKILL_DELAY / 4).await;
@@ -118,6 +121,7 @@
         let Some(mut process) = process else {
             return;
         };
+        self.check_memory(node, &process);
         let status = process.wait_for_exit(Duration::from_millis(1)).await;
         if status.is_some() {
             self.record_crash(node, &process, status);
