Read the page of clients in the test of repeated ids

Cause: GET /_clients had no test over HTTP. Change: the test of an id that comes again after its answer asks for the page.

--- a/tests/request_ids.rs
+++ b/tests/request_ids.rs
@@ -169,6 +169,13 @@
         assert_eq!(first, Some(code::SERVED));
         let again = answer_code(&dispatcher, "load", ID).await;
         assert_eq!(environment.runs(ID), 1, "the second answer was {again:?}");
+        let page = dispatcher.fetch_page("/_clients").await.unwrap();
+        for line in [
+            "rejected.id_may_have_run=1",
+            "memory.requests.limit=8388608",
+        ] {
+            assert!(page.lines().any(|other| other == line), "{line} in {page}");
+        }
     };
     LocalSet::new().run_until(run).await;
 }
