Bound the texts of statements that a connection to a MySQL engine keeps prepared

Change: 256 KB of texts on each connection, or the last statement alone; the oldest are closed, and prepared again when they are executed.

--- a/src/upstream/mysql/prepared_statements.rs
+++ b/src/upstream/mysql/prepared_statements.rs
@@ -8,6 +8,9 @@
 /// never reached.
 const MAX_STATEMENTS: usize = 64;
 
+/// Maximum size of the texts of these statements together, in bytes, unless the last one alone is larger.
+const MAX_TEXT_BYTES: usize = 256 * 1024;
+
 /// A statement and the context in which its names were resolved.
 pub(super) type StatementKey = (SessionContext, Bytes);
 
@@ -17,6 +20,8 @@
     ids: HashMap<StatementKey, u32>,
     /// Statements in the order of their preparation; may include some that the engine no longer knows.
     oldest_first: VecDeque<StatementKey>,
+    /// Size of the texts in `oldest_first`.
+    text_bytes: usize,
 }
 
 impl PreparedStatements {
@@ -37,13 +42,25 @@
     /// close them.
     pub(super) fn insert(&mut self, key: StatementKey, id: u32) -> Vec<u32> {
         let mut replaced = vec![];
-        while self.oldest_first.len() >= MAX_STATEMENTS {
-            let oldest = self.oldest_first.pop_front();
-            replaced.extend(oldest.and_then(|key| self.ids.remove(&key)));
-        }
         self.oldest_first.retain(|other| *other != key);
+        self.text_bytes = self.oldest_first.iter().map(text_bytes).sum();
+        while (self.oldest_first.len() >= MAX_STATEMENTS
+            || self.text_bytes + text_bytes(&key) > MAX_TEXT_BYTES)
+            && let Some(oldest) = self.oldest_first.pop_front()
+        {
+            self.text_bytes -= text_bytes(&oldest);
+            replaced.extend(self.ids.remove(&oldest));
+        }
+        self.text_bytes += text_bytes(&key);
         replaced.extend(self.ids.insert(key.clone(), id));
         self.oldest_first.push_back(key);
         replaced
     }
 }
+
+fn text_bytes((_, sql): &StatementKey) -> usize {
+    sql.len()
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/mysql_memory.rs
+++ b/tests/mysql_memory.rs
@@ -4,7 +4,7 @@
 
 mod session_fixture;
 
-use query_dispatcher::protocol::mysql::packet::COM_STMT_SEND_LONG_DATA;
+use query_dispatcher::protocol::mysql::packet::{COM_STMT_CLOSE, COM_STMT_SEND_LONG_DATA};
 use session_fixture::{Fixture, query_rows, run, sleep_ms, start};
 use testbed::clients::mysql::error;
 use tokio::io::AsyncWriteExt;
@@ -90,3 +90,28 @@
         assert_eq!(query_rows(&mut usual, "select 1").await.len(), 1);
     });
 }
+
+/// Guards against the texts of statements that connections to engines keep prepared after their sessions closed them.
+#[test]
+fn long_statements_that_are_prepared_and_closed_stay_within_the_memory_limit() {
+    /// Largest growth of the process's memory, in megabytes.
+    const MAX_GROWTH_MB: f64 = 32.0;
+    run(async {
+        let fixture = start("closed-statements", 1, "", "").await;
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "select 1").await;
+        let (_, memory_before) = fixture.program.memory();
+        let padding = "x".repeat(LARGE_PACKET_BYTES);
+        for number in 0..70 {
+            let sql = format!("insert into t values ({number}, '{padding}')");
+            let (id, _) = session.prepare(&sql).await.unwrap();
+            session
+                .send(COM_STMT_CLOSE, &[&id.to_le_bytes()])
+                .await
+                .unwrap();
+        }
+        let (_, memory_after) = fixture.program.memory();
+        println!("{memory_before:.1} to {memory_after:.1} MB");
+        assert!(memory_after - memory_before < MAX_GROWTH_MB);
+    });
+}
