--- a/src/frontend/frames/client.rs
+++ b/src/frontend/frames/client.rs
@@ -1,13 +1,14 @@
 //! Tracks the requests of one client: open requests, frames that were read ahead, and frames that were
 //! rejected unprocessed.
 
-use crate::core::{RejectionReason, RequestId, RequestOutcome};
+use crate::core::{NewRequest, RejectionReason, RequestId, RequestOutcome};
 use crate::decision::model::Millis;
 use crate::dispatch::{Reply, Upstream};
 use crate::frontend::frames::replies::{
     QueuedReply, enqueue_answer, enqueue_readiness, enqueue_reply,
 };
 use crate::frontend::frames::request::{InvalidRequest, Work, parse_class, parse_request};
+use crate::frontend::frames::request_ids::ReservedId;
 use crate::frontend::frames::statistics::RejectionCause;
 use crate::frontend::frames::stream_numbers::StreamNumbers;
 use crate::frontend::frames::{FramedConnection, Frontend};
@@ -289,26 +290,9 @@
         let frontend = self.frontend;
         let stream = frame.stream;
         let parsed = parse_request(&frontend.router, &frame.payload, frame.arrived)?;
-        if let Ok((request, _)) = &parsed
-            && self.open.by_stream.len() >= MAX_OPEN_STREAMS
-        {
-            self.record_protocol_error();
-            let router = &frontend.router;
-            router.record_frontend_answer(request.class, RequestOutcome::Overload);
-            let statistics = &frontend.statistics;
-            statistics.record_rejection(RejectionCause::TooManyOpen);
-            return enqueue_limit_exceeded(wire, stream);
-        }
-        let with_id = parsed.and_then(|(request, work)| {
-            // An engine takes two requests with one id for the same, and the first may be another client's.
-            let must_not_run_twice = !frontend.router.is_idempotent(request.class);
-            match frontend.ids.reserve(&work.txn, must_not_run_twice) {
-                Ok(id) => Ok((request, work, id)),
-                Err(conflict) => Err(InvalidRequest::id_conflict(request.class, conflict)),
-            }
-        });
-        let (request, mut work, id) = match with_id {
-            Ok(with_id) => with_id,
+        let admitted = parsed.and_then(|(request, work)| self.admit(request, work));
+        let (request, mut work, id) = match admitted {
+            Ok(admitted) => admitted,
             Err(invalid) => return self.answer_invalid(wire, stream, &invalid),
         };
         work.attach(frame.memory, id, self.socket.clone());
@@ -326,6 +310,24 @@
         Ok(())
     }
 
+    /// Reserves the id of a request, unless too many are open.
+    fn admit(
+        &self,
+        request: NewRequest,
+        work: Work,
+    ) -> Result<(NewRequest, Work, ReservedId), InvalidRequest> {
+        if self.open.by_stream.len() >= MAX_OPEN_STREAMS {
+            return Err(InvalidRequest::too_many_open(request.class));
+        }
+        // An engine takes two requests with one id for the same, and the first may be another client's.
+        let must_not_run_twice = !self.frontend.router.is_idempotent(request.class);
+        match self.frontend.ids.reserve(&work.txn, must_not_run_twice) {
+            Ok(id) => Ok((request, work, id)),
+            Err(conflict) => Err(InvalidRequest::id_conflict(request.class, conflict)),
+        }
+    }
+
+    /// Answers a request that is not opened: as failed, or as refused if it never ran and may be sent again.
     fn answer_invalid(
         &mut self,
         wire: &mut FramedConnection,
@@ -334,15 +336,15 @@
     ) -> Result<(), FrameError> {
         self.record_protocol_error();
         self.frontend.statistics.record_rejection(invalid.cause);
-        let never_ran = invalid.cause == RejectionCause::IdsUnavailable;
+        let may_be_retried = invalid.cause.may_be_retried();
         if let Some(class) = invalid.class {
-            let outcome = match never_ran {
+            let outcome = match may_be_retried {
                 true => RequestOutcome::Overload,
                 false => RequestOutcome::Error,
             };
             self.frontend.router.record_frontend_answer(class, outcome);
         }
-        if never_ran {
+        if may_be_retried {
             return enqueue_limit_exceeded(wire, stream);
         }
         enqueue_answer(wire, stream, code::FAILED, invalid.reason.as_bytes())
--- a/src/frontend/frames/request.rs
+++ b/src/frontend/frames/request.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// The reason why a request fails before it is opened.
+/// The reason why a request is answered without being opened.
 pub(super) struct InvalidRequest {
     /// The class that the request names, if it is known.
     pub(super) class: Option<ClassId>,
@@ -78,6 +78,15 @@
 }
 
 impl InvalidRequest {
+    /// Describes a request beyond those that may be open on its connection.
+    pub(super) fn too_many_open(class: ClassId) -> Self {
+        InvalidRequest {
+            class: Some(class),
+            cause: RejectionCause::TooManyOpen,
+            reason: "too many requests are open on the connection".to_string(),
+        }
+    }
+
     /// Describes a request whose id cannot be used.
     pub(super) fn id_conflict(class: ClassId, conflict: IdConflict) -> Self {
         let (cause, reason) = match conflict {
--- a/src/frontend/frames/statistics.rs
+++ b/src/frontend/frames/statistics.rs
@@ -98,6 +98,20 @@
         RejectionCause::AnswerMemory,
     ];
 
+    /// Returns whether the request never ran, and may be sent again as it is.
+    pub(super) fn may_be_retried(self) -> bool {
+        match self {
+            RejectionCause::Invalid
+            | RejectionCause::IdIsOpen
+            | RejectionCause::IdMayHaveRun
+            | RejectionCause::AnswerMemory => false,
+            RejectionCause::IdsUnavailable
+            | RejectionCause::TooManyOpen
+            | RejectionCause::ReadAheadFull
+            | RejectionCause::RequestMemory => true,
+        }
+    }
+
     fn name(self) -> &'static str {
         match self {
             RejectionCause::Invalid => "invalid",
