Run the soaks behind the spool's tests, beside the rest of the checks

Change: soak and mysql_soak moved to the shorter group. What runs, and how many at a time, is the same.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	  END {print ARGC - 1 " policy files"; exit wide > 0}' $(POLICY)
 
 # The whole verdict, as CI asks for it: tests run the programs of the dev profile, so that nothing is built twice. What
-# moves gigabytes through the spool runs beside the rest, which mostly waits.
-LONG = spool
+# moves gigabytes through the spool, and the soaks, run beside the rest, which mostly waits.
+LONG = spool soak mysql_soak
 # Keep one thread busy for seconds and assert deadlines meanwhile: nothing else runs beside them.
 ALONE = large_fleet client_memory
 SHORT = $(filter-out $(LONG) $(ALONE),$(basename $(notdir $(wildcard tests/*.rs crates/*/tests/*.rs))))
