Let four late heartbeats hide no more than engines may be given beyond a client's time

Engines got: a limit 0.162 s above what the client had left; the term allows 0.15 s. Cause: the busy period counted heartbeats late by over 60 ms, and a new connection's first request waits for four rounds of the tasks: 0.24 s could pass unseen. Change: the heartbeat comes every 20 ms (40 before), and is late above 30 ms: four rounds hide 0.12 s. The unit tests of the period have ordinary heartbeats every 20 ms now, and one more holds the product of both constants below the slack.

--- a/src/dispatch/standstill.rs
+++ b/src/dispatch/standstill.rs
@@ -9,12 +9,12 @@
 use std::collections::VecDeque;
 
 /// Maximum time between two heartbeats of a running process, in milliseconds.
-pub(super) const HEARTBEAT_INTERVAL_MS: Millis = 40.0;
+pub(super) const HEARTBEAT_INTERVAL_MS: Millis = 20.0;
 /// Time between two heartbeats above which the process counts as having stood still, in milliseconds.
 const STANDSTILL_MS: Millis = 100.0;
-/// Time between two heartbeats above which the process is busy, in milliseconds. Data may wait for that long twice, until
-/// it is noticed and until it is read, and engines may be given 0.15 s more than the client has left.
-const BUSY_MS: Millis = 60.0;
+/// Time between two heartbeats above which the process is busy, in milliseconds. Data may wait for that long unnoticed in
+/// each of [`MAX_ROUNDS`] rounds, and engines may be given 150 ms more than the client has left.
+const BUSY_MS: Millis = 30.0;
 /// Time after a busy period by which everything that arrived during it has been read, in milliseconds.
 const CATCH_UP_MS: Millis = 100.0;
 
--- a/src/dispatch/standstill/tests.rs
+++ b/src/dispatch/standstill/tests.rs
@@ -5,6 +5,7 @@
 #[test]
 fn data_read_while_the_process_runs_has_just_arrived() {
     let heartbeat = Heartbeat::new(0.0);
+    heartbeat.record(20.0);
     heartbeat.record(40.0);
     assert_eq!(heartbeat.earliest_arrival(40.0 + BUSY_MS), 40.0 + BUSY_MS);
     assert_eq!(heartbeat.standstills(), 0);
@@ -13,6 +14,7 @@
 #[test]
 fn data_read_after_a_standstill_may_have_waited_since_it_began() {
     let heartbeat = Heartbeat::new(0.0);
+    heartbeat.record(20.0);
     heartbeat.record(40.0);
     assert_eq!(
         heartbeat.earliest_arrival(2040.0),
@@ -27,8 +29,9 @@
     );
     assert_eq!(heartbeat.standstills(), 1);
     let later = 2040.0 + CATCH_UP_MS;
-    heartbeat.record(later - 60.0);
-    heartbeat.record(later - 30.0);
+    for before in [80.0, 60.0, 40.0, 20.0] {
+        heartbeat.record(later - before);
+    }
     assert_eq!(heartbeat.earliest_arrival(later), later, "caught up");
 }
 
@@ -36,6 +39,7 @@
 #[test]
 fn data_read_in_a_busy_period_may_have_waited_since_its_first_late_heartbeat() {
     let heartbeat = Heartbeat::new(0.0);
+    heartbeat.record(20.0);
     heartbeat.record(40.0);
     let mut now = 40.0;
     for gap in [
@@ -51,8 +55,8 @@
     }
     assert_eq!(heartbeat.earliest_arrival(now + BUSY_MS + 1.0), 40.0);
     assert_eq!(heartbeat.standstills(), 1);
-    for _ in 0..3 {
-        now += 40.0;
+    for _ in 0..5 {
+        now += 20.0;
         heartbeat.record(now);
     }
     assert_eq!(heartbeat.earliest_arrival(now), now, "caught up");
@@ -75,3 +79,10 @@
         assert_eq!(heartbeat.earliest_arrival(now), now - waited, "{round}");
     }
 }
+
+/// What four rounds hide together is within what engines may be given more than the client has left.
+#[test]
+fn waits_that_do_not_count_as_busy_are_within_the_slack() {
+    const TIME_LIMIT_SLACK_MS: f64 = 150.0;
+    assert!(super::MAX_ROUNDS as f64 * BUSY_MS < TIME_LIMIT_SLACK_MS);
+}
