Take the heartbeat from a timer, which the runtime sees as late as it sees new input

Engines got: limits 0.153 and 0.162 s above what the client had left, 0.15 s being allowed, in two of eight floods in the whole checks beside three busy processes. Cause: the heartbeat was recorded whenever the clock's task ran. The runtime looks for input and timers only after 61 turns of tasks that are always ready, as those of a flooding client are, while the clock's task runs in between: the heartbeat was in time, and input had waited unnoticed. Change: the heartbeat is recorded by an interval timer of its own.

--- a/src/dispatch/request_router.rs
+++ b/src/dispatch/request_router.rs
@@ -16,6 +16,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
+use tokio::time::MissedTickBehavior;
+
+/// Longest wait for the core's next timer, in milliseconds.
+const MAX_TIMER_WAIT_MS: Millis = 40.0;
 
 /// The final answer as a frontend gets it, with the result instead of the attempt's id.
 pub type Reply<R> = Answer<R>;
@@ -258,11 +262,17 @@
     }
 
     /// Runs the core's timers and the heartbeat. Never returns.
+    ///
+    /// A heartbeat comes with a timer, which the runtime sees as late as it sees new input on the sockets: tasks that are
+    /// always ready keep it from both for up to 61 turns.
     pub async fn run_clock(self: Rc<Self>) {
+        let mut heartbeats = tokio::time::interval(duration_from_millis(HEARTBEAT_INTERVAL_MS));
+        heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                _ = heartbeats.tick() => self.heartbeat.record(process_clock_millis()),
                 () = tokio::time::sleep(self.until_next_wakeup()) => self.tick(),
-                () = self.wakeup_changed.notified() => self.heartbeat.record(process_clock_millis()),
+                () = self.wakeup_changed.notified() => {}
             }
         }
     }
@@ -270,12 +280,11 @@
     fn until_next_wakeup(&self) -> std::time::Duration {
         let next_wakeup = self.core.borrow().next_wakeup();
         let wait = next_wakeup.map_or(f64::INFINITY, |at| at - process_clock_millis());
-        duration_from_millis(wait.min(HEARTBEAT_INTERVAL_MS))
+        duration_from_millis(wait.min(MAX_TIMER_WAIT_MS))
     }
 
     fn tick(self: &Rc<Self>) {
         let now = process_clock_millis();
-        self.heartbeat.record(now);
         let is_due = self.core.borrow().next_wakeup().is_some_and(|at| at <= now);
         if is_due {
             self.core.borrow_mut().tick(now);
