--- a/review/stand-ins-2/engine.rs
+++ b/review/stand-ins-2/engine.rs
@@ -1,7 +1,8 @@
 //! A small MySQL engine. It lexes strings by the session's `sql_mode`, as MySQL's manual describes NO_BACKSLASH_ESCAPES,
 //! keeps user variables and transactions for each connection, and writes down what it runs.
 //!
-//! `rows(N, BYTES)` in a SELECT asks for rows, and `work(MS)` in any statement lets it take so long. CONTROL_MS delays the
+//! `rows(N, BYTES)` in a SELECT asks for rows, `work(MS)` in any statement lets it take so long, and `late(MS)` in a write lets
+//! its answer come so long after it is committed. CONTROL_MS delays the
 //! answers to SET and COM_INIT_DB. Once a file LOG.stop is there the engine shuts down: statements that run end with error
 //! 1053, their transactions are rolled back, all connections are closed, and the process ends.
 
@@ -84,6 +85,7 @@
                 number,
                 no_backslash_escapes: false,
                 variables: HashMap::new(),
+                settings: HashMap::new(),
                 autocommit: true,
                 in_transaction: false,
                 uncommitted: vec![],
@@ -104,6 +106,8 @@
     number: u32,
     no_backslash_escapes: bool,
     variables: HashMap<String, Option<Vec<u8>>>,
+    /// System variables that have another value than at the log-in.
+    settings: HashMap<String, String>,
     autocommit: bool,
     in_transaction: bool,
     uncommitted: Vec<String>,
@@ -248,6 +252,8 @@
                 if !self.in_transaction {
                     self.commit();
                 }
+                let late = lower.split_once("late(").and_then(|(_, rest)| rest.split(')').next()?.trim().parse().ok());
+                std::thread::sleep(Duration::from_millis(late.unwrap_or(0)));
                 Reply::Ok
             }
         }
@@ -281,8 +287,9 @@
             return Reply::Rows(vec!["r".into()], (0..count).map(row).collect());
         }
         let name = list.split_whitespace().next().unwrap_or_default();
-        if name.starts_with("@@") {
-            return Reply::Rows(vec![name.into()], vec![vec![Some(b"".to_vec())]]);
+        if let Some(setting) = name.strip_prefix("@@") {
+            let value = self.settings.get(&setting.to_lowercase()).cloned().unwrap_or("SYSTEM".into());
+            return Reply::Rows(vec![name.into()], vec![vec![Some(value.into_bytes())]]);
         }
         if name.starts_with('@') {
             let value = self.variables.get(&name.to_lowercase()).cloned().flatten();
@@ -304,7 +311,12 @@
                 self.variables.insert(name, value);
                 continue;
             }
-            let text = String::from_utf8_lossy(&value.unwrap_or_default()).to_uppercase();
+            let text = String::from_utf8_lossy(&value.unwrap_or_default()).into_owned();
+            match text.to_uppercase().as_str() {
+                "DEFAULT" => self.settings.remove(&name),
+                _ => self.settings.insert(name.clone(), text.clone()),
+            };
+            let text = text.to_uppercase();
             match name.as_str() {
                 "sql_mode" => self.no_backslash_escapes = text.contains("NO_BACKSLASH_ESCAPES"),
                 "autocommit" => {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,14 +1,18 @@
 //! The stand-ins of the second review and the plays of its cases.
 //!
 //!     stand-ins engine NAME ADDRESS LOG CONTROL_MS     a small MySQL engine, until it is ended
-//!     stand-ins case N RECORD                          plays case N; exits with 1 if its rule was broken, 0 if it held,
-//!                                                      2 if it could not run. TROUBLE=0 leaves out the disruption.
+//!     stand-ins case NAME RECORD                       plays a case, or a fault without one that the report names; exits
+//!                                                      with 1 if its rule was broken, 0 if it held, 2 if it could not
+//!                                                      run. TROUBLE=0 leaves out the disruption.
 
 mod client;
+mod detach_load;
 mod engine;
 mod engine_shutdown;
-mod pin_deadline;
+mod first_statement;
+mod hidden_write;
 mod platform;
+mod quoted_name;
 mod resume;
 mod slow_journal;
 mod stage;
@@ -32,7 +36,10 @@
         }
         ["case", name, record] => stage::play(record, |stage| match name {
             "engine-shutdown" => engine_shutdown::play(stage),
-            "pin-deadline" => pin_deadline::play(stage),
+            "first-statement" => first_statement::play(stage),
+            "detach-load" => detach_load::play(stage),
+            "hidden-write" => hidden_write::play(stage),
+            "quoted-name" => quoted_name::play(stage),
             "variables" => variables::play(stage),
             "resume" => resume::play(stage),
             "slow-journal" => slow_journal::play(stage),
--- a/review/stand-ins-2/platform.rs
+++ b/review/stand-ins-2/platform.rs
@@ -17,7 +17,7 @@
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
-/// Starts an engine that answers every request after 5 ms; returns its address.
+/// Starts an engine that answers a request after 5 ms, and one of the class `load` after 4 s; returns its address.
 pub fn engine(number: usize, runs: Runs) -> io::Result<String> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?.to_string();
@@ -42,7 +42,8 @@
         match words.first().map(String::as_str) {
             Some("GET") => {
                 runs.lock().unwrap().push(Run { at: Instant::now(), engine: number, id: id.clone() });
-                std::thread::sleep(Duration::from_millis(5));
+                let is_load = words.get(2).is_some_and(|fields| fields.contains("cls=load"));
+                std::thread::sleep(Duration::from_millis(if is_load { 4000 } else { 5 }));
                 writer.write_all(array(&[&id, "ACK", "total=1", "a\tb\tc\n"]).as_bytes())?;
             }
             Some("PING") => writer.write_all(array(&[&id, "READY", "-", ""]).as_bytes())?,
@@ -283,11 +284,12 @@
 
 impl Stage {
     /// Starts the dispatcher of the platform by the command of the deploy file.
-    pub fn platform_dispatcher(&self, config: &str) -> io::Result<crate::stage::Process> {
+    pub fn platform_dispatcher(&self, config: &str, admin: &str) -> io::Result<crate::stage::Process> {
         let file = self.path("config.json");
         std::fs::write(&file, config)?;
         let temporary = self.path("dispatcher-tmp");
         std::fs::create_dir_all(&temporary)?;
-        self.start("dispatcher", "exec target/release/hitchwinch", &[("PROXY_CONFIG", &file), ("TMPDIR", &temporary)])
+        let variables = [("PROXY_CONFIG", &file[..]), ("TMPDIR", &temporary), ("PROXY_ADMIN_ADDR", admin)];
+        self.start("dispatcher", "exec target/release/hitchwinch", &variables)
     }
 }
--- a/review/stand-ins-2/slow_journal.rs
+++ b/review/stand-ins-2/slow_journal.rs
@@ -25,8 +25,8 @@
         engines.iter().enumerate().map(|(number, address)| (number, address.as_str(), "in_service")).collect();
     let first = event(1, true, &list);
     let (journal, journal_address) = Journal::start(first.clone(), BEHIND)?;
-    let (listen, peer) = (free_address()?, free_address()?);
-    let dispatcher = stage.platform_dispatcher(&platform_config(&listen, &peer, &journal_address, &first))?;
+    let (listen, peer, admin) = (free_address()?, free_address()?, free_address()?);
+    let dispatcher = stage.platform_dispatcher(&platform_config(&listen, &peer, &journal_address, &first), &admin)?;
     started.lock().unwrap().push(dispatcher.id());
     wait_for(&listen)?;
 
--- a/review/stand-ins-2/stage.rs
+++ b/review/stand-ins-2/stage.rs
@@ -196,6 +196,63 @@
     Err(bad(&format!("nobody listens at {address}")))
 }
 
+/// A started fleet: its engines, and one dispatcher before them.
+pub struct Fleet {
+    pub listed: Vec<(String, String)>,
+    pub engines: Vec<Process>,
+    pub listen: String,
+    /// Ends with the fleet.
+    _dispatcher: Process,
+}
+
+impl Stage {
+    /// Starts engines, and a dispatcher with `more` at the head of its configuration.
+    pub fn fleet(&self, engines: usize, more: &str) -> io::Result<Fleet> {
+        let started = Arc::new(Mutex::new(vec![]));
+        watch(started.clone());
+        let (mut processes, mut listed) = (vec![], vec![]);
+        for number in 0..engines {
+            let (name, address) = (format!("engine-{number}"), free_address()?);
+            let process = self.engine(&name, &address, 0)?;
+            started.lock().unwrap().push(process.id());
+            processes.push(process);
+            listed.push((name, address));
+        }
+        let (listen, admin) = (free_address()?, free_address()?);
+        let dispatcher = self.dispatcher("dispatcher", &config(&listen, &admin, &listed, more), None)?;
+        started.lock().unwrap().push(dispatcher.id());
+        wait_ready(&admin)?;
+        Ok(Fleet { listed, engines: processes, listen, _dispatcher: dispatcher })
+    }
+
+    /// Returns, for each engine, the lines of its log that hold this text.
+    pub fn lines(&self, fleet: &Fleet, text: &str) -> Vec<Vec<String>> {
+        let log = |name: &str| std::fs::read_to_string(self.path(&format!("{name}.log"))).unwrap_or_default();
+        let lines = |log: String| log.lines().filter(|line| line.contains(text)).map(str::to_string).collect();
+        fleet.listed.iter().map(|(name, _)| lines(log(name))).collect()
+    }
+
+    /// Waits until an engine has got a statement that holds this text; returns its number.
+    pub fn engine_of(&self, fleet: &Fleet, text: &str) -> io::Result<usize> {
+        let until = Instant::now() + Duration::from_secs(5);
+        while Instant::now() < until {
+            if let Some(number) = self.lines(fleet, text).iter().position(|lines| !lines.is_empty()) {
+                return Ok(number);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Err(bad("no engine has got the statement"))
+    }
+
+    /// Copies all logs into the record.
+    pub fn append_logs(&self, fleet: &Fleet) {
+        for (name, _) in &fleet.listed {
+            self.append_log(&format!("{name}.log"));
+        }
+        self.append_log("dispatcher.log");
+    }
+}
+
 /// Calls the dispatcher's address for operators; returns the status and the body.
 pub fn call(address: &str, method: &str, path: &str) -> io::Result<(u16, String)> {
     let mut tcp = TcpStream::connect(address)?;
@@ -226,6 +283,7 @@
     let mut text = format!(
         "listen = \"{listen}\"\nadmin_addr = \"{admin}\"\nread_class = \"lookup\"\nwrite_class = \"load\"\n{more}\n\
 [[user]]\nname = \"guest\"\npassword = \"guest\"\n\
+[[user]]\nname = \"till\"\npassword = \"till\"\n\
 [[class]]\nname = \"lookup\"\nworth = 1.0\naim_ms = 2000.0\naim_stretch = 1.5\ndeadline_ms = 10000.0\n\
 [[class]]\nname = \"report\"\nworth = 5.0\naim_ms = 2000.0\naim_stretch = 2.5\nlate_share = 0.3\ndeadline_ms = 25000.0\nthreads = 3\n\
 [[class]]\nname = \"load\"\nworth = 4.0\naim_ms = 4000.0\naim_stretch = 3.0\nlate_share = 0.5\ndeadline_ms = 20000.0\nthreads = 2\nunsafe = true\n\
