Write names of variables into SET as checked or quoted names

A bad client's SET `time_zone = '+05:00', sql_mode` = '' was answered OK, and sessions of other users on that engine connection got its time zone.

Cause: names were strings, kept without their quotes and written into the dispatcher's own SET as they were. The engine's log shows "SET SESSION time_zone = '+05:00', sql_mode = ''", of which the dispatcher knew one assignment and reset one. The name of a user variable that a statement had assigned got there too, with its backticks not doubled.

Change: VariableName is the only form of a name from the parsers to the SET. A system variable's name has plain characters alone, any other gets 1193; a user variable's is quoted. Names of assigned variables are read with their escapes; a connection with one that is not UTF-8 is closed, since it can't be reset. The fake engine reads quoted names in SET. Tests use the new type where they used strings; what they assert is the same.

--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -227,7 +227,7 @@
     fn set(&mut self, list: &str) -> SessionResponse {
         let mut new = (self.variables.clone(), self.user_variables.clone());
         for assignment in split_at_commas(list) {
-            let Some((name, value)) = assignment.split_once('=') else {
+            let Some((name, value)) = split_assignment(&assignment) else {
                 return SessionResponse::Error(1064, "42000", format!("near {assignment}"));
             };
             let name = name
@@ -240,7 +240,7 @@
                 let Some(v) = self.evaluate(value) else {
                     return SessionResponse::Error(1064, "42000", value.into());
                 };
-                new.1.insert(user.trim_matches('`').into(), v);
+                new.1.insert(unquote_name(user), v);
                 continue;
             }
             let name = ["session ", "local ", "@@session.", "@@local.", "@@"]
@@ -316,7 +316,7 @@
     }
 
     fn assign_user_variable(&mut self, name: &str, value: Option<String>) {
-        let name = name.trim().trim_matches(['`', '\'', '"']).to_lowercase();
+        let name = unquote_name(name.trim()).to_lowercase();
         self.user_variables.insert(name, value);
     }
 
@@ -369,7 +369,7 @@
         if let Some(name) = lower.strip_prefix('@') {
             return Some(
                 self.user_variables
-                    .get(name.trim_matches(['`', '\'', '"']))
+                    .get(&unquote_name(name))
                     .cloned()
                     .flatten(),
             );
@@ -440,6 +440,37 @@
     text.trim_end_matches(';').trim().to_string()
 }
 
+/// Splits `NAME = VALUE` at the first equals sign outside quotes.
+fn split_assignment(assignment: &str) -> Option<(&str, &str)> {
+    let mut quote = None;
+    let position = assignment.find(|character| match (quote, character) {
+        (Some(open), character) if open == character => {
+            quote = None;
+            false
+        }
+        (Some(_), _) => false,
+        (None, '\'' | '"' | '`') => {
+            quote = Some(character);
+            false
+        }
+        (None, character) => character == '=',
+    })?;
+    Some((&assignment[..position], &assignment[position + 1..]))
+}
+
+/// Returns a name without its quotes; a doubled quote within stands for one.
+fn unquote_name(name: &str) -> String {
+    for quote in ['`', '\'', '"'] {
+        let inner = name
+            .strip_prefix(quote)
+            .and_then(|name| name.strip_suffix(quote));
+        if let Some(inner) = inner {
+            return inner.replace(&format!("{quote}{quote}"), &quote.to_string());
+        }
+    }
+    name.to_string()
+}
+
 /// Splits a list at the commas outside strings and parentheses.
 fn split_at_commas(list: &str) -> Vec<String> {
     let (mut all, mut item) = (vec![], String::new());
--- a/src/frontend/mysql/settings.rs
+++ b/src/frontend/mysql/settings.rs
@@ -147,6 +147,7 @@
 pub(super) fn set_error(error: &SetError) -> SqlError {
     let code = match error {
         SetError::Syntax { .. } => code::ER_PARSE,
+        SetError::UnknownVariable(_) => code::ER_UNKNOWN_SYSTEM_VARIABLE,
         SetError::Unsupported(_) => code::ER_NOT_SUPPORTED_YET,
     };
     SqlError::new(code, error.to_string())
--- a/src/protocol/mysql/error.rs
+++ b/src/protocol/mysql/error.rs
@@ -42,10 +42,10 @@
 pub mod code {
     use super::ErrorCode;
 
-    /// The request was rejected: nothing ran, or the request is safe to retry. The message contains
     /// Too little memory is left.
     pub const ER_OUT_OF_RESOURCES: ErrorCode = ErrorCode::new(1041, "HY000");
-    /// the retry delay.
+    /// The request was rejected: nothing ran, or the request is safe to retry. The message contains the
+    /// retry delay.
     pub const ER_SERVER_ISNT_AVAILABLE: ErrorCode = ErrorCode::new(3168, "HY000");
     /// The request's deadline has passed.
     pub const ER_QUERY_TIMEOUT: ErrorCode = ErrorCode::new(3024, "HY000");
@@ -81,6 +81,8 @@
     pub const ER_TOO_BIG_SELECT: ErrorCode = ErrorCode::new(1104, "42000");
     /// An administrative statement or a SET that cannot be parsed.
     pub const ER_PARSE: ErrorCode = ErrorCode::new(1064, "42000");
+    /// A SET of a variable that no server has.
+    pub const ER_UNKNOWN_SYSTEM_VARIABLE: ErrorCode = ErrorCode::new(1193, "HY000");
     /// No result of this user has this handle, or it has expired.
     pub const ER_NONEXISTING_GRANT: ErrorCode = ErrorCode::new(1141, "42000");
     /// KILL QUERY of a session that does not exist here.
--- a/src/protocol/mysql/session/connection_context.rs
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -1,7 +1,7 @@
 //! What the dispatcher knows of the session context that an engine connection is in.
 
-use super::SessionContext;
 use super::variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement};
+use super::{SessionContext, VariableName};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -21,6 +21,12 @@
     "collation_connection",
 ];
 
+/// Returns whether SET NAMES sets the variable.
+fn is_set_by_names(name: &VariableName) -> bool {
+    name.system_name()
+        .is_some_and(|name| VARIABLES_OF_NAMES.contains(&name))
+}
+
 /// Returns whether these are surely or possibly names of the same schema: whether case matters depends on the
 /// engine.
 pub(super) fn is_same_schema(one: &str, other: &str) -> bool {
@@ -37,7 +43,7 @@
     /// The values that are known. A variable without an entry here or in `unknown` has its initial value.
     variables: Rc<SessionVariables>,
     /// Variables that a statement has assigned, so that only the engine knows their values.
-    unknown: BTreeSet<String>,
+    unknown: BTreeSet<VariableName>,
 }
 
 impl ConnectionContext {
@@ -58,7 +64,7 @@
     }
 
     /// Records that a statement assigns these variables, whether it succeeds or fails.
-    pub fn forget_variables(&mut self, names: &BTreeSet<String>) {
+    pub fn forget_variables(&mut self, names: &BTreeSet<VariableName>) {
         if names.is_empty() {
             return;
         }
@@ -69,17 +75,19 @@
     /// Records that statements change LAST_INSERT_ID(): it is set again for each statement that reads it, and
     /// needs no reset for others.
     pub fn forget_last_insert_id(&mut self) {
-        if self.variables.contains_key(LAST_INSERT_ID_VARIABLE) {
-            Rc::make_mut(&mut self.variables).remove(LAST_INSERT_ID_VARIABLE);
+        let name = VariableName::builtin(LAST_INSERT_ID_VARIABLE);
+        if self.variables.contains_key(&name) {
+            Rc::make_mut(&mut self.variables).remove(&name);
         }
     }
 
     /// Returns the operand of the SET NAMES that the connection needs to enter the target; `None` if it needs none.
     /// SET NAMES is also the way to reset variables that it sets: their DEFAULT is that of the engine.
     pub fn names_operand<'a>(&self, target: &'a SessionContext) -> Option<&'a str> {
-        let has_variable_to_reset = VARIABLES_OF_NAMES.iter().any(|name| {
-            self.variables.contains_key(*name) && !target.variables.contains_key(*name)
-        });
+        let has_variable_to_reset = self
+            .variables
+            .keys()
+            .any(|name| is_set_by_names(name) && !target.variables.contains_key(name));
         let changes_names = self.names != target.names && target.names.is_some();
         let operand = target.names.as_deref().unwrap_or(NAMES_OF_LOGIN);
         (changes_names || has_variable_to_reset).then_some(operand)
@@ -88,12 +96,8 @@
     /// Records that the SET NAMES for this target was executed.
     pub fn names_set(&mut self, target: &SessionContext) {
         self.names.clone_from(&target.names);
-        if VARIABLES_OF_NAMES
-            .iter()
-            .any(|name| self.variables.contains_key(*name))
-        {
-            Rc::make_mut(&mut self.variables)
-                .retain(|name, _| !VARIABLES_OF_NAMES.contains(&name.as_str()));
+        if self.variables.keys().any(is_set_by_names) {
+            Rc::make_mut(&mut self.variables).retain(|name, _| !is_set_by_names(name));
         }
     }
 
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -3,8 +3,11 @@
 use super::super::{SetOutcome, Validation};
 use super::*;
 
-fn assigned(names: &[&str]) -> BTreeSet<String> {
-    names.iter().map(ToString::to_string).collect()
+fn assigned(names: &[&str]) -> BTreeSet<VariableName> {
+    names
+        .iter()
+        .map(|name| VariableName::user(&name[1..]))
+        .collect()
 }
 
 fn state_after(state: &SessionState, sql: &str) -> SessionState {
@@ -146,7 +149,7 @@
 fn the_number_of_connection_variables_is_limited() {
     let mut state = SessionState::default();
     let many = (0..super::super::MAX_CONNECTION_VARIABLES)
-        .map(|number| format!("@v{number}"))
+        .map(|number| VariableName::user(&format!("v{number}")))
         .collect();
     for _ in 0..2 {
         state.check_connection_variables(&many).unwrap();
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -4,12 +4,14 @@
 
 mod connection_context;
 pub mod set;
+mod variable_name;
 mod variables;
 
 #[cfg(test)]
 mod tests;
 
 pub use connection_context::ConnectionContext;
+pub use variable_name::{UnknownSystemVariable, VariableName};
 pub use variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement, sql_literal};
 
 use set::{Change, SetError, Value};
@@ -28,7 +30,7 @@
 
 /// Names of user variables whose values only the engine connection knows that a session holds: a statement of the
 /// session has assigned them there.
-pub type ConnectionVariables = BTreeSet<String>;
+pub type ConnectionVariables = BTreeSet<VariableName>;
 
 /// The part of a session that is applied to an engine connection before it executes a statement.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -118,7 +120,7 @@
     pub fn context_with_insert_id(&self) -> SessionContext {
         let mut context = self.context.clone();
         Rc::make_mut(&mut context.variables).insert(
-            LAST_INSERT_ID_VARIABLE.into(),
+            VariableName::builtin(LAST_INSERT_ID_VARIABLE),
             self.last_insert_id.to_string(),
         );
         context
@@ -133,7 +135,10 @@
     ///
     /// # Errors
     /// The session would hold too many.
-    pub fn check_connection_variables(&self, names: &BTreeSet<String>) -> Result<(), SetError> {
+    pub fn check_connection_variables(
+        &self,
+        names: &BTreeSet<VariableName>,
+    ) -> Result<(), SetError> {
         let current = &self.context.connection_variables;
         if current.union(names).count() > MAX_CONNECTION_VARIABLES {
             return Err(SetError::Unsupported(
@@ -144,7 +149,7 @@
     }
 
     /// Records that a statement on the held engine connection has assigned these user variables.
-    pub fn add_connection_variables(&mut self, names: &BTreeSet<String>) {
+    pub fn add_connection_variables(&mut self, names: &BTreeSet<VariableName>) {
         if names.is_empty() {
             return;
         }
@@ -237,7 +242,7 @@
         let variables = &self.context.variables;
         let bytes: usize = variables
             .iter()
-            .map(|(name, value)| name.len() + value.len())
+            .map(|(name, value)| name.size() + value.len())
             .sum();
         if variables.len() > MAX_VARIABLES || bytes > MAX_VARIABLE_BYTES {
             return Err(SetError::Unsupported(
@@ -267,7 +272,9 @@
             None => character_set,
         });
         Rc::make_mut(&mut self.context.variables).retain(|name, _| {
-            !name.starts_with("character_set_") && name != "collation_connection"
+            !name.system_name().is_some_and(|name| {
+                name.starts_with("character_set_") || name == "collation_connection"
+            })
         });
         Ok(match collation {
             Some(_) => Validation::NeedsEngine,
@@ -275,26 +282,33 @@
         })
     }
 
-    fn assign(&mut self, name: &str, value: Option<String>) -> Result<Validation, SetError> {
+    fn assign(
+        &mut self,
+        name: &VariableName,
+        value: Option<String>,
+    ) -> Result<Validation, SetError> {
         // Deprecated names of the same variables.
-        let name = match name {
-            "tx_isolation" => "transaction_isolation",
-            "tx_read_only" => "transaction_read_only",
-            other => other,
+        let name = &match name.system_name() {
+            Some("tx_isolation") => VariableName::builtin("transaction_isolation"),
+            Some("tx_read_only") => VariableName::builtin("transaction_read_only"),
+            _ => name.clone(),
         };
         let unquoted = value
             .as_deref()
             .map(|value| value.trim_matches(['\'', '"']).to_ascii_lowercase());
-        if let Some(reason) = unsupported_reason(name, unquoted.as_deref()) {
-            return Err(SetError::Unsupported(reason));
-        }
-        if name == "autocommit" {
-            return self.set_autocommit(unquoted.as_deref());
-        }
-        if matches!(name, LAST_INSERT_ID_VARIABLE | "identity") {
-            return self.set_last_insert_id(unquoted.as_deref());
+        match name.system_name() {
+            Some("autocommit") => return self.set_autocommit(unquoted.as_deref()),
+            Some(LAST_INSERT_ID_VARIABLE | "identity") => {
+                return self.set_last_insert_id(unquoted.as_deref());
+            }
+            Some(name) => {
+                if let Some(reason) = unsupported_reason(name, unquoted.as_deref()) {
+                    return Err(SetError::Unsupported(reason));
+                }
+            }
+            None => {}
         }
-        let is_user_variable = name.starts_with('@');
+        let is_user_variable = name.is_user();
         // A user variable that was never set is NULL.
         let is_null = is_user_variable && unquoted.as_deref() == Some("null");
         if self.context.connection_variables.contains(name) {
@@ -302,7 +316,7 @@
         }
         let variables = Rc::make_mut(&mut self.context.variables);
         match value {
-            Some(value) if !is_null => drop(variables.insert(name.to_string(), value)),
+            Some(value) if !is_null => drop(variables.insert(name.clone(), value)),
             _ => drop(variables.remove(name)),
         }
         Ok(match is_user_variable {
@@ -321,7 +335,6 @@
     }
 
     fn set_autocommit(&mut self, value: Option<&str>) -> Result<Validation, SetError> {
-        const NAME: &str = "autocommit";
         let commit_mode = match value {
             None | Some("1" | "on" | "true") => CommitMode::Automatic,
             Some("0" | "off" | "false") => CommitMode::Manual,
@@ -334,9 +347,10 @@
         };
         self.commit_mode = commit_mode;
         let variables = Rc::make_mut(&mut self.context.variables);
-        variables.remove(NAME);
+        let name = VariableName::builtin("autocommit");
+        variables.remove(&name);
         if commit_mode == CommitMode::Manual {
-            variables.insert(NAME.into(), "0".into());
+            variables.insert(name, "0".into());
         }
         Ok(Validation::Done)
     }
--- a/src/protocol/mysql/session/set.rs
+++ b/src/protocol/mysql/session/set.rs
@@ -3,6 +3,7 @@
 
 mod parser;
 
+use super::{UnknownSystemVariable, VariableName};
 use winnow::Parser;
 use winnow::error::{ContextError, ErrMode};
 
@@ -13,8 +14,8 @@
     Names(String),
     /// An assignment to a session or user variable.
     Assign {
-        /// The name in lower case; the name of a user variable begins with `@`.
-        name: String,
+        /// The name of the variable.
+        name: VariableName,
         /// The value to assign.
         value: Value,
     },
@@ -44,6 +45,9 @@
         /// What was expected at this position.
         message: String,
     },
+    /// No system variable can have this name.
+    #[error(transparent)]
+    UnknownVariable(#[from] UnknownSystemVariable),
     /// The statement affects more than the session, or sets something that is not supported.
     #[error("{0}")]
     Unsupported(&'static str),
@@ -77,10 +81,7 @@
     let mut rest = text;
     let changes = parser::statement
         .parse_next(&mut rest)
-        .map_err(|error| SetError::Syntax {
-            at: text.len() - rest.len() + 1,
-            message: expectation(&error),
-        })?;
+        .map_err(|error| set_error(&error, text.len() - rest.len() + 1))?;
     let is_global = |scope: &parser::Scope| *scope == parser::Scope::Global;
     if changes.iter().any(|(scope, _)| is_global(scope)) {
         return Err(SetError::Unsupported(
@@ -126,6 +127,20 @@
         .any(|keyword| operand.starts_with(keyword))
 }
 
+/// Returns the error of a SET whose parser stopped at this character, counted from 1.
+fn set_error(error: &ErrMode<ContextError>, at: usize) -> SetError {
+    if let ErrMode::Backtrack(context) | ErrMode::Cut(context) = error
+        && let Some(cause) = context.cause()
+        && let Some(unknown) = cause.downcast_ref::<UnknownSystemVariable>()
+    {
+        return SetError::UnknownVariable(unknown.clone());
+    }
+    SetError::Syntax {
+        at,
+        message: expectation(error),
+    }
+}
+
 fn expectation(error: &ErrMode<ContextError>) -> String {
     let context = match error {
         ErrMode::Backtrack(context) | ErrMode::Cut(context) => {
--- a/src/protocol/mysql/session/set/parser.rs
+++ b/src/protocol/mysql/session/set/parser.rs
@@ -1,6 +1,6 @@
 //! The grammar of SET.
 
-use super::{Change, Value};
+use super::{Change, Value, VariableName};
 use winnow::ascii::{Caseless, digit1, multispace1};
 use winnow::combinator::{alt, delimited, eof, opt, peek, preceded, repeat, separated, terminated};
 use winnow::error::{ContextError, ErrMode, StrContext, StrContextValue};
@@ -49,14 +49,16 @@
     }
     if let Some((_, name)) = opt(('@', name)).parse_next(input)? {
         let value = preceded((assignment_operator, space), value).parse_next(input)?;
-        let name = format!("@{}", name.to_ascii_lowercase());
+        let name = VariableName::user(&name);
         return Ok(vec![(Scope::Session, Change::Assign { name, value })]);
     }
     let scope = scope.parse_next(input)?;
     if opt(keyword("transaction")).parse_next(input)?.is_some() {
         return transaction(scope, input);
     }
-    let name = name.parse_next(input)?.to_ascii_lowercase();
+    let name = name
+        .try_map(|name| VariableName::system(&name))
+        .parse_next(input)?;
     let value = preceded((assignment_operator, space), value).parse_next(input)?;
     Ok(vec![(scope, Change::Assign { name, value })])
 }
@@ -70,7 +72,7 @@
         return Ok(vec![(scope, Change::NextTransaction(sql.join(", ")))]);
     }
     let assign = |one: Characteristic| Change::Assign {
-        name: one.variable.into(),
+        name: VariableName::builtin(one.variable),
         value: Value::Literal(one.value.into()),
     };
     Ok(all.into_iter().map(|one| (scope, assign(one))).collect())
@@ -276,8 +278,8 @@
 
 fn name(input: &mut &str) -> Result<String> {
     let bare = take_while(1.., is_name_character).map(str::to_string);
-    let quoted = delimited('`', take_while(1.., |character| character != '`'), '`');
-    let quoted = quoted.map(str::to_string);
+    let character = alt(("``".value('`'), none_of('`')));
+    let quoted = delimited('`', repeat(1.., character), '`');
     terminated(alt((quoted, bare)), space)
         .context(expected("a name"))
         .parse_next(input)
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -12,6 +12,57 @@
     after(&SessionState::default(), sql).unwrap_or_else(|error| panic!("{sql}: {error}"))
 }
 
+fn system(name: &str) -> VariableName {
+    VariableName::system(name).unwrap()
+}
+
+/// Guards against a name that becomes more than a name in a statement of the dispatcher.
+#[test]
+fn names_of_variables_are_one_name_in_sql() {
+    for (name, sql) in [
+        ("x", "@x"),
+        ("Total_$1", "@total_$1"),
+        ("b c", "@`b c`"),
+        ("a.b", "@`a.b`"),
+        ("", "@``"),
+        (
+            "x` = 1, time_zone = '+05:00', @`y",
+            "@`x`` = 1, time_zone = '+05:00', @``y`",
+        ),
+        ("ÉTÉ", "@`été`"),
+    ] {
+        assert_eq!(VariableName::user(name).to_string(), sql);
+    }
+    for (sql, expected) in [
+        ("SET @`x``y` = 1", "SET @`x``y` = 1"),
+        ("SET @`=,` = 1, @`;` = 2", "SET @`;` = 2, @`=,` = 1"),
+        (
+            "SET `Time_Zone` = '+00:00'",
+            "SET SESSION time_zone = '+00:00'",
+        ),
+    ] {
+        let state = state_after(sql);
+        let set = set_statement(&SessionVariables::new(), &state.context().variables);
+        assert_eq!(set.as_deref(), Some(expected));
+        let again = state_after(expected);
+        assert_eq!(again.context(), state.context(), "{sql}");
+    }
+    for sql in [
+        "SET `time_zone = '+05:00', sql_mode` = ''",
+        "SET @@session.`sql_mode=''` = DEFAULT",
+        "SET @x = 1, SESSION `a b` = 1",
+        "SET `a``b` = 1",
+        "SET `time_zone--` = 1",
+        "SET zeitzoné = 1",
+    ] {
+        let error = after(&SessionState::default(), sql).unwrap_err();
+        assert!(
+            matches!(error, SetError::UnknownVariable(_)),
+            "{sql}: {error}"
+        );
+    }
+}
+
 #[test]
 fn settings_of_connectors_at_login_are_applied() {
     let all = [
@@ -118,10 +169,10 @@
         "an engine has to validate the change"
     );
     assert_eq!(
-        state.context().variables["sql_mode"],
+        state.context().variables[&system("sql_mode")],
         "'STRICT_TRANS_TABLES,PIPES_AS_CONCAT'"
     );
-    assert_eq!(state.context().variables["time_zone"], "'+00:00'");
+    assert_eq!(state.context().variables[&system("time_zone")], "'+00:00'");
     assert!(state.context().names.is_some());
     assert_eq!(sql_literal(Some(b"12"), true), "12");
     assert_eq!(sql_literal(Some(b"it's \\ 1"), false), "'it''s \\\\ 1'");
@@ -151,6 +202,7 @@
     ] {
         match after(&SessionState::default(), sql) {
             Err(SetError::Syntax { .. }) => assert!(syntax, "{sql}"),
+            Err(SetError::UnknownVariable(name)) => panic!("{sql}: {name}"),
             Err(SetError::Unsupported(_)) => assert!(!syntax, "{sql}"),
             Ok(state) => panic!("{sql}: {state:?}"),
         }
@@ -168,7 +220,7 @@
         let closed = ")".repeat(DEPTH);
         let balanced = format!("{open}1{closed}");
         let expected = Change::Assign {
-            name: "@x".into(),
+            name: VariableName::user("x"),
             value: Value::Expression(balanced.clone()),
         };
         let changes = parse(format!("SET @x = {balanced}").as_bytes());
@@ -233,14 +285,14 @@
     state.record_insert_id(9);
     state.record_insert_id(0);
     assert_eq!(
-        state.context_with_insert_id().variables[LAST_INSERT_ID_VARIABLE],
+        state.context_with_insert_id().variables[&system(LAST_INSERT_ID_VARIABLE)],
         "9"
     );
     assert!(
         !state
             .context()
             .variables
-            .contains_key(LAST_INSERT_ID_VARIABLE)
+            .contains_key(&system(LAST_INSERT_ID_VARIABLE))
     );
     state.reset();
     assert_eq!(state, SessionState::new(Some("sales_17".into())));
--- a/src/protocol/mysql/session/variables.rs
+++ b/src/protocol/mysql/session/variables.rs
@@ -1,10 +1,10 @@
 //! Session variables, and the statements that set them on an engine connection.
 
-use super::ONLY_UNICODE;
+use super::{ONLY_UNICODE, VariableName};
 use std::collections::BTreeMap;
 
-/// Variables by name, `@name` for a user variable. The values are SQL literals that are valid on any engine.
-pub type SessionVariables = BTreeMap<String, String>;
+/// Variables by name. The values are SQL literals that are valid on any engine.
+pub type SessionVariables = BTreeMap<VariableName, String>;
 
 /// The system variable that sets LAST_INSERT_ID().
 pub const LAST_INSERT_ID_VARIABLE: &str = "last_insert_id";
@@ -53,7 +53,7 @@
 /// they are equal.
 pub fn set_statement(from: &SessionVariables, to: &SessionVariables) -> Option<String> {
     let removed = from.keys().filter(|name| !to.contains_key(*name));
-    let resets = removed.map(|name| match name.starts_with('@') {
+    let resets = removed.map(|name| match name.is_user() {
         true => assignment(name, "NULL"),
         false => assignment(name, "DEFAULT"),
     });
@@ -65,22 +65,13 @@
     (!assignments.is_empty()).then(|| format!("SET {}", assignments.join(", ")))
 }
 
-fn assignment(name: &str, value: &str) -> String {
-    match name.starts_with('@') {
-        true => format!("{} = {value}", quoted_user_variable(name)),
+fn assignment(name: &VariableName, value: &str) -> String {
+    match name.is_user() {
+        true => format!("{name} = {value}"),
         false => format!("SESSION {name} = {value}"),
     }
 }
 
-/// Returns a user variable, quoted if its name requires it.
-fn quoted_user_variable(name: &str) -> String {
-    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'$';
-    match name[1..].bytes().all(is_plain) {
-        true => name.to_string(),
-        false => format!("@`{}`", &name[1..]),
-    }
-}
-
 /// Formats a value that an engine evaluated as an SQL literal; `None` is NULL. `numeric` states
 /// whether its column is numeric.
 pub fn sql_literal(value: Option<&[u8]>, numeric: bool) -> String {
--- a/src/protocol/statement/connection_effects.rs
+++ b/src/protocol/statement/connection_effects.rs
@@ -2,6 +2,7 @@
 //! the answer.
 
 use super::scanner::{Token, has_executable_comment, tokens};
+use crate::protocol::mysql::session::VariableName;
 use std::collections::BTreeSet;
 
 /// First keywords of statements whose targets may be user variables anywhere:
@@ -14,12 +15,12 @@
 /// The changes that a statement makes to the state of its engine connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConnectionEffects {
-    /// The user variables that the statement may assign, in lower case and with their `@`.
-    pub assigned_variables: BTreeSet<String>,
+    /// The user variables that the statement may assign.
+    pub assigned_variables: BTreeSet<VariableName>,
     /// The schema that the statement drops: an engine unsets it as the default schema of the connection.
     pub dropped_schema: Option<String>,
-    /// The statement contains something that only some engines execute, so that the connection may be in any
-    /// state afterwards.
+    /// The statement contains something that only some engines execute, or assigns a variable whose name cannot be
+    /// written in UTF-8, so that the connection may be in any state afterwards.
     pub is_unpredictable: bool,
 }
 
@@ -35,10 +36,14 @@
         }
         let (comments, tokens): (Vec<Token>, Vec<Token>) =
             tokens(statement).partition(Token::is_engine_comment);
+        let assigned_variables = assigned_variables(&tokens);
+        let assigns_unreadable_name =
+            !assigned_variables.is_empty() && tokens.iter().any(is_unreadable_variable);
         ConnectionEffects {
-            assigned_variables: assigned_variables(&tokens),
+            assigned_variables,
             dropped_schema: dropped_schema(&tokens),
-            is_unpredictable: comments.contains(&Token::VersionedComment),
+            is_unpredictable: comments.contains(&Token::VersionedComment)
+                || assigns_unreadable_name,
         }
     }
 }
@@ -73,7 +78,7 @@
 
 /// Returns the user variables that are assigned by `@x :=` or `INTO @x, @y`, or as a target of a statement that
 /// assigns them in other ways.
-pub(super) fn assigned_variables(tokens: &[Token]) -> BTreeSet<String> {
+pub(super) fn assigned_variables(tokens: &[Token]) -> BTreeSet<VariableName> {
     let assigns_any = first_name(tokens).is_some_and(|name| {
         ASSIGNING_KEYWORDS
             .iter()
@@ -85,7 +90,7 @@
         match token {
             Token::UserVariable(name) => {
                 if assigns_any || in_into_list || is_assignment(&tokens[index + 1..]) {
-                    assigned.insert(format!("@{}", name.to_lowercase()));
+                    assigned.insert(VariableName::user(name));
                 }
             }
             Token::Punctuation(b',') => {}
@@ -95,6 +100,11 @@
     assigned
 }
 
+/// Returns whether this is a user variable whose name is not UTF-8, so that no statement of the dispatcher can reset it.
+fn is_unreadable_variable(token: &Token) -> bool {
+    matches!(token, Token::UserVariable(name) if name.contains(char::REPLACEMENT_CHARACTER))
+}
+
 fn first_name(tokens: &[Token]) -> Option<&Token> {
     tokens
         .iter()
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -36,6 +36,9 @@
 }
 
 const VERTICAL_TAB: u8 = 0x0b;
+const BACKSPACE: u8 = 0x08;
+/// Control-Z, which ends a file on some systems.
+const END_OF_FILE: u8 = 0x1a;
 /// The beginning of an executable comment.
 const EXECUTABLE_COMMENT: &[u8] = b"/*!";
 /// The highest version of an executable comment that every engine executes: 8.0.0.
@@ -91,6 +94,21 @@
     byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'$' || byte >= 0x80
 }
 
+/// Adds what this byte stands for behind a backslash.
+fn push_unescaped(text: &mut Vec<u8>, byte: u8) {
+    match byte {
+        b'0' => text.push(0),
+        b'b' => text.push(BACKSPACE),
+        b'n' => text.push(b'\n'),
+        b'r' => text.push(b'\r'),
+        b't' => text.push(b'\t'),
+        b'Z' => text.push(END_OF_FILE),
+        // Kept for the patterns of LIKE.
+        b'%' | b'_' => text.extend([b'\\', byte]),
+        other => text.push(other),
+    }
+}
+
 /// Whether a backslash escapes the byte after it.
 #[derive(Clone, Copy, PartialEq)]
 enum Escapes {
@@ -123,7 +141,9 @@
         while let Some(&byte) = self.sql.get(self.position) {
             self.position += 1;
             if byte == b'\\' && escapes == Escapes::Backslash {
-                text.extend(self.sql.get(self.position));
+                if let Some(&escaped) = self.sql.get(self.position) {
+                    push_unescaped(&mut text, escaped);
+                }
                 self.position += 1;
             } else if byte == quote {
                 if self.sql.get(self.position) != Some(&quote) {
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::protocol::mysql::session::VariableName;
 use crate::sticky_sessions::StickyReason;
 
 #[test]
@@ -242,7 +243,11 @@
     assert!(ConnectionEffects::of(b"/*!99999 set x = 1 */").is_unpredictable);
     assert!(!ConnectionEffects::of(b"/*!50000 create table t (a int) */").is_unpredictable);
     let effects = ConnectionEffects::of(b"select a /*!50000 into @x */ from t");
-    assert!(effects.assigned_variables.contains("@x"));
+    assert!(
+        effects
+            .assigned_variables
+            .contains(&VariableName::user("x"))
+    );
 }
 
 /// Guards against a user variable that a statement assigns and the session takes for unchanged.
@@ -277,8 +282,13 @@
     ];
     for (text, expected) in cases {
         let effects = ConnectionEffects::of(text.as_bytes());
+        let expected_names = expected.iter().map(|name| VariableName::user(&name[1..]));
         assert!(
-            effects.assigned_variables.iter().eq(expected),
+            effects
+                .assigned_variables
+                .iter()
+                .cloned()
+                .eq(expected_names),
             "{text}: {effects:?}"
         );
         let is_sticky = matches!(classify(text.as_bytes()), StatementKind::MakesSticky(_));
@@ -286,6 +296,26 @@
     }
 }
 
+/// Guards against a variable that keeps its value for the next session, for its name was read otherwise here than by the
+/// engine.
+#[test]
+fn names_of_assigned_variables_are_those_of_the_engine() {
+    for (text, name) in [
+        (r"select @'a\'b' := 1", "a'b"),
+        (r"select @'a\tb' := 1", "a\tb"),
+        (r"select @'a\%\\b' := 1", "a\\%\\b"),
+        (r"select @`a\` := 1", "a\\"),
+        ("select @`a``b` := 1", "a`b"),
+    ] {
+        let effects = ConnectionEffects::of(text.as_bytes());
+        let names: Vec<VariableName> = effects.assigned_variables.into_iter().collect();
+        assert_eq!(names, [VariableName::user(name)], "{text}");
+        assert!(!effects.is_unpredictable);
+    }
+    assert!(ConnectionEffects::of(b"select @'a\xffb' := 1").is_unpredictable);
+    assert!(!ConnectionEffects::of(b"select @'a\xffb'").is_unpredictable);
+}
+
 #[test]
 fn statements_that_commit_implicitly_are_recognized() {
     assert!(
