Tell a first statement's deadline only while no engine has begun with it

A load that was the first statement on a held connection was told 3024 "sending it again does no harm" at its class's deadline, although its engine went on with it; its client sent it again, and it was in force twice. So was any first statement that merely took longer than its class's deadline.

Cause: tokio::select! looks at a branch's condition once, before it waits. The deadline's branch was armed while no engine could have begun, and stayed armed.

Change: the branch asks when the deadline is over, and never completes if an engine has begun; then the limits of sticky sessions end the wait, as the design says. Other select! conditions were read: each is looked at anew after every event that changes it.

--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// Completes at the deadline if no engine has begun with the first statement by then. Once one has, the statement may have
+/// run, so that only the limits of sticky sessions end the wait.
+async fn not_begun_by(deadline: tokio::time::Instant, channel: &StickyChannel) {
+    tokio::time::sleep_until(deadline).await;
+    if channel.has_begun() {
+        std::future::pending().await
+    }
+}
+
 /// The result of a statement: an answer to forward, or an error of the frontend itself.
 pub(super) type ExecutionResult = Result<Reply<Output>, SqlError>;
 
@@ -308,9 +317,7 @@
             end = self.connection.read_ahead(MAX_READ_AHEAD_BYTES, contains_quit) => {
                 return Err(end_of_read_ahead(end));
             }
-            () = tokio::time::sleep_until(sticky.begin_deadline), if !sticky.channel.has_begun() => {
-                Ok(Reply::TimedOut { retry_safe: true })
-            }
+            () = not_begun_by(sticky.begin_deadline, &sticky.channel) => Ok(Reply::TimedOut { retry_safe: true }),
         };
         Ok(WaitOutcome::Ended(result))
     }
