--- a/crates/testbed/src/fakes/engine.rs
+++ b/crates/testbed/src/fakes/engine.rs
@@ -4,7 +4,7 @@
 mod connection;
 mod responses;
 
-use crate::fakes::engine_session::Session;
+use crate::fakes::engine_session::{INSTALLED_SQL_MODE, Session};
 use crate::now;
 use query_dispatcher::protocol::mysql::error::SqlError;
 use query_dispatcher::protocol::mysql::packet::PacketError;
@@ -99,6 +99,8 @@
     listener: RefCell<Option<AbortHandle>>,
     /// Processes up to this one have vanished: their connections stay open and silent.
     vanished: Cell<u32>,
+    /// The `sql_mode` of connections that are opened from now on.
+    sql_mode: RefCell<String>,
     /// Whether the next result that contains a break point ends there.
     break_result: Cell<bool>,
 }
@@ -140,6 +142,7 @@
             killable: RefCell::default(),
             listener: RefCell::default(),
             vanished: Cell::new(0),
+            sql_mode: RefCell::new(INSTALLED_SQL_MODE.into()),
             break_result: Cell::new(false),
         };
         let engine = Engine(Rc::new(inner));
@@ -147,6 +150,11 @@
         Ok(engine)
     }
 
+    /// Sets the default `sql_mode`, for connections that are opened from now on.
+    pub fn set_default_sql_mode(&self, sql_mode: &str) {
+        *self.0.sql_mode.borrow_mut() = sql_mode.into();
+    }
+
     /// Starts a new process of the engine at the same address.
     ///
     /// # Errors
--- a/crates/testbed/src/fakes/engine/connection.rs
+++ b/crates/testbed/src/fakes/engine/connection.rs
@@ -25,8 +25,8 @@
 /// A statement that is to be executed.
 struct Statement {
     sql: String,
-    /// Its result has the binary format of prepared statements.
-    binary: bool,
+    /// The `sql_mode` in which it was prepared; its result has the binary format then.
+    prepared_in: Option<String>,
 }
 
 /// A connection after its log-in.
@@ -34,8 +34,8 @@
     engine: &'a Engine,
     wire: Wire,
     session: Session,
-    /// Prepared statements by their ids.
-    prepared: HashMap<u32, String>,
+    /// Prepared statements by their ids, with the `sql_mode` in which they were read.
+    prepared: HashMap<u32, (String, String)>,
     /// Id of the last statement that was prepared.
     last_id: u32,
     /// Number of the engine's process that it was opened to.
@@ -52,13 +52,14 @@
             memory: Reservation::default(),
         };
         let mut wire = Framed::new(tcp, codec);
-        let Some(number) = self.log_in(&mut wire).await? else {
+        let sql_mode = self.0.sql_mode.borrow().clone();
+        let Some(number) = self.log_in(&mut wire, &sql_mode).await? else {
             return Ok(());
         };
         let connection = Connection {
             engine: self,
             wire,
-            session: Session::new(number, &self.0.name),
+            session: Session::new(number, &self.0.name, &sql_mode),
             prepared: HashMap::new(),
             last_id: 0,
             process: self.0.process.get(),
@@ -72,7 +73,7 @@
     }
 
     /// Logs a client in and returns the number of its connection; `None` if it is turned away.
-    async fn log_in(&self, wire: &mut Wire) -> Result<Option<u32>, PacketError> {
+    async fn log_in(&self, wire: &mut Wire, sql_mode: &str) -> Result<Option<u32>, PacketError> {
         let number = self.0.connections.get() + 1;
         self.0.connections.set(number);
         let nonce: Vec<u8> = (0..20u32)
@@ -94,7 +95,8 @@
             wire.send(&err_packet(&denied)[..]).await?;
             return Ok(None);
         }
-        wire.send(&ok_packet()[..]).await?;
+        let session = Session::new(number, &self.0.name, sql_mode);
+        wire.send(&ok_with_status(session.status())[..]).await?;
         Ok(Some(number))
     }
 }
@@ -128,11 +130,16 @@
             COM_QUERY => {
                 return Ok(Some(Statement {
                     sql: text,
-                    binary: false,
+                    prepared_in: None,
                 }));
             }
             COM_STMT_EXECUTE => match self.prepared.get(&id).cloned() {
-                Some(sql) => return Ok(Some(Statement { sql, binary: true })),
+                Some((sql, sql_mode)) => {
+                    return Ok(Some(Statement {
+                        sql,
+                        prepared_in: Some(sql_mode),
+                    }));
+                }
                 None => {
                     let unknown = SqlError::new(code::ER_UNKNOWN_STMT_HANDLER, "unknown statement");
                     self.wire.send(&err_packet(&unknown)[..]).await?;
@@ -144,7 +151,8 @@
                 self.engine
                     .send_prepared(&mut self.wire, self.last_id, &text, columns)
                     .await?;
-                self.prepared.insert(self.last_id, text);
+                let sql_mode = self.session.sql_mode().to_string();
+                self.prepared.insert(self.last_id, (text, sql_mode));
             }
             COM_STMT_CLOSE => drop(self.prepared.remove(&id)),
             COM_STMT_SEND_LONG_DATA => {}
@@ -201,7 +209,10 @@
 
     /// Executes a statement and sends its response, unless the test has it fail or lose its response.
     async fn execute(&mut self, statement: Statement) -> Result<(), PacketError> {
-        let response = self.session.execute(&statement.sql);
+        let response = match &statement.prepared_in {
+            Some(sql_mode) => self.session.execute_prepared(&statement.sql, sql_mode),
+            None => self.session.execute(&statement.sql),
+        };
         self.record_commits();
         if self.engine.loses_response(&statement.sql) {
             self.engine
@@ -226,7 +237,8 @@
             session,
             ..
         } = self;
-        let Statement { sql, binary } = statement;
+        let Statement { sql, prepared_in } = statement;
+        let binary = prepared_in.is_some();
         let inner = &*engine.0;
         let index = engine.record_execution(&sql, session)?;
         inner.running.set(inner.running.get() + 1);
--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -6,6 +6,10 @@
 
 pub const IN_TRANSACTION: u16 = 1;
 pub const AUTOCOMMIT: u16 = 2;
+pub const NO_BACKSLASH_ESCAPES: u16 = 0x200;
+
+/// The `sql_mode` of a server as it is installed.
+pub const INSTALLED_SQL_MODE: &str = "ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES";
 
 /// Session variables with their initial values.
 const VARIABLES: [(&str, &str); 25] = [
@@ -27,7 +31,7 @@
     ("performance_schema", "1"),
     ("socket", ""),
     ("sql_auto_is_null", "0"),
-    ("sql_mode", "ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES"),
+    ("sql_mode", INSTALLED_SQL_MODE),
     ("system_time_zone", "UTC"),
     ("time_zone", "SYSTEM"),
     ("transaction_isolation", "REPEATABLE-READ"),
@@ -56,6 +60,10 @@
     name: String,
     variables: BTreeMap<String, String>,
     user_variables: BTreeMap<String, Option<String>>,
+    /// The engine's default of `sql_mode`.
+    default_sql_mode: String,
+    /// The `sql_mode` in which the statement was prepared that is executed.
+    mode_of_preparation: Option<String>,
     schema: Option<String>,
     in_transaction: bool,
     /// Warning of the last statement. A statement that contains the word `warns` causes one.
@@ -67,17 +75,20 @@
 }
 
 impl Session {
-    pub fn new(number: u32, name: &str) -> Self {
-        let variables = VARIABLES
+    pub fn new(number: u32, name: &str, sql_mode: &str) -> Self {
+        let mut variables: BTreeMap<String, String> = VARIABLES
             .iter()
             .map(|(n, v)| ((*n).to_string(), (*v).to_string()))
             .collect();
+        variables.insert("sql_mode".into(), sql_mode.into());
         let (user_variables, pending, committed) = (BTreeMap::new(), vec![], vec![]);
         Session {
             number,
             name: name.into(),
             variables,
             user_variables,
+            default_sql_mode: sql_mode.into(),
+            mode_of_preparation: None,
             schema: None,
             in_transaction: false,
             warning: None,
@@ -104,7 +115,44 @@
     /// Returns the status flags for an OK or EOF packet.
     pub fn status(&self) -> u16 {
         let autocommit = self.variables["autocommit"] == "1";
-        u16::from(self.in_transaction) * IN_TRANSACTION + u16::from(autocommit) * AUTOCOMMIT
+        u16::from(self.in_transaction) * IN_TRANSACTION
+            + u16::from(autocommit) * AUTOCOMMIT
+            + u16::from(has_mode(
+                &self.variables["sql_mode"],
+                "NO_BACKSLASH_ESCAPES",
+            )) * NO_BACKSLASH_ESCAPES
+    }
+
+    /// Returns whether a backslash in a string escapes the character after it.
+    fn has_escapes(&self) -> bool {
+        !self.has_mode("NO_BACKSLASH_ESCAPES")
+    }
+
+    /// Returns whether statements are read in this mode.
+    fn has_mode(&self, name: &str) -> bool {
+        let session_mode = &self.variables["sql_mode"];
+        has_mode(
+            self.mode_of_preparation.as_ref().unwrap_or(session_mode),
+            name,
+        )
+    }
+
+    /// Returns the session's `sql_mode`.
+    pub fn sql_mode(&self) -> &str {
+        &self.variables["sql_mode"]
+    }
+
+    /// Executes a statement that was prepared in this `sql_mode`.
+    pub fn execute_prepared(&mut self, sql: &str, sql_mode: &str) -> Option<SessionResponse> {
+        self.mode_of_preparation = Some(sql_mode.into());
+        let response = self.execute(sql);
+        self.mode_of_preparation = None;
+        response
+    }
+
+    /// Returns whether double quotes enclose a name.
+    fn has_quoted_names(&self) -> bool {
+        self.has_mode("ANSI_QUOTES") || self.has_mode("ANSI")
     }
 
     fn commit(&mut self) {
@@ -226,7 +274,8 @@
     /// Assigns all variables of a SET statement, or none if one of the assignments is invalid.
     fn set(&mut self, list: &str) -> SessionResponse {
         let mut new = (self.variables.clone(), self.user_variables.clone());
-        for assignment in split_at_commas(list) {
+        // The whole statement is read in the mode of its beginning.
+        for assignment in self.split_at_commas(list) {
             let Some((name, value)) = split_assignment(&assignment) else {
                 return SessionResponse::Error(1064, "42000", format!("near {assignment}"));
             };
@@ -260,12 +309,16 @@
                 );
             };
             let value = match value.to_ascii_lowercase().as_str() {
+                "default" if name == "sql_mode" => Some(self.default_sql_mode.clone()),
                 "default" => Some((*default).to_string()),
                 "on" | "true" => Some("1".into()),
                 "off" | "false" => Some("0".into()),
                 _ => self.evaluate(value).flatten(),
             };
-            let value = value.unwrap_or_default();
+            let mut value = value.unwrap_or_default();
+            if name == "sql_mode" && value.parse::<u64>().is_ok() {
+                value = sql_mode_of_bits(&value);
+            }
             if name == "sql_mode" && value.split(',').any(|m| m == "NONSENSE") {
                 return SessionResponse::Error(
                     1231,
@@ -282,6 +335,60 @@
         SessionResponse::Ok
     }
 
+    /// Returns the text of a string literal in the session's mode; `None` if it does not end with the closing quote.
+    fn text_of_literal(&self, literal: &str) -> Option<String> {
+        let mut characters = literal.chars().peekable();
+        let quote = characters.next()?;
+        let mut text = String::new();
+        while let Some(character) = characters.next() {
+            if character == quote {
+                if characters.next_if_eq(&quote).is_none() {
+                    return characters.next().is_none().then_some(text);
+                }
+                text.push(quote);
+            } else if character == '\\' && self.has_escapes() {
+                let escaped = characters.next()?;
+                // Kept for the patterns of LIKE.
+                if matches!(escaped, '%' | '_') {
+                    text.push(character);
+                }
+                text.push(unescaped(escaped));
+            } else {
+                text.push(character);
+            }
+        }
+        None
+    }
+
+    /// Splits a list at the commas outside strings, quoted names and parentheses.
+    fn split_at_commas(&self, list: &str) -> Vec<String> {
+        let (mut all, mut item) = (vec![], String::new());
+        let (mut depth, mut quote) = (0, None);
+        let mut characters = list.chars();
+        while let Some(character) = characters.next() {
+            match (quote, character) {
+                (Some('\'' | '"'), '\\') if self.has_escapes() => {
+                    item.push(character);
+                    item.extend(characters.next());
+                    continue;
+                }
+                (Some(open), character) if character == open => quote = None,
+                (Some(_), _) => {}
+                (None, '\'' | '"' | '`') => quote = Some(character),
+                (None, '(') => depth += 1,
+                (None, ')') => depth -= 1,
+                (None, ',') if depth == 0 => {
+                    all.push(std::mem::take(&mut item));
+                    continue;
+                }
+                _ => {}
+            }
+            item.push(character);
+        }
+        all.push(item);
+        all
+    }
+
     /// Executes a SELECT that assigns user variables: `@x := EXPRESSION, ...`, for each of
     /// [`ROWS_OF_A_TABLE`] rows if it has a FROM, or `EXPRESSION INTO @x`. Returns `None` if it is not supported.
     fn assign_in_select(&mut self, list: &str) -> Option<SessionResponse> {
@@ -294,7 +401,7 @@
             self.assign_user_variable(name, value);
             return Some(SessionResponse::Ok);
         }
-        let items = split_at_commas(list);
+        let items = self.split_at_commas(list);
         let mut all = vec![];
         for _ in 0..rows {
             let mut row = vec![];
@@ -337,7 +444,8 @@
             .starts_with("concat(")
             .then(|| &text[7..text.len() - 1])
         {
-            let all: Option<Vec<Option<String>>> = split_at_commas(args)
+            let all: Option<Vec<Option<String>>> = self
+                .split_at_commas(args)
                 .iter()
                 .map(|a| self.evaluate(a))
                 .collect();
@@ -374,13 +482,8 @@
                     .flatten(),
             );
         }
-        let quoted = |q: char| text.len() > 1 && text.starts_with(q) && text.ends_with(q);
-        if quoted('\'') || quoted('"') {
-            return Some(Some(
-                text[1..text.len() - 1]
-                    .replace("''", "'")
-                    .replace("\\\\", "\\"),
-            ));
+        if text.starts_with('\'') || text.starts_with('"') && !self.has_quoted_names() {
+            return Some(Some(self.text_of_literal(text)?));
         }
         match lower.as_str() {
             "null" => Some(None),
@@ -415,7 +518,7 @@
             .or_else(|| list.strip_suffix("limit 1"))
             .unwrap_or(list);
         let (mut names, mut row) = (vec![], vec![]);
-        for item in split_at_commas(list) {
+        for item in self.split_at_commas(list) {
             let item = item.trim();
             let at = item.to_ascii_lowercase().rfind(" as ");
             let (value, name) = at.map_or((item, item), |at| (&item[..at], item[at + 4..].trim()));
@@ -426,6 +529,24 @@
     }
 }
 
+/// Returns the names of the modes in a numeric value, of those that tests use.
+fn sql_mode_of_bits(value: &str) -> String {
+    let bits: u64 = value.parse().unwrap_or(0);
+    let names: Vec<&str> = [(4, "ANSI_QUOTES"), (1 << 20, "NO_BACKSLASH_ESCAPES")]
+        .iter()
+        .filter(|(bit, _)| bits & bit != 0)
+        .map(|(_, name)| *name)
+        .collect();
+    names.join(",")
+}
+
+/// Returns whether a value of `sql_mode` has this mode.
+fn has_mode(sql_mode: &str, name: &str) -> bool {
+    sql_mode
+        .split(',')
+        .any(|mode| mode.trim().eq_ignore_ascii_case(name))
+}
+
 /// Removes leading comments and the semicolon at the end. The content of a leading `/*!40101 ... */` stays.
 fn strip_comments(sql: &str) -> String {
     let mut text = sql.trim();
@@ -471,27 +592,17 @@
     name.to_string()
 }
 
-/// Splits a list at the commas outside strings and parentheses.
-fn split_at_commas(list: &str) -> Vec<String> {
-    let (mut all, mut item) = (vec![], String::new());
-    let (mut depth, mut quote) = (0, None);
-    for c in list.chars() {
-        match (quote, c) {
-            (Some(q), c) if c == q => quote = None,
-            (Some(_), _) => {}
-            (None, '\'' | '"' | '`') => quote = Some(c),
-            (None, '(') => depth += 1,
-            (None, ')') => depth -= 1,
-            (None, ',') if depth == 0 => {
-                all.push(std::mem::take(&mut item));
-                continue;
-            }
-            _ => {}
-        }
-        item.push(c);
+/// Returns the character that this one stands for behind a backslash.
+fn unescaped(character: char) -> char {
+    match character {
+        '0' => '\0',
+        'b' => '\x08',
+        'n' => '\n',
+        'r' => '\r',
+        't' => '\t',
+        'Z' => '\x1a',
+        other => other,
     }
-    all.push(item);
-    all
 }
 
 #[cfg(test)]
@@ -500,7 +611,7 @@
 
     #[test]
     fn variables_are_set_read_and_reset() {
-        let mut s = Session::new(7, "e");
+        let mut s = Session::new(7, "e", INSTALLED_SQL_MODE);
         assert_eq!(
             s.execute("SET SESSION time_zone = '+02:00', @x = 'it''s'"),
             Some(SessionResponse::Ok)
@@ -531,9 +642,24 @@
         );
     }
 
+    #[test]
+    fn text_is_read_in_the_mode_of_the_session() {
+        let mut s = Session::new(7, "e", INSTALLED_SQL_MODE);
+        s.execute(r"SET @a = 'C:\new\', x', @b = 'y'");
+        assert_eq!(s.user_variables["a"].as_deref(), Some("C:\new', x"));
+        assert_eq!(s.user_variables["b"].as_deref(), Some("y"));
+        s.execute("SET SESSION sql_mode = 'NO_BACKSLASH_ESCAPES'");
+        assert_eq!(s.status(), AUTOCOMMIT | NO_BACKSLASH_ESCAPES);
+        s.execute(r"SET @a = 'C:\new\', @b = 'it''s'");
+        assert_eq!(s.user_variables["a"].as_deref(), Some(r"C:\new\"));
+        assert_eq!(s.user_variables["b"].as_deref(), Some("it's"));
+        s.execute("SET SESSION sql_mode = DEFAULT");
+        assert_eq!(s.status(), AUTOCOMMIT);
+    }
+
     #[test]
     fn changes_are_recorded_once_they_are_committed() {
-        let mut s = Session::new(7, "e");
+        let mut s = Session::new(7, "e", INSTALLED_SQL_MODE);
         s.execute("insert into t values (1)");
         assert_eq!((s.committed.len(), s.status()), (1, AUTOCOMMIT));
         s.execute("begin");
--- a/src/frontend/mysql/commands.rs
+++ b/src/frontend/mysql/commands.rs
@@ -149,7 +149,8 @@
             }
             None => {}
         }
-        match statement::classify(&sql) {
+        let modes = self.lexical_modes();
+        match statement::classify(&sql, modes) {
             StatementKind::Unsupported(reason) => {
                 self.send_error(&SqlError::new(code::ER_NOT_SUPPORTED_YET, reason))
                     .await
@@ -166,8 +167,8 @@
             }
             kind => {
                 let context = self.context_for(&sql);
-                self.execute_and_reply(StatementRequest::new(kind, context, sql, Job::Query))
-                    .await
+                let request = StatementRequest::new(kind, context, sql, modes, Job::Query);
+                self.execute_and_reply(request).await
             }
         }
     }
--- a/src/frontend/mysql/mod.rs
+++ b/src/frontend/mysql/mod.rs
@@ -20,6 +20,7 @@
 use crate::config::MysqlFrontendConfig;
 use crate::dispatch::{RequestRouter, Upstream};
 use crate::log_line;
+use crate::protocol::mysql::sql_mode::LexicalModes;
 use crate::spool_io::Spools;
 use crate::sticky_sessions::StickySessionTable;
 use crate::transport::buffer_pool::BufferPool;
@@ -27,6 +28,7 @@
 use crate::transport::descriptors::DescriptorBudget;
 use crate::transport::memory_budget::MemoryBudget;
 use crate::transport::tls::TlsKeys;
+use crate::upstream::mysql::MysqlUpstream;
 use crate::upstream::mysql::downstream::Downstream;
 use crate::upstream::mysql::work::{Output, Work};
 use std::cell::{Cell, RefCell};
@@ -38,9 +40,16 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// An upstream that executes MySQL statements.
-pub trait StatementUpstream: Upstream<Work = Work, Output = Output> {}
+pub trait StatementUpstream: Upstream<Work = Work, Output = Output> {
+    /// Returns the modes in which engines may read the statements of a session that has not set `sql_mode`.
+    fn default_lexical_modes(&self) -> LexicalModes;
+}
 
-impl<U: Upstream<Work = Work, Output = Output>> StatementUpstream for U {}
+impl StatementUpstream for MysqlUpstream {
+    fn default_lexical_modes(&self) -> LexicalModes {
+        MysqlUpstream::default_lexical_modes(self)
+    }
+}
 
 /// Accepts MySQL clients and serves their sessions.
 pub struct Frontend<U: StatementUpstream> {
--- a/src/frontend/mysql/prepared_statements.rs
+++ b/src/frontend/mysql/prepared_statements.rs
@@ -10,6 +10,7 @@
 use crate::protocol::mysql::error::{SqlError, code};
 use crate::protocol::mysql::packet::{OK_HEADER, PacketError, PayloadReader};
 use crate::protocol::mysql::session::SessionContext;
+use crate::protocol::mysql::sql_mode::LexicalModes;
 use crate::protocol::mysql::values::{self, Execute, ParameterType};
 use crate::protocol::statement::{self, StatementKind};
 use crate::transport::incoming_message::complete_purpose;
@@ -34,6 +35,10 @@
 pub(super) struct PreparedStatement {
     /// Schema of the session when the statement was prepared, in which its names are resolved.
     schema: Option<String>,
+    /// Modes in which an engine may have read the statement then.
+    modes: LexicalModes,
+    /// The session's `sql_mode` then, if it had set one.
+    sql_mode: Option<String>,
     sql: Bytes,
     kind: StatementKind,
     parameter_count: usize,
@@ -118,6 +123,8 @@
     Engine {
         kind: StatementKind,
         schema: Option<String>,
+        modes: LexicalModes,
+        sql_mode: Option<String>,
         sql: Bytes,
         execute: Execute,
     },
@@ -167,6 +174,8 @@
             None => ExecutionRequest::Engine {
                 kind: self.kind.clone(),
                 schema: self.schema.clone(),
+                modes: self.modes,
+                sql_mode: self.sql_mode.clone(),
                 sql: self.sql.clone(),
                 execute,
             },
@@ -210,7 +219,8 @@
             Some(Ok(statement)) => Some(statement),
             None => None,
         };
-        let kind = statement::classify(&sql);
+        let modes = self.lexical_modes();
+        let kind = statement::classify(&sql, modes);
         if let Some(reason) = unpreparable_reason(&kind).filter(|_| administrative.is_none()) {
             let error = SqlError::new(code::ER_NOT_SUPPORTED_YET, reason);
             return self.send_error(&error).await;
@@ -236,7 +246,7 @@
             None => {
                 let context = self.state.context().clone();
                 let request =
-                    StatementRequest::new(kind.clone(), context, sql.clone(), Job::Prepare);
+                    StatementRequest::new(kind.clone(), context, sql.clone(), modes, Job::Prepare);
                 match self.execute(request).await? {
                     Ok(Reply::Served(Output::Inline(packets))) => {
                         packets.iter().map(<[u8]>::to_vec).collect()
@@ -247,6 +257,8 @@
         };
         let statement = PreparedStatement {
             schema: self.state.context().schema.clone(),
+            modes,
+            sql_mode: self.state.context().sql_mode().cloned(),
             sql,
             kind,
             parameter_count: 0,
@@ -303,15 +315,24 @@
             ExecutionRequest::Engine {
                 kind,
                 schema,
+                modes,
+                sql_mode,
                 sql,
                 execute,
             } => {
-                // The schema is that of the preparation; the other settings are the session's current ones.
+                // The schema is that of the preparation, and so is the mode in which the text is read; the other
+                // settings are the session's current ones.
                 let context = SessionContext {
                     schema,
                     ..self.context_for(&sql)
                 };
-                StatementRequest::new(kind, context, sql, Job::Execute(execute))
+                let is_read_as_before = context.sql_mode() == sql_mode.as_ref()
+                    || modes.readings(&sql) == self.lexical_modes().readings(&sql);
+                let preparation = (!is_read_as_before).then(|| context.with_sql_mode(sql_mode));
+                let job = Job::Execute(execute);
+                let mut request = StatementRequest::new(kind, context, sql, modes, job);
+                request.preparation = preparation;
+                request
             }
         };
         match self.execute(request).await? {
--- a/src/frontend/mysql/replies.rs
+++ b/src/frontend/mysql/replies.rs
@@ -9,7 +9,7 @@
 use crate::protocol::mysql::error::{SqlError, code};
 use crate::protocol::mysql::packet::{
     OK_HEADER, PacketError, ResultFormat, SERVER_STATUS_AUTOCOMMIT, SERVER_STATUS_IN_TRANS,
-    eof_status, err_packet, ok_packet_with_status,
+    SERVER_STATUS_NO_BACKSLASH_ESCAPES, eof_status, err_packet, ok_packet_with_status,
 };
 use crate::spool_io::{ResultReader, SpoolError, packets};
 use crate::upstream::mysql::work::{Output, error_of_reply};
@@ -50,6 +50,10 @@
         if in_transaction {
             status |= SERVER_STATUS_IN_TRANS;
         }
+        // Drivers escape the text in statements by this flag.
+        if self.lexical_modes().no_backslash_escapes() {
+            status |= SERVER_STATUS_NO_BACKSLASH_ESCAPES;
+        }
         ok_packet_with_status(status)
     }
 
--- a/src/frontend/mysql/request.rs
+++ b/src/frontend/mysql/request.rs
@@ -11,6 +11,7 @@
     MAX_ESTIMATED_MEMORY_MB, MAX_ESTIMATED_WORK_MS, MAX_TIME_LIMIT_MS,
 };
 use crate::protocol::mysql::session::SessionContext;
+use crate::protocol::mysql::sql_mode::LexicalModes;
 use crate::protocol::statement::{self, ConnectionEffects, Hints, StatementKind};
 use crate::spool::{Admission, AdmissionRequest};
 use crate::spool_io::{MAX_STATEMENT_CHARS, ResultOwner};
@@ -31,15 +32,25 @@
     pub(super) context: SessionContext,
     pub(super) sql: Bytes,
     pub(super) job: Job,
+    /// Modes in which an engine may read the statement.
+    pub(super) modes: LexicalModes,
+    /// Session state in which a prepared statement was read, if it was another one.
+    pub(super) preparation: Option<SessionContext>,
     /// Changes that the statement makes to the state of its engine connection.
     pub(super) effects: ConnectionEffects,
 }
 
 impl StatementRequest {
-    /// Creates a request; `sql` is empty if there is no statement.
-    pub(super) fn new(kind: StatementKind, context: SessionContext, sql: Bytes, job: Job) -> Self {
+    /// Creates a request for a statement that an engine reads in one of these modes.
+    pub(super) fn new(
+        kind: StatementKind,
+        context: SessionContext,
+        sql: Bytes,
+        modes: LexicalModes,
+        job: Job,
+    ) -> Self {
         let effects = match runs_statement(&job) {
-            true => ConnectionEffects::of(&sql),
+            true => ConnectionEffects::of(&sql, modes),
             false => ConnectionEffects::default(),
         };
         StatementRequest {
@@ -47,10 +58,23 @@
             context,
             sql,
             job,
+            modes,
+            preparation: None,
             effects,
         }
     }
 
+    /// Creates a request that only takes a connection to this context.
+    pub(super) fn enter_context(context: SessionContext) -> Self {
+        Self::new(
+            StatementKind::Read,
+            context,
+            Bytes::new(),
+            LexicalModes::default(),
+            Job::EnterContext,
+        )
+    }
+
     /// Returns whether the engine runs a statement, rather than prepare one or enter a context.
     pub(super) fn runs(&self) -> bool {
         runs_statement(&self.job)
@@ -220,6 +244,7 @@
                 binary: matches!(request.job, Job::Execute(_)),
             },
             context: request.context,
+            preparation: request.preparation,
             effects: request.effects,
             sql: request.sql,
             job: request.job,
--- a/src/frontend/mysql/settings.rs
+++ b/src/frontend/mysql/settings.rs
@@ -13,6 +13,7 @@
 use crate::protocol::mysql::session::{
     SessionContext, SessionState, SetOutcome, Validation, sql_literal,
 };
+use crate::protocol::mysql::sql_mode::LexicalModes;
 use crate::protocol::statement::{self, StatementKind};
 use crate::upstream::mysql::work::{Job, Output, error_of_reply};
 use bytes::Bytes;
@@ -42,6 +43,7 @@
                     StatementKind::WithinTransaction,
                     context,
                     sql,
+                    self.lexical_modes(),
                     Job::Query,
                 ))
                 .await;
@@ -60,12 +62,7 @@
 
     /// Applies the state if an engine accepts it.
     async fn validate_on_engine(&mut self, state: SessionState) -> Result<(), SessionEnd> {
-        let request = StatementRequest::new(
-            StatementKind::Read,
-            state.context().clone(),
-            Bytes::new(),
-            Job::EnterContext,
-        );
+        let request = StatementRequest::enter_context(state.context().clone());
         match self.execute(request).await? {
             Ok(reply) if is_ok(&reply) => {
                 self.state = state;
@@ -121,19 +118,27 @@
     /// Evaluates an expression on an engine and returns the value as an SQL literal.
     async fn evaluate(&mut self, expression: &str) -> Result<Result<String, SqlError>, SessionEnd> {
         let select = Bytes::from(format!("SELECT {expression}"));
-        if statement::classify(&select) != StatementKind::Read {
+        let modes = self.lexical_modes();
+        if statement::classify(&select, modes) != StatementKind::Read {
             let reason = "SET takes values that can be read without leaving anything behind";
             return Ok(Err(SqlError::new(code::ER_NOT_SUPPORTED_YET, reason)));
         }
         let context = self.context_for(&select);
-        let request = StatementRequest::new(StatementKind::Read, context, select, Job::Query);
+        let request =
+            StatementRequest::new(StatementKind::Read, context, select, modes, Job::Query);
         let result = self.execute(request).await?;
         Ok(result.and_then(|reply| single_value(&reply)))
     }
 
+    /// Returns the modes in which an engine may read the session's statements.
+    pub(super) fn lexical_modes(&self) -> LexicalModes {
+        let defaults = || self.frontend.router.upstream().default_lexical_modes();
+        self.state.lexical_modes().unwrap_or_else(defaults)
+    }
+
     /// Returns the context of a statement, with the session's LAST_INSERT_ID if the statement reads it.
     pub(super) fn context_for(&self, sql: &[u8]) -> SessionContext {
-        match statement::reads_last_insert_id(sql) {
+        match statement::reads_last_insert_id(sql, self.lexical_modes()) {
             true => self.state.context_with_insert_id(),
             false => self.state.context().clone(),
         }
--- a/src/frontend/mysql/statement_effect.rs
+++ b/src/frontend/mysql/statement_effect.rs
@@ -61,7 +61,7 @@
                 _,
                 StatementKind::MakesSticky(StickyReason::Transaction | StickyReason::TableLocks),
             ) => Commits::OpenTransaction,
-            (_, _) if statement::commits_implicitly(&self.sql) => Commits::Everything,
+            (_, _) if statement::commits_implicitly(&self.sql, self.modes) => Commits::Everything,
             (_, StatementKind::Read) => Commits::Nothing,
             (_, _) => Commits::AutocommittedChanges,
         }
--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -196,6 +196,7 @@
     ) -> Work {
         Work {
             context: self.state.context().clone(),
+            preparation: None,
             sql: Bytes::new(),
             effects: ConnectionEffects::default(),
             job: Job::StickySession(channel),
--- a/src/protocol/mysql/mod.rs
+++ b/src/protocol/mysql/mod.rs
@@ -4,4 +4,5 @@
 pub mod error;
 pub mod packet;
 pub mod session;
+pub mod sql_mode;
 pub mod values;
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -14,6 +14,7 @@
 pub use variable_name::{UnknownSystemVariable, VariableName};
 pub use variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement, sql_literal};
 
+use super::sql_mode::{LexicalMode, LexicalModes, SQL_MODE_VARIABLE};
 use set::{Change, SetError, Value};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -45,6 +46,26 @@
     pub connection_variables: Rc<ConnectionVariables>,
 }
 
+impl SessionContext {
+    /// Returns the session's `sql_mode`, if it has set one.
+    pub fn sql_mode(&self) -> Option<&String> {
+        self.variables
+            .get(&VariableName::builtin(SQL_MODE_VARIABLE))
+    }
+
+    /// Returns the context with another `sql_mode`; `None` is the default of the engine.
+    pub fn with_sql_mode(&self, sql_mode: Option<String>) -> Self {
+        let name = VariableName::builtin(SQL_MODE_VARIABLE);
+        let mut context = self.clone();
+        let variables = Rc::make_mut(&mut context.variables);
+        match sql_mode {
+            Some(sql_mode) => variables.insert(name, sql_mode),
+            None => variables.remove(&name),
+        };
+        context
+    }
+}
+
 /// Whether an engine has to validate a change before it takes effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Validation {
@@ -97,6 +118,8 @@
     /// The value of LAST_INSERT_ID().
     last_insert_id: u64,
     commit_mode: CommitMode,
+    /// The modes in which an engine may read the session's statements; `None` if the session has not set `sql_mode`.
+    lexical_modes: Option<LexicalModes>,
 }
 
 impl SessionState {
@@ -126,6 +149,12 @@
         context
     }
 
+    /// Returns the modes in which an engine may read the session's statements; `None` if they are those of engines'
+    /// defaults.
+    pub fn lexical_modes(&self) -> Option<LexicalModes> {
+        self.lexical_modes
+    }
+
     /// Returns whether each statement is committed automatically.
     pub fn autocommit(&self) -> bool {
         self.commit_mode == CommitMode::Automatic
@@ -308,6 +337,9 @@
             }
             None => {}
         }
+        if name.is_system(SQL_MODE_VARIABLE) {
+            self.lexical_modes = value.as_deref().map(modes_of_literal);
+        }
         let is_user_variable = name.is_user();
         // A user variable that was never set is NULL.
         let is_null = is_user_variable && unquoted.as_deref() == Some("null");
@@ -355,3 +387,11 @@
         Ok(Validation::Done)
     }
 }
+
+/// Returns the modes that a literal for `sql_mode` may select: any, if it has an escape.
+fn modes_of_literal(literal: &str) -> LexicalModes {
+    if literal.contains('\\') {
+        return LexicalModes::all();
+    }
+    LexicalMode::of_sql_mode(literal.trim_matches(['\'', '"'])).into()
+}
--- a/src/protocol/statement/classify.rs
+++ b/src/protocol/statement/classify.rs
@@ -4,6 +4,7 @@
 use super::scanner::{Token, has_executable_comment, tokens};
 use super::tokenized_statement::{TokenizedStatement, unquoted_name};
 use super::words::{KEEP_TRANSACTION_OPEN, READ_ONLY_FUNCTIONS, WRITE_KEYWORDS};
+use crate::protocol::mysql::sql_mode::{LexicalMode, LexicalModes};
 use crate::sticky_sessions::StickyReason;
 
 /// The kind of a MySQL statement.
@@ -45,10 +46,35 @@
 const IDENTITY: &str = "identity";
 const COUNT_FUNCTIONS: [&str; 2] = ["found_rows", "row_count"];
 
-/// Returns the kind of a MySQL statement. A statement that is not recognized as a read counts as a
-/// write.
-pub fn classify(sql: &[u8]) -> StatementKind {
-    let statement = TokenizedStatement::scan(sql);
+/// Returns the kind of a MySQL statement that an engine reads in one of these modes. A statement that is not
+/// recognized as a read in each of them counts as a write.
+pub fn classify(sql: &[u8], modes: LexicalModes) -> StatementKind {
+    let readings = modes.readings(sql).iter();
+    let kinds = readings.map(|mode| classify_reading(sql, mode));
+    kinds
+        .reduce(StatementKind::or)
+        .unwrap_or(StatementKind::Write)
+}
+
+impl StatementKind {
+    /// Returns the kind of a statement that is of this kind or, less likely, of the other one.
+    fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (one, other) if one == other => one,
+            (sticky @ StatementKind::MakesSticky(_), _)
+            | (
+                StatementKind::Read | StatementKind::Write,
+                sticky @ StatementKind::MakesSticky(_),
+            ) => sticky,
+            (StatementKind::Read, _) => StatementKind::Write,
+            (likelier, _) => likelier,
+        }
+    }
+}
+
+/// Returns the kind of a statement that is read in this mode.
+fn classify_reading(sql: &[u8], mode: LexicalMode) -> StatementKind {
+    let statement = TokenizedStatement::scan(sql, mode);
     if let Some(kind) = unsupported_form(&statement) {
         return kind;
     }
@@ -214,7 +240,7 @@
 
 /// Returns whether the statement reads the insert id of an earlier one: by LAST_INSERT_ID(), or by one of the system
 /// variables `last_insert_id` and `identity`.
-pub fn reads_last_insert_id(statement: &[u8]) -> bool {
+pub fn reads_last_insert_id(statement: &[u8], modes: LexicalModes) -> bool {
     let has_name = |name: &str| {
         statement
             .windows(name.len())
@@ -224,8 +250,11 @@
     if !has_name(LAST_INSERT_ID) && !has_name(IDENTITY) {
         return false;
     }
-    let tokens: Vec<Token> = tokens(statement).collect();
-    (0..tokens.len()).any(|index| is_last_insert_id(&tokens, index))
+    let reads_in = |mode| {
+        let tokens: Vec<Token> = tokens(statement, mode).collect();
+        (0..tokens.len()).any(|index| is_last_insert_id(&tokens, index))
+    };
+    modes.readings(statement).iter().any(reads_in)
 }
 
 fn is_last_insert_id(tokens: &[Token], index: usize) -> bool {
@@ -249,19 +278,22 @@
 
 /// Returns whether a statement that ends a transaction is a ROLLBACK rather than a COMMIT.
 pub fn is_rollback(statement: &[u8]) -> bool {
-    let first = tokens(statement).find(|token| !token.is_engine_comment());
+    // Nothing in quotes precedes the first keyword.
+    let first = tokens(statement, LexicalMode::default()).find(|token| !token.is_engine_comment());
     matches!(first, Some(Token::Name { text, .. }) if text.eq_ignore_ascii_case("rollback"))
 }
 
 /// Returns whether the statement implicitly commits an open transaction, as the definition of
 /// tables or users and table locks do. What only newer engines execute may do so too.
-pub fn commits_implicitly(statement: &[u8]) -> bool {
-    let may_execute_more = has_executable_comment(statement)
-        && tokens(statement).any(|token| token == Token::VersionedComment);
+pub fn commits_implicitly(statement: &[u8], modes: LexicalModes) -> bool {
+    let executes_more_in =
+        |mode| tokens(statement, mode).any(|token| token == Token::VersionedComment);
+    let may_execute_more =
+        has_executable_comment(statement) && modes.readings(statement).iter().any(executes_more_in);
     if may_execute_more {
         return true;
     }
-    let first_keyword = tokens(statement)
+    let first_keyword = tokens(statement, LexicalMode::default())
         .map(|token| unquoted_name(&token))
         .find(|name| !name.is_empty());
     !first_keyword.is_some_and(|keyword| KEEP_TRANSACTION_OPEN.contains(&keyword))
--- a/src/protocol/statement/connection_effects.rs
+++ b/src/protocol/statement/connection_effects.rs
@@ -3,6 +3,7 @@
 
 use super::scanner::{Token, has_executable_comment, tokens};
 use crate::protocol::mysql::session::VariableName;
+use crate::protocol::mysql::sql_mode::{LexicalMode, LexicalModes};
 use std::collections::BTreeSet;
 
 /// First keywords of statements whose targets may be user variables anywhere:
@@ -25,8 +26,8 @@
 }
 
 impl ConnectionEffects {
-    /// Returns the effects of a statement.
-    pub fn of(statement: &[u8]) -> Self {
+    /// Returns the effects that a statement may have on a connection that reads it in one of these modes.
+    pub fn of(statement: &[u8], modes: LexicalModes) -> Self {
         // Few statements have such effects; only those that may are scanned.
         let may_have_effects = statement.contains(&b'@')
             || has_executable_comment(statement)
@@ -34,8 +35,14 @@
         if !may_have_effects {
             return Self::default();
         }
+        let readings = modes.readings(statement).iter();
+        let effects = readings.map(|mode| Self::of_reading(statement, mode));
+        effects.reduce(Self::or).unwrap_or_default()
+    }
+
+    fn of_reading(statement: &[u8], mode: LexicalMode) -> Self {
         let (comments, tokens): (Vec<Token>, Vec<Token>) =
-            tokens(statement).partition(Token::is_engine_comment);
+            tokens(statement, mode).partition(Token::is_engine_comment);
         let assigned_variables = assigned_variables(&tokens);
         let assigns_unreadable_name =
             !assigned_variables.is_empty() && tokens.iter().any(is_unreadable_variable);
@@ -46,6 +53,16 @@
                 || assigns_unreadable_name,
         }
     }
+
+    /// Returns the effects of a statement that may have these or the other ones.
+    fn or(mut self, other: Self) -> Self {
+        self.is_unpredictable |= other.is_unpredictable;
+        // The dispatcher follows one schema: a statement that may have dropped another one leaves it unknown.
+        self.is_unpredictable |= self.dropped_schema != other.dropped_schema;
+        self.assigned_variables.extend(other.assigned_variables);
+        self.dropped_schema = self.dropped_schema.or(other.dropped_schema);
+        self
+    }
 }
 
 /// Returns whether the statement begins with DROP, or with something that has to be skipped first.
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -1,5 +1,7 @@
 //! Lexical scanner of SQL statements.
 
+use crate::protocol::mysql::sql_mode::LexicalMode;
+
 /// A token of a statement.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Token {
@@ -56,6 +58,7 @@
 /// An iterator over the tokens of a statement.
 pub(super) struct Tokens<'a> {
     sql: &'a [u8],
+    mode: LexicalMode,
     position: usize,
     /// Where the last token began.
     token_start: usize,
@@ -65,9 +68,11 @@
     in_executable_comment: bool,
 }
 
-pub(super) fn tokens(sql: &[u8]) -> Tokens<'_> {
+/// Returns the tokens of a statement as an engine reads them in this mode.
+pub(super) fn tokens(sql: &[u8], mode: LexicalMode) -> Tokens<'_> {
     Tokens {
         sql,
+        mode,
         position: 0,
         token_start: 0,
         after_dot: false,
@@ -158,10 +163,22 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
-    /// Reads a double-quoted token: a string in MySQL, a name in other dialects. Only a name has a
-    /// dot next to it.
+    /// Returns what a backslash means within these quotes.
+    fn escapes(&self, quote: u8) -> Escapes {
+        let encloses_name = quote == b'`' || quote == b'"' && self.mode.ansi_quotes;
+        match encloses_name || self.mode.no_backslash_escapes {
+            true => Escapes::None,
+            false => Escapes::Backslash,
+        }
+    }
+
+    /// Reads a double-quoted token: a string in MySQL, a name with ANSI_QUOTES and in other dialects. Only a name has
+    /// a dot next to it.
     fn double_quoted(&mut self, after_dot: bool) -> Token {
-        let text = self.quoted(b'"', Escapes::Backslash);
+        let text = self.quoted(b'"', self.escapes(b'"'));
+        if self.mode.ansi_quotes {
+            return Token::Name { text, quoted: true };
+        }
         let before_dot = self.sql.get(self.position) == Some(&b'.');
         if after_dot || before_dot {
             Token::Name { text, quoted: true }
@@ -197,11 +214,7 @@
             }
             Some(&quote @ (b'\'' | b'"' | b'`')) => {
                 self.position += 1;
-                let escapes = match quote {
-                    b'`' => Escapes::None,
-                    _ => Escapes::Backslash,
-                };
-                Token::UserVariable(self.quoted(quote, escapes))
+                Token::UserVariable(self.quoted(quote, self.escapes(quote)))
             }
             Some(&byte) if is_variable_byte(byte) => {
                 let name = &rest[1..];
@@ -288,7 +301,7 @@
             } else if begins_line_comment(rest) {
                 self.skip_past(b"\n");
             } else if byte == b'\'' {
-                self.quoted(byte, Escapes::Backslash);
+                self.quoted(byte, self.escapes(byte));
                 return Some(Token::Text);
             } else if byte == b'"' {
                 return Some(self.double_quoted(after_dot));
--- a/src/protocol/statement/table_group.rs
+++ b/src/protocol/statement/table_group.rs
@@ -1,6 +1,7 @@
 //! The table group that a statement uses.
 
 use super::scanner::{Token, tokens};
+use crate::protocol::mysql::sql_mode::LexicalMode;
 
 /// Keywords that precede the name of a table.
 const KEYWORDS_BEFORE_TABLE: [&str; 9] = [
@@ -19,13 +20,14 @@
 const STAGING_SCHEMA: &str = "staging";
 
 /// Returns the table group of a statement: the number in the name of the first schema at the
-/// position of a table, or else of the first schema before any dot (`sales_17.orders`).
+/// position of a table, or else of the first schema before any dot (`sales_17.orders`). It is a preference among
+/// engines, so that the statement is read in the default mode, whatever the session's is.
 pub fn table_group(statement: &[u8]) -> Option<u64> {
     let mut elsewhere = None;
     let mut name = QualifiedName::default();
     let mut table_expected = false;
     let mut after_dot = false;
-    for token in tokens(statement) {
+    for token in tokens(statement, LexicalMode::default()) {
         match token {
             Token::Punctuation(b'.') => after_dot = true,
             Token::Name { text, .. } if after_dot => {
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -1,7 +1,24 @@
 use super::*;
 use crate::protocol::mysql::session::VariableName;
+use crate::protocol::mysql::sql_mode::{LexicalMode, LexicalModes, ObservedDefaults};
 use crate::sticky_sessions::StickyReason;
 
+fn classify(sql: &[u8]) -> StatementKind {
+    super::classify(sql, LexicalModes::default())
+}
+
+fn commits_implicitly(sql: &[u8]) -> bool {
+    super::commits_implicitly(sql, LexicalModes::default())
+}
+
+fn reads_last_insert_id(sql: &[u8]) -> bool {
+    super::reads_last_insert_id(sql, LexicalModes::default())
+}
+
+fn effects_of(sql: &[u8]) -> ConnectionEffects {
+    ConnectionEffects::of(sql, LexicalModes::default())
+}
+
 #[test]
 fn only_statements_that_cannot_write_are_reads() {
     let cases = [
@@ -202,7 +219,7 @@
         ("drop", None),
         ("select 'drop database depot'", None),
     ] {
-        let effects = ConnectionEffects::of(text.as_bytes());
+        let effects = effects_of(text.as_bytes());
         assert_eq!(effects.dropped_schema.as_deref(), expected, "{text}");
     }
 }
@@ -240,9 +257,9 @@
         }
     }
     assert!(is_rollback(b"/*!50000 rollback */"));
-    assert!(ConnectionEffects::of(b"/*!99999 set x = 1 */").is_unpredictable);
-    assert!(!ConnectionEffects::of(b"/*!50000 create table t (a int) */").is_unpredictable);
-    let effects = ConnectionEffects::of(b"select a /*!50000 into @x */ from t");
+    assert!(effects_of(b"/*!99999 set x = 1 */").is_unpredictable);
+    assert!(!effects_of(b"/*!50000 create table t (a int) */").is_unpredictable);
+    let effects = effects_of(b"select a /*!50000 into @x */ from t");
     assert!(
         effects
             .assigned_variables
@@ -281,7 +298,7 @@
         ("select @", &[]),
     ];
     for (text, expected) in cases {
-        let effects = ConnectionEffects::of(text.as_bytes());
+        let effects = effects_of(text.as_bytes());
         let expected_names = expected.iter().map(|name| VariableName::user(&name[1..]));
         assert!(
             effects
@@ -296,6 +313,128 @@
     }
 }
 
+const NO_BACKSLASH_ESCAPES: LexicalMode = LexicalMode {
+    no_backslash_escapes: true,
+    ansi_quotes: false,
+};
+const ANSI_QUOTES: LexicalMode = LexicalMode {
+    no_backslash_escapes: false,
+    ansi_quotes: true,
+};
+
+/// Guards against a write that is hidden in what another mode takes for text.
+#[test]
+fn statements_are_read_in_the_mode_of_their_session() {
+    use StatementKind::{MakesSticky, Read, Write};
+    let assigns = MakesSticky(StickyReason::SessionVariable);
+    let locks = MakesSticky(StickyReason::UserLock);
+    // The kind in the default mode, with NO_BACKSLASH_ESCAPES and with ANSI_QUOTES.
+    let cases = [
+        (
+            r"with old as (select id from files where dir = 'D:\') delete from files where id in (select id from old)",
+            [Read, Write, Read],
+        ),
+        (
+            r#"with old as (select "D:\" from files) delete from files limit 10"#,
+            [Read, Write, Write],
+        ),
+        (r"select 'it\'s an update'", [Read, Write, Read]),
+        (
+            r#"select "a\", delete from t where b = "#,
+            [Read, Write, Write],
+        ),
+        (r"select 'D:\', @n := 5, 'x'", [Read, assigns.clone(), Read]),
+        (r"select 'D:\', get_lock('a', 1)", [Read, locks, Read]),
+        (
+            r#"select "D:\", @n := 5, "x""#,
+            [Read, assigns.clone(), assigns],
+        ),
+        (r"select 'D:\\', a, 'D:\\' from t", [Read, Read, Read]),
+        (r#"select "a", 'b' from t"#, [Read, Read, Read]),
+        (r"select `D:\` from t", [Read, Read, Read]),
+    ];
+    for (sql, [in_default, without_escapes, with_quoted_names]) in cases {
+        let kind_in = |mode: LexicalMode| super::classify(sql.as_bytes(), mode.into());
+        assert_eq!(kind_in(LexicalMode::default()), in_default, "{sql}");
+        assert_eq!(kind_in(NO_BACKSLASH_ESCAPES), without_escapes, "{sql}");
+        assert_eq!(kind_in(ANSI_QUOTES), with_quoted_names, "{sql}");
+        // Where the mode is not known, a statement is a read only if it is one in each of them.
+        let kind = super::classify(sql.as_bytes(), LexicalModes::all());
+        let is_read = [in_default, without_escapes, with_quoted_names]
+            .iter()
+            .all(|kind| *kind == Read);
+        assert_eq!(kind == Read, is_read, "{sql}");
+    }
+}
+
+/// Guards against a connection whose state is not known, for what changed it was taken for text.
+#[test]
+fn effects_of_statements_are_those_in_the_mode_of_their_session() {
+    let assigning = br"select 'D:\', @n := 5, 'x'";
+    let names = |modes: LexicalModes| {
+        let effects = ConnectionEffects::of(assigning, modes);
+        effects.assigned_variables.len()
+    };
+    assert_eq!(names(LexicalModes::default()), 0);
+    assert_eq!(names(NO_BACKSLASH_ESCAPES.into()), 1);
+    assert_eq!(names(LexicalModes::all()), 1);
+    let dropping = br#"drop database "depot""#;
+    let dropped = |modes: LexicalModes| ConnectionEffects::of(dropping, modes);
+    assert_eq!(dropped(LexicalModes::default()).dropped_schema, None);
+    let in_ansi = dropped(ANSI_QUOTES.into());
+    assert_eq!(in_ansi.dropped_schema.as_deref(), Some("depot"));
+    assert!(!in_ansi.is_unpredictable);
+    assert!(dropped(LexicalModes::all()).is_unpredictable);
+    let reading = br"select 'D:\', last_insert_id()";
+    assert!(!super::reads_last_insert_id(
+        reading,
+        LexicalModes::default()
+    ));
+    assert!(super::reads_last_insert_id(
+        reading,
+        NO_BACKSLASH_ESCAPES.into()
+    ));
+    let newer = br"select 'D:\' /*!99999 into outfile 'x' */";
+    assert!(super::commits_implicitly(
+        newer,
+        NO_BACKSLASH_ESCAPES.into()
+    ));
+}
+
+#[test]
+fn modes_of_sessions_are_those_that_they_set_or_that_engines_tell() {
+    const FLAG: u16 = 0x200;
+    for (value, expected) in [
+        ("", LexicalMode::default()),
+        (
+            "STRICT_TRANS_TABLES, no_backslash_escapes",
+            NO_BACKSLASH_ESCAPES,
+        ),
+        ("1048576", NO_BACKSLASH_ESCAPES),
+        ("ANSI", ANSI_QUOTES),
+        ("REAL_AS_FLOAT,ANSI_QUOTES", ANSI_QUOTES),
+        ("4", ANSI_QUOTES),
+        ("262144", ANSI_QUOTES),
+        ("2097152", LexicalMode::default()),
+    ] {
+        assert_eq!(LexicalMode::of_sql_mode(value), expected, "{value}");
+    }
+    let sql = br"select 'it\'s'";
+    let mut observed = ObservedDefaults::default();
+    let readings = |observed: ObservedDefaults| {
+        let modes = observed.modes().readings(sql).iter();
+        modes.collect::<Vec<LexicalMode>>()
+    };
+    assert_eq!(readings(observed).len(), 2, "no login yet");
+    observed.record(0);
+    assert_eq!(readings(observed), [LexicalMode::default()]);
+    observed.record(FLAG);
+    assert_eq!(readings(observed).len(), 2, "engines differ");
+    let mut observed = ObservedDefaults::default();
+    observed.record(FLAG);
+    assert_eq!(readings(observed), [NO_BACKSLASH_ESCAPES]);
+}
+
 /// Guards against a variable that keeps its value for the next session, for its name was read otherwise here than by the
 /// engine.
 #[test]
@@ -307,13 +446,13 @@
         (r"select @`a\` := 1", "a\\"),
         ("select @`a``b` := 1", "a`b"),
     ] {
-        let effects = ConnectionEffects::of(text.as_bytes());
+        let effects = effects_of(text.as_bytes());
         let names: Vec<VariableName> = effects.assigned_variables.into_iter().collect();
         assert_eq!(names, [VariableName::user(name)], "{text}");
         assert!(!effects.is_unpredictable);
     }
-    assert!(ConnectionEffects::of(b"select @'a\xffb' := 1").is_unpredictable);
-    assert!(!ConnectionEffects::of(b"select @'a\xffb'").is_unpredictable);
+    assert!(effects_of(b"select @'a\xffb' := 1").is_unpredictable);
+    assert!(!effects_of(b"select @'a\xffb'").is_unpredictable);
 }
 
 #[test]
@@ -387,7 +526,7 @@
         let statement = format!("{head}{}{tail}", part.repeat(repeats)).into_bytes();
         let start = std::time::Instant::now();
         classify(&statement);
-        ConnectionEffects::of(&statement);
+        effects_of(&statement);
         commits_implicitly(&statement);
         reads_last_insert_id(&statement);
         table_group(&statement);
--- a/src/protocol/statement/tokenized_statement.rs
+++ b/src/protocol/statement/tokenized_statement.rs
@@ -2,6 +2,7 @@
 
 use super::connection_effects::assigned_variables;
 use super::scanner::{Token, tokens};
+use crate::protocol::mysql::sql_mode::LexicalMode;
 
 const ASSIGNMENT: [Token; 2] = [Token::Punctuation(b':'), Token::Punctuation(b'=')];
 
@@ -22,8 +23,9 @@
 }
 
 impl TokenizedStatement {
-    pub(super) fn scan(sql: &[u8]) -> Self {
-        let mut scanner = tokens(sql);
+    /// Scans a statement as an engine reads it in this mode.
+    pub(super) fn scan(sql: &[u8], mode: LexicalMode) -> Self {
+        let mut scanner = tokens(sql, mode);
         let mut tokens = vec![];
         let mut follow_directly = vec![];
         let mut has_engine_comment = false;
--- a/src/server/graceful_shutdown.rs
+++ b/src/server/graceful_shutdown.rs
@@ -13,7 +13,6 @@
 use crate::log_line;
 use crate::server::signals::Signals;
 use crate::transport::buffer_pool::Buffer;
-use crate::upstream::mysql::work::{Output, Work as MysqlWork};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -93,7 +92,7 @@
     }
 }
 
-impl<U: Upstream<Work = MysqlWork, Output = Output>> DrainableFrontend for mysql::Frontend<U> {
+impl<U: mysql::StatementUpstream> DrainableFrontend for mysql::Frontend<U> {
     fn announce_shutdown(&self, handed_over: bool) {
         self.announce_shutdown(handed_over);
     }
--- a/src/upstream/mysql/attempt.rs
+++ b/src/upstream/mysql/attempt.rs
@@ -6,6 +6,7 @@
 use super::executor::{AttemptEvents, Execution, Executor, WriteGate, WrittenOn};
 use super::kill::Killer;
 use super::pool::{Checkout, ConnectionPermit, ConnectionUse, Pool};
+use super::prepared_statements::StatementKey;
 use super::sticky::{SessionEnd, SessionServer, StickyChannel};
 use super::work::{Job, Output, Packets, Work};
 use crate::decision::model::Outcome;
@@ -115,7 +116,7 @@
 
     /// Takes an idle connection from the pool, or opens a new one.
     async fn acquire(&self) -> Result<PooledConnection<'a>, Outcome> {
-        let key = (self.work.context.clone(), self.work.sql.clone());
+        let key = StatementKey::of(self.work);
         let usage = match &self.work.job {
             Job::StickySession(_) => ConnectionUse::StickySession,
             _ => ConnectionUse::Statement,
@@ -175,7 +176,7 @@
         };
         let session = async {
             self.executor
-                .enter_context(connection, self.work, client)
+                .enter_context(connection, &self.work.context, client)
                 .await?;
             server.serve(connection).await
         };
--- a/src/upstream/mysql/executor.rs
+++ b/src/upstream/mysql/executor.rs
@@ -11,6 +11,7 @@
     COM_STMT_SEND_LONG_DATA, ERR_HEADER, OK_HEADER, PacketError, PayloadReader, is_err, ok_packet,
     parse_err_packet, parse_ok_status, read_packet,
 };
+use crate::protocol::mysql::session::SessionContext;
 use crate::protocol::mysql::values::Execute;
 use crate::spool_io::Spools;
 use bytes::Bytes;
@@ -119,7 +120,7 @@
                 "the connection has a schema or character set that this session needs unset",
             ));
         }
-        self.enter_context(connection, work, execution.client)
+        self.enter_context(connection, &work.context, execution.client)
             .await?;
         connection.context.forget_last_insert_id();
         connection
@@ -189,7 +190,7 @@
         execute: &Execute,
         execution: Execution<'_>,
     ) -> Result<Output, PacketError> {
-        let key = (work.context.clone(), work.sql.clone());
+        let key = StatementKey::of(work);
         let first = self
             .execute_once(connection, work, execute, &key, execution, || {
                 execution.events.statement_written();
@@ -257,10 +258,18 @@
         if let Some(id) = connection.statements.id(key) {
             return Ok(id);
         }
+        if let Some(preparation) = &work.preparation {
+            self.enter_context(connection, preparation, execution.client)
+                .await?;
+        }
         let check = || execution.check();
         let packets = self
             .prepare(connection, work, execution.client, check, || ())
             .await?;
+        if work.preparation.is_some() {
+            self.enter_context(connection, &work.context, execution.client)
+                .await?;
+        }
         if let Some(packet) = packets.iter().next().filter(|packet| is_err(packet)) {
             let error = parse_err_packet(&Bytes::copy_from_slice(packet));
             return Err(PacketError::Server(error));
@@ -296,8 +305,7 @@
         let parameters = reader.u16()?;
         read_definitions(connection, parameters, &mut packets).await?;
         read_definitions(connection, columns, &mut packets).await?;
-        let key = (work.context.clone(), work.sql.clone());
-        for replaced in connection.statements.insert(key, id) {
+        for replaced in connection.statements.insert(StatementKey::of(work), id) {
             connection
                 .send_command(COM_STMT_CLOSE, &[&replaced.to_le_bytes()])
                 .await?;
@@ -342,10 +350,9 @@
     pub(super) async fn enter_context(
         &self,
         connection: &mut Connection,
-        work: &Work,
+        target: &SessionContext,
         client: WaitingClient<'_>,
     ) -> Result<(), PacketError> {
-        let target = &work.context;
         if let Some(schema) = &target.schema
             && connection.context.schema != target.schema
         {
--- a/src/upstream/mysql/login.rs
+++ b/src/upstream/mysql/login.rs
@@ -6,13 +6,15 @@
 use crate::protocol::mysql::auth::{self, MYSQL_NATIVE_PASSWORD};
 use crate::protocol::mysql::packet::{
     EOF_HEADER, ERR_HEADER, Greeting, Login, OK_HEADER, PacketCodec, PacketError, PayloadReader,
-    ResultFormat, parse_err_packet, read_packet,
+    ResultFormat, parse_err_packet, parse_ok_status, read_packet,
 };
+use crate::protocol::mysql::sql_mode::ObservedDefaults;
 use crate::transport::buffer_pool::BufferPool;
 use crate::transport::framed_connection::FramedConnection;
 use crate::transport::memory_budget::Reservation;
 use bytes::Bytes;
 use futures_util::SinkExt;
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,6 +31,8 @@
     pub(super) credentials: EngineCredentials,
     pub(super) sockets: SocketSettings,
     pub(super) buffers: BufferPool,
+    /// How engines read the statements of sessions that have not set `sql_mode`.
+    pub(super) observed_defaults: Cell<ObservedDefaults>,
 }
 
 impl Connector {
@@ -75,7 +79,10 @@
         loop {
             let packet = read_packet(&mut **wire).await?;
             match packet.first() {
-                Some(&OK_HEADER) => return Ok(greeting.connection),
+                Some(&OK_HEADER) => {
+                    self.observe_defaults(&packet);
+                    return Ok(greeting.connection);
+                }
                 Some(&ERR_HEADER) => return Err(PacketError::Server(parse_err_packet(&packet))),
                 Some(&EOF_HEADER) => {
                     let response = self.switch_plugin(&packet)?;
@@ -91,6 +98,15 @@
         }
     }
 
+    /// Records what the answer to a login tells of the engine's defaults.
+    fn observe_defaults(&self, ok: &Bytes) {
+        if let Ok(status) = parse_ok_status(ok) {
+            let mut observed = self.observed_defaults.get();
+            observed.record(status.flags);
+            self.observed_defaults.set(observed);
+        }
+    }
+
     /// Returns a login for the authentication plugin that the engine suggests, or for
     /// `mysql_native_password` if that plugin is not supported.
     fn login(&self, greeting: &Greeting) -> Login {
--- a/src/upstream/mysql/mod.rs
+++ b/src/upstream/mysql/mod.rs
@@ -25,6 +25,7 @@
 use crate::discovery::EndpointListChange;
 use crate::discovery::membership_driver::ConnectionObserver;
 use crate::dispatch::{RequestRouter, StartAttempt, Upstream};
+use crate::protocol::mysql::sql_mode::LexicalModes;
 use crate::spool_io::Spools;
 use crate::transport::buffer_pool::BufferPool;
 use attempt::{Attempt, AttemptState};
@@ -32,7 +33,7 @@
 use kill::Killer;
 use login::Connector;
 use pool::{Invalidated, Pool};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -46,6 +47,7 @@
     pool: Rc<Pool>,
     executor: Executor,
     killer: Rc<Killer>,
+    connector: Rc<Connector>,
     running: RefCell<HashMap<AttemptId, RunningAttempt>>,
 }
 
@@ -81,6 +83,7 @@
             credentials,
             sockets,
             buffers: pool,
+            observed_defaults: Cell::default(),
         });
         MysqlUpstream(Rc::new(Shared {
             pool: Pool::new(connector.clone()),
@@ -88,7 +91,8 @@
                 spools,
                 control_timeout: connector.control_timeout(),
             },
-            killer: Killer::new(connector),
+            killer: Killer::new(connector.clone()),
+            connector,
             running: RefCell::default(),
         }))
     }
@@ -98,6 +102,11 @@
         self.0.pool.set_observer(observer);
     }
 
+    /// Returns the modes in which engines may read the statements of a session that has not set `sql_mode`.
+    pub fn default_lexical_modes(&self) -> LexicalModes {
+        self.0.connector.observed_defaults.get().modes()
+    }
+
     /// Returns the number of engines that the pool has an entry for.
     pub fn engine_count(&self) -> usize {
         self.0.pool.engine_count()
--- a/src/upstream/mysql/pool.rs
+++ b/src/upstream/mysql/pool.rs
@@ -72,10 +72,9 @@
 
     /// Takes an idle connection that can enter the context, preferably one that has prepared the statement.
     fn take_idle(&mut self, key: &StatementKey) -> Option<Connection> {
-        let (context, _) = key;
         // A connection cannot unset its schema: a session without a schema needs a connection that never
         // set one.
-        let fits = |connection: &Connection| connection.context.can_enter(context);
+        let fits = |connection: &Connection| connection.context.can_enter(&key.context);
         let prepared = self
             .idle
             .iter()
--- a/src/upstream/mysql/prepared_statements.rs
+++ b/src/upstream/mysql/prepared_statements.rs
@@ -1,5 +1,6 @@
 //! The statements that one connection has prepared.
 
+use super::work::Work;
 use crate::protocol::mysql::session::SessionContext;
 use bytes::Bytes;
 use std::collections::{HashMap, VecDeque};
@@ -11,8 +12,26 @@
 /// Maximum size of the texts of these statements together, in bytes, unless the last one alone is larger.
 const MAX_TEXT_BYTES: usize = 256 * 1024;
 
-/// A statement and the context in which its names were resolved.
-pub(super) type StatementKey = (SessionContext, Bytes);
+/// A statement and the contexts that its meaning depends on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct StatementKey {
+    /// The context in which it is executed, and its names were resolved.
+    pub(super) context: SessionContext,
+    /// The context in which its text was read, if that was another one.
+    pub(super) preparation: Option<SessionContext>,
+    pub(super) sql: Bytes,
+}
+
+impl StatementKey {
+    /// Returns the key of a piece of work.
+    pub(super) fn of(work: &Work) -> Self {
+        StatementKey {
+            context: work.context.clone(),
+            preparation: work.preparation.clone(),
+            sql: work.sql.clone(),
+        }
+    }
+}
 
 /// The ids of a connection's prepared statements.
 #[derive(Default)]
@@ -58,8 +77,8 @@
     }
 }
 
-fn text_bytes((_, sql): &StatementKey) -> usize {
-    sql.len()
+fn text_bytes(key: &StatementKey) -> usize {
+    key.sql.len()
 }
 
 #[cfg(test)]
--- a/src/upstream/mysql/prepared_statements/tests.rs
+++ b/src/upstream/mysql/prepared_statements/tests.rs
@@ -2,7 +2,11 @@
 
 fn key(number: usize, bytes: usize) -> StatementKey {
     let text = format!("{number:<8}{}", "x".repeat(bytes - 8));
-    (SessionContext::default(), Bytes::from(text))
+    StatementKey {
+        context: SessionContext::default(),
+        preparation: None,
+        sql: Bytes::from(text),
+    }
 }
 
 #[test]
--- a/src/upstream/mysql/work.rs
+++ b/src/upstream/mysql/work.rs
@@ -19,6 +19,9 @@
 pub struct Work {
     /// Session context that the connection has to be in.
     pub context: SessionContext,
+    /// Session context in which a prepared statement was read, if it was another one: text means something else in
+    /// another `sql_mode`.
+    pub preparation: Option<SessionContext>,
     /// Text of the statement; empty if there is none.
     pub sql: Bytes,
     /// Changes that the statement makes to the state of its connection.
--- a/tests/mysql_session_text.rs
+++ b/tests/mysql_session_text.rs
@@ -5,11 +5,17 @@
 
 mod session_fixture;
 
-use session_fixture::{query_error, query_rows, run, start};
+use query_dispatcher::protocol::mysql::packet::{
+    SERVER_STATUS_NO_BACKSLASH_ESCAPES, parse_ok_status,
+};
+use session_fixture::{Fixture, query_error, query_rows, run, start};
+use testbed::clients::mysql::{Session, error, text};
 
 /// MySQL's error for a name that no system variable has.
 const UNKNOWN_SYSTEM_VARIABLE: u16 = 1193;
 const SYNTAX_ERROR: u16 = 1064;
+/// MySQL's error for an interrupted query: the statement may have run.
+const MAY_HAVE_RUN: u16 = 1317;
 
 /// Guards against a quoted name that becomes SQL in a SET of the dispatcher: what it held after a comma was assigned on
 /// a pooled connection, unknown here, and stayed there for other users' sessions.
@@ -66,3 +72,126 @@
         }
     });
 }
+
+/// Writes behind a string that ends with a backslash where a backslash escapes nothing.
+const HIDDEN_WRITES: [&str; 3] = [
+    r"with old as (select id from files where dir = 'D:\') delete from files where id in (select id from old)",
+    r"with old as (select id from files where dir = 'D:\'), f as (select 1) update files set dir = ''",
+    r"select audit.log('D:\', audit_trail(7), 'x')",
+];
+const HIDDEN_CALL: &str = r"select 'D:\', audit_trail(7), 'x'";
+
+/// Executes a statement whose response each engine loses after it has taken effect, and asserts that it is sent once.
+async fn assert_sent_once(fixture: &Fixture, session: &mut Session, sql: &str) {
+    let before = fixture.execution_count(sql);
+    for engine in &fixture.engines {
+        engine.lose_next_response(sql);
+    }
+    assert_eq!(query_error(session, sql).await.0, MAY_HAVE_RUN, "{sql}");
+    assert_eq!(fixture.execution_count(sql), before + 1, "{sql}");
+}
+
+/// Guards against a write that the dispatcher takes for the text of a read, as it reads the statement in another mode
+/// than the engine: it was sent to a second engine after the first one had executed it.
+#[test]
+fn write_behind_a_backslash_is_sent_once_in_a_mode_without_escapes() {
+    run(async {
+        let fixture = start("hidden", 2, "", "").await;
+        for set in [
+            "SET sql_mode = 'NO_BACKSLASH_ESCAPES'",
+            "SET SESSION sql_mode = 'STRICT_TRANS_TABLES,no_backslash_escapes'",
+            "SET @@sql_mode = concat(@@sql_mode, ',NO_BACKSLASH_ESCAPES')",
+            "SET sql_mode = 1048576",
+            r"SET sql_mode = 'NO\_BACKSLASH_ESCAPES', sql_mode = '\NO_BACKSLASH_ESCAPES'",
+            "/*!40101 SET sql_mode = 'NO_BACKSLASH_ESCAPES' */",
+        ] {
+            let mut session = fixture.session().await;
+            query_rows(&mut session, set).await;
+            for sql in HIDDEN_WRITES.into_iter().chain([HIDDEN_CALL]) {
+                assert_sent_once(&fixture, &mut session, sql).await;
+            }
+        }
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "SET sql_mode = 'ANSI_QUOTES'").await;
+        let quoted_name = HIDDEN_CALL.replace('\'', "\"");
+        assert_sent_once(&fixture, &mut session, &quoted_name).await;
+    });
+}
+
+/// Guards against the same where the mode is the engines' default, which their logins tell: before any login, and after.
+#[test]
+fn write_behind_a_backslash_is_sent_once_on_engines_without_escapes() {
+    run(async {
+        let fixture = start("hidden-default", 2, "", "").await;
+        for engine in &fixture.engines {
+            engine.set_default_sql_mode("NO_BACKSLASH_ESCAPES");
+        }
+        let mut session = fixture.session().await;
+        for sql in HIDDEN_WRITES.into_iter().chain([HIDDEN_CALL]) {
+            assert_sent_once(&fixture, &mut session, sql).await;
+        }
+        query_rows(&mut session, "SET sql_mode = ''").await;
+        for engine in &fixture.engines {
+            engine.lose_next_response("select 'it");
+        }
+        let read = query_rows(&mut session, r"select 'it\'s an update'").await;
+        assert_eq!(read, [["it's an update"]]);
+    });
+}
+
+/// Guards against the same for prepared statements: their text has the meaning of the mode in which they were prepared,
+/// also on a connection that prepares them anew for a session that has another mode by now.
+#[test]
+fn prepared_statement_keeps_the_meaning_of_its_text() {
+    run(async {
+        let fixture = start("prepared-mode", 2, "", "").await;
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "select 1").await;
+        let path = r"select 'C:\new'";
+        let (escaping, _) = session.prepare(path).await.unwrap();
+        query_rows(&mut session, "SET sql_mode = 'NO_BACKSLASH_ESCAPES'").await;
+        let (plain, _) = session.prepare(path).await.unwrap();
+        let (hidden, _) = session.prepare(HIDDEN_CALL).await.unwrap();
+        query_rows(&mut session, "SET sql_mode = DEFAULT").await;
+        for mode in ["DEFAULT", "'NO_BACKSLASH_ESCAPES'", "'ANSI_QUOTES'"] {
+            query_rows(&mut session, &format!("SET sql_mode = {mode}")).await;
+            for (id, expected) in [(escaping, "C:\new"), (plain, r"C:\new")] {
+                let answer = session.execute(id, false).await.unwrap();
+                let value = text(&answer.rows[0], true);
+                assert_eq!(value.as_deref(), Some(expected), "{mode}");
+            }
+        }
+        for engine in &fixture.engines {
+            engine.lose_next_response(HIDDEN_CALL);
+        }
+        let lost = error(session.execute(hidden, false).await).unwrap();
+        assert_eq!(lost.code, MAY_HAVE_RUN, "{}", lost.message);
+        assert_eq!(fixture.execution_count(HIDDEN_CALL), 1);
+    });
+}
+
+/// Guards against a client that escapes its text for another mode than that of its session: drivers go by a status flag.
+#[test]
+fn answers_of_the_dispatcher_tell_the_meaning_of_a_backslash() {
+    run(async {
+        let fixture = start("flag", 1, "", "").await;
+        let mut session = fixture.session().await;
+        for (sql, expected) in [
+            ("SET @x = 1", 0),
+            (
+                "SET sql_mode = 'NO_BACKSLASH_ESCAPES'",
+                SERVER_STATUS_NO_BACKSLASH_ESCAPES,
+            ),
+            ("SET @x = 1", SERVER_STATUS_NO_BACKSLASH_ESCAPES),
+            ("SET sql_mode = ''", 0),
+        ] {
+            let answer = session.query(sql).await.unwrap();
+            let flags = parse_ok_status(&answer.last).unwrap().flags;
+            assert_eq!(
+                flags & SERVER_STATUS_NO_BACKSLASH_ESCAPES,
+                expected,
+                "{sql}"
+            );
+        }
+    });
+}
