Keep the values of SET apart from the sql_mode in which they were written

A session with NO_BACKSLASH_ESCAPES had set @dir = 'C:\new\table'; after its engine was drained it read a line feed and a tab in it, and INSERTs stored that.

Cause: the literal of a SET was kept as typed and written again into the SET for another connection, which reads the whole statement in the mode that it has before it. Computed values had their backslashes doubled in each mode. The grammar of SET read each string with escapes.

Change: Literal is the value. SET is parsed in the session's mode; where that is the engines' default and leaves two meanings, an engine is asked for @@sql_mode first. The SET for a connection is written in the mode of that connection, known from the sql_mode set there or from the status flags of its login and of resets. In two unit tests an expected text changed its form: the quote that was escaped as \' is written as ''; the values are compared as values.

--- a/src/frontend/mysql/prepared_statements.rs
+++ b/src/frontend/mysql/prepared_statements.rs
@@ -9,7 +9,7 @@
 use crate::dispatch::Reply;
 use crate::protocol::mysql::error::{SqlError, code};
 use crate::protocol::mysql::packet::{OK_HEADER, PacketError, PayloadReader};
-use crate::protocol::mysql::session::SessionContext;
+use crate::protocol::mysql::session::{Literal, SessionContext};
 use crate::protocol::mysql::sql_mode::LexicalModes;
 use crate::protocol::mysql::values::{self, Execute, ParameterType};
 use crate::protocol::statement::{self, StatementKind};
@@ -38,7 +38,7 @@
     /// Modes in which an engine may have read the statement then.
     modes: LexicalModes,
     /// The session's `sql_mode` then, if it had set one.
-    sql_mode: Option<String>,
+    sql_mode: Option<Literal>,
     sql: Bytes,
     kind: StatementKind,
     parameter_count: usize,
@@ -124,7 +124,7 @@
         kind: StatementKind,
         schema: Option<String>,
         modes: LexicalModes,
-        sql_mode: Option<String>,
+        sql_mode: Option<Literal>,
         sql: Bytes,
         execute: Execute,
     },
--- a/src/frontend/mysql/settings.rs
+++ b/src/frontend/mysql/settings.rs
@@ -11,9 +11,9 @@
 };
 use crate::protocol::mysql::session::set::{self, Change, SetError};
 use crate::protocol::mysql::session::{
-    SessionContext, SessionState, SetOutcome, Validation, sql_literal,
+    Literal, SessionContext, SessionState, SetOutcome, Validation,
 };
-use crate::protocol::mysql::sql_mode::LexicalModes;
+use crate::protocol::mysql::sql_mode::{LexicalMode, LexicalModes};
 use crate::protocol::statement::{self, StatementKind};
 use crate::upstream::mysql::work::{Job, Output, error_of_reply};
 use bytes::Bytes;
@@ -23,6 +23,8 @@
 const COLUMN_DEFINITION_STRINGS: usize = 6;
 /// Length in bytes of the character set and the column length, which precede the type in a column definition.
 const COLUMN_CHARSET_AND_LENGTH_BYTES: usize = 6;
+/// The `sql_mode` of a session that has not set one.
+const DEFAULT_MODE_EXPRESSION: &str = "@@sql_mode";
 /// First packet of a result with one column.
 const ONE_COLUMN: [u8; 1] = [1];
 
@@ -35,7 +37,7 @@
 impl<U: StatementUpstream> Session<'_, U> {
     /// Executes a SET.
     pub(super) async fn set(&mut self, sql: Bytes) -> Result<(), SessionEnd> {
-        if self.sticky.is_some() && sets_next_transaction(&sql) {
+        if self.sticky.is_some() && sets_next_transaction(&sql, self.lexical_modes()) {
             // The next transaction begins on the held engine connection, so the SET is sent there.
             let context = self.state.context().clone();
             return self
@@ -72,14 +74,27 @@
         }
     }
 
+    /// Parses a SET in the session's mode. If that is the engines' default, and not enough of it is known to read the
+    /// statement, an engine is asked for it.
+    async fn parse_set(&mut self, sql: &[u8]) -> Result<Result<Vec<Change>, SqlError>, SessionEnd> {
+        let changes = match set::parse(sql, self.lexical_modes()) {
+            Err(SetError::Ambiguous) => match self.evaluate(DEFAULT_MODE_EXPRESSION).await? {
+                Ok(sql_mode) => set::parse(sql, LexicalMode::of_sql_mode(sql_mode.text()).into()),
+                Err(error) => return Ok(Err(error)),
+            },
+            changes => changes,
+        };
+        Ok(changes.map_err(|error| set_error(&error)))
+    }
+
     /// Returns the state after a SET. Engines evaluate the expressions in it.
     async fn evaluate_set(
         &mut self,
         sql: &Bytes,
     ) -> Result<Result<NewState, SqlError>, SessionEnd> {
-        let changes = match set::parse(sql) {
+        let changes = match self.parse_set(sql).await? {
             Ok(changes) => changes,
-            Err(error) => return Ok(Err(set_error(&error))),
+            Err(error) => return Ok(Err(error)),
         };
         let expressions = match self.state.set(&changes, &[]) {
             Ok(SetOutcome::NeedsValues(expressions)) => expressions,
@@ -115,8 +130,11 @@
         NewState { state, validation }
     }
 
-    /// Evaluates an expression on an engine and returns the value as an SQL literal.
-    async fn evaluate(&mut self, expression: &str) -> Result<Result<String, SqlError>, SessionEnd> {
+    /// Evaluates an expression on an engine and returns the value.
+    async fn evaluate(
+        &mut self,
+        expression: &str,
+    ) -> Result<Result<Literal, SqlError>, SessionEnd> {
         let select = Bytes::from(format!("SELECT {expression}"));
         let modes = self.lexical_modes();
         if statement::classify(&select, modes) != StatementKind::Read {
@@ -145,15 +163,15 @@
     }
 }
 
-fn sets_next_transaction(sql: &[u8]) -> bool {
-    set::parse(sql).is_ok_and(|changes| matches!(changes[..], [Change::NextTransaction(_)]))
+fn sets_next_transaction(sql: &[u8], modes: LexicalModes) -> bool {
+    set::parse(sql, modes).is_ok_and(|changes| matches!(changes[..], [Change::NextTransaction(_)]))
 }
 
 pub(super) fn set_error(error: &SetError) -> SqlError {
     let code = match error {
         SetError::Syntax { .. } => code::ER_PARSE,
         SetError::UnknownVariable(_) => code::ER_UNKNOWN_SYSTEM_VARIABLE,
-        SetError::Unsupported(_) => code::ER_NOT_SUPPORTED_YET,
+        SetError::Ambiguous | SetError::Unsupported(_) => code::ER_NOT_SUPPORTED_YET,
     };
     SqlError::new(code, error.to_string())
 }
@@ -172,8 +190,8 @@
     )
 }
 
-/// Returns the only value of a result as an SQL literal.
-fn single_value(reply: &Reply<Output>) -> Result<String, SqlError> {
+/// Returns the only value of a result.
+fn single_value(reply: &Reply<Output>) -> Result<Literal, SqlError> {
     if let Some(error) = error_of_reply(reply) {
         return Err(error);
     }
@@ -193,7 +211,7 @@
                 ),
             };
             let numeric = column_type(column).is_some_and(is_numeric);
-            Ok(sql_literal(value.as_deref(), numeric))
+            Ok(Literal::of_result(value.as_deref(), numeric))
         }
         _ => Err(not_single_value()),
     }
--- a/src/protocol/mysql/session/connection_context.rs
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -1,16 +1,15 @@
 //! What the dispatcher knows of the session context that an engine connection is in.
 
 use super::variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement};
-use super::{SessionContext, VariableName};
+use super::{Literal, SessionContext, VariableName};
+use crate::protocol::mysql::packet::SERVER_STATUS_NO_BACKSLASH_ESCAPES;
+use crate::protocol::mysql::sql_mode::{LexicalMode, SQL_MODE_VARIABLE};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
 #[cfg(test)]
 mod tests;
 
-/// In place of the value of a variable that is not known: no literal is empty.
-const UNKNOWN_VALUE: &str = "";
-
 /// The operand of SET NAMES that gives a connection the character set of its login.
 const NAMES_OF_LOGIN: &str = "utf8mb4 COLLATE utf8mb4_general_ci";
 /// The variables that SET NAMES sets.
@@ -21,6 +20,11 @@
     "collation_connection",
 ];
 
+/// Stands for a value that is not known: no literal is empty.
+fn unknown_value() -> Literal {
+    Literal::Plain(String::new())
+}
+
 /// Returns whether SET NAMES sets the variable.
 fn is_set_by_names(name: &VariableName) -> bool {
     name.system_name()
@@ -44,6 +48,8 @@
     variables: Rc<SessionVariables>,
     /// Variables that a statement has assigned, so that only the engine knows their values.
     unknown: BTreeSet<VariableName>,
+    /// Strings have no escapes by the engine's default of `sql_mode`.
+    no_escapes_by_default: bool,
 }
 
 impl ConnectionContext {
@@ -106,13 +112,34 @@
     pub fn set_statement(&self, target: &SessionContext) -> Option<String> {
         let is_known = self.unknown.is_subset(&target.connection_variables);
         if is_known {
-            return set_statement(&self.variables, &target.variables);
+            return set_statement(&self.variables, &target.variables, self.has_escapes());
         }
         let mut current = SessionVariables::clone(&self.variables);
         for name in self.unknown.difference(&target.connection_variables) {
-            current.insert(name.clone(), UNKNOWN_VALUE.into());
+            current.insert(name.clone(), unknown_value());
+        }
+        set_statement(&current, &target.variables, self.has_escapes())
+    }
+
+    /// Records the status flags of an answer: while no `sql_mode` is set on the connection, they tell of the engine's
+    /// default.
+    pub fn observe_status(&mut self, flags: u16) {
+        if self.sql_mode().is_none() {
+            self.no_escapes_by_default = flags & SERVER_STATUS_NO_BACKSLASH_ESCAPES != 0;
+        }
+    }
+
+    fn sql_mode(&self) -> Option<&Literal> {
+        self.variables
+            .get(&VariableName::builtin(SQL_MODE_VARIABLE))
+    }
+
+    /// Returns whether strings have escapes on the connection.
+    fn has_escapes(&self) -> bool {
+        match self.sql_mode() {
+            Some(value) => !LexicalMode::of_sql_mode(value.text()).no_backslash_escapes,
+            None => !self.no_escapes_by_default,
         }
-        set_statement(&current, &target.variables)
     }
 
     /// Records that the SET for this target was executed.
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -1,7 +1,8 @@
 use super::super::SessionState;
-use super::super::set::parse;
+use super::super::set;
 use super::super::{SetOutcome, Validation};
 use super::*;
+use crate::protocol::mysql::sql_mode::LexicalModes;
 
 fn assigned(names: &[&str]) -> BTreeSet<VariableName> {
     names
@@ -10,8 +11,12 @@
         .collect()
 }
 
+fn changes(sql: &str, modes: LexicalModes) -> Vec<set::Change> {
+    set::parse(sql.as_bytes(), modes).unwrap()
+}
+
 fn state_after(state: &SessionState, sql: &str) -> SessionState {
-    match state.set(&parse(sql.as_bytes()).unwrap(), &[]) {
+    match state.set(&changes(sql, LexicalModes::default()), &[]) {
         Ok(SetOutcome::Changed { state, .. }) => state,
         other => panic!("{sql}: {other:?}"),
     }
@@ -162,7 +167,9 @@
         freed.context().connection_variables.len(),
         super::super::MAX_CONNECTION_VARIABLES - 1
     );
-    let validated = state.set(&parse(b"SET @v0 = 1").unwrap(), &[]).unwrap();
+    let validated = state
+        .set(&changes("SET @v0 = 1", LexicalModes::default()), &[])
+        .unwrap();
     assert!(matches!(
         validated,
         SetOutcome::Changed {
@@ -171,3 +178,71 @@
         }
     ));
 }
+
+/// Guards against a value that changes on another connection: an engine reads the SET of the dispatcher in the mode that
+/// the connection has then, which need not be that in which the client wrote the value.
+#[test]
+fn values_mean_the_same_in_each_mode_of_a_connection() {
+    const NO_ESCAPES: &str = "SET sql_mode = 'NO_BACKSLASH_ESCAPES'";
+    const TEXTS: [&str; 6] = [
+        r"C:\new\table",
+        r"D:\",
+        "a\\', time_zone = \"+05:00\" -- \\'",
+        "it's \"quoted\" \\\\ and `more`\n",
+        r"50\% of \_",
+        "",
+    ];
+    let session_modes = ["", NO_ESCAPES, "SET sql_mode = 'ANSI_QUOTES'"];
+    for text in TEXTS {
+        for (before, after) in session_modes
+            .into_iter()
+            .flat_map(|before| session_modes.map(|after| (before, after)))
+        {
+            for no_escapes_by_default in [false, true] {
+                let mut connection = ConnectionContext {
+                    no_escapes_by_default,
+                    ..ConnectionContext::default()
+                };
+                let mut state = SessionState::default();
+                if !before.is_empty() {
+                    enter(&mut connection, state_after(&state, before).context());
+                }
+                if !after.is_empty() {
+                    state = state_after(&state, after);
+                }
+                let name = VariableName::user("x");
+                let value = set::Value::Literal(Literal::Text(text.into()));
+                let assignment = set::Change::Assign { name, value };
+                let Ok(SetOutcome::Changed { state, .. }) = state.set(&[assignment], &[]) else {
+                    panic!("{text}");
+                };
+                let mode = LexicalMode {
+                    no_backslash_escapes: !connection.has_escapes(),
+                    ansi_quotes: before.contains("ANSI"),
+                };
+                let sql = connection.set_statement(state.context()).unwrap();
+                let read = changes(&sql, mode.into());
+                let is_value = |change: &set::Change| matches!(change, set::Change::Assign { value: set::Value::Literal(Literal::Text(read)), .. } if read == text);
+                assert!(read.iter().any(is_value), "{sql} in {mode:?}: {read:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a connection whose default mode is not the one that it had at its login: a reset to the default takes the
+/// engine's present one.
+#[test]
+fn mode_of_a_connection_is_that_of_its_session_or_of_the_engine() {
+    const FLAG: u16 = 0x200;
+    let mut connection = ConnectionContext::default();
+    connection.observe_status(FLAG);
+    assert!(!connection.has_escapes());
+    let state = state_after(&SessionState::default(), "SET sql_mode = 'ANSI'");
+    enter(&mut connection, state.context());
+    connection.observe_status(0);
+    assert!(connection.has_escapes());
+    enter(&mut connection, SessionState::default().context());
+    assert!(!connection.has_escapes());
+    connection.observe_status(0);
+    assert!(connection.has_escapes());
+}
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -3,6 +3,7 @@
 //! that cannot. All functions are pure.
 
 mod connection_context;
+mod literal;
 pub mod set;
 mod variable_name;
 mod variables;
@@ -11,8 +12,9 @@
 mod tests;
 
 pub use connection_context::ConnectionContext;
+pub use literal::Literal;
 pub use variable_name::{UnknownSystemVariable, VariableName};
-pub use variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement, sql_literal};
+pub use variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement};
 
 use super::sql_mode::{LexicalMode, LexicalModes, SQL_MODE_VARIABLE};
 use set::{Change, SetError, Value};
@@ -48,13 +50,13 @@
 
 impl SessionContext {
     /// Returns the session's `sql_mode`, if it has set one.
-    pub fn sql_mode(&self) -> Option<&String> {
+    pub fn sql_mode(&self) -> Option<&Literal> {
         self.variables
             .get(&VariableName::builtin(SQL_MODE_VARIABLE))
     }
 
     /// Returns the context with another `sql_mode`; `None` is the default of the engine.
-    pub fn with_sql_mode(&self, sql_mode: Option<String>) -> Self {
+    pub fn with_sql_mode(&self, sql_mode: Option<Literal>) -> Self {
         let name = VariableName::builtin(SQL_MODE_VARIABLE);
         let mut context = self.clone();
         let variables = Rc::make_mut(&mut context.variables);
@@ -144,7 +146,7 @@
         let mut context = self.context.clone();
         Rc::make_mut(&mut context.variables).insert(
             VariableName::builtin(LAST_INSERT_ID_VARIABLE),
-            self.last_insert_id.to_string(),
+            Literal::Plain(self.last_insert_id.to_string()),
         );
         context
     }
@@ -229,12 +231,12 @@
         *self = SessionState::new(self.context.schema.take());
     }
 
-    /// Returns the outcome of these changes. `values` are the values of the expressions as
-    /// literals, in the order of [`SetOutcome::NeedsValues`].
+    /// Returns the outcome of these changes. `values` are the values of the expressions, in the order of
+    /// [`SetOutcome::NeedsValues`].
     ///
     /// # Errors
     /// A change is not supported, or the session would exceed its limits.
-    pub fn set(&self, changes: &[Change], values: &[String]) -> Result<SetOutcome, SetError> {
+    pub fn set(&self, changes: &[Change], values: &[Literal]) -> Result<SetOutcome, SetError> {
         let mut expressions: Vec<String> = vec![];
         let mut state = self.clone();
         let mut validation = Validation::Done;
@@ -271,7 +273,7 @@
         let variables = &self.context.variables;
         let bytes: usize = variables
             .iter()
-            .map(|(name, value)| name.size() + value.len())
+            .map(|(name, value)| name.size() + value.text().len())
             .sum();
         if variables.len() > MAX_VARIABLES || bytes > MAX_VARIABLE_BYTES {
             return Err(SetError::Unsupported(
@@ -314,7 +316,7 @@
     fn assign(
         &mut self,
         name: &VariableName,
-        value: Option<String>,
+        value: Option<Literal>,
     ) -> Result<Validation, SetError> {
         // Deprecated names of the same variables.
         let name = &match name.system_name() {
@@ -322,27 +324,29 @@
             Some("tx_read_only") => VariableName::builtin("transaction_read_only"),
             _ => name.clone(),
         };
-        let unquoted = value
-            .as_deref()
-            .map(|value| value.trim_matches(['\'', '"']).to_ascii_lowercase());
+        let text = value
+            .as_ref()
+            .map(|value| value.text().to_ascii_lowercase());
         match name.system_name() {
-            Some("autocommit") => return self.set_autocommit(unquoted.as_deref()),
+            Some("autocommit") => return self.set_autocommit(text.as_deref()),
             Some(LAST_INSERT_ID_VARIABLE | "identity") => {
-                return self.set_last_insert_id(unquoted.as_deref());
+                return self.set_last_insert_id(text.as_deref());
             }
             Some(name) => {
-                if let Some(reason) = unsupported_reason(name, unquoted.as_deref()) {
+                if let Some(reason) = unsupported_reason(name, text.as_deref()) {
                     return Err(SetError::Unsupported(reason));
                 }
             }
             None => {}
         }
         if name.is_system(SQL_MODE_VARIABLE) {
-            self.lexical_modes = value.as_deref().map(modes_of_literal);
+            self.lexical_modes = value
+                .as_ref()
+                .map(|value| LexicalMode::of_sql_mode(value.text()).into());
         }
         let is_user_variable = name.is_user();
         // A user variable that was never set is NULL.
-        let is_null = is_user_variable && unquoted.as_deref() == Some("null");
+        let is_null = is_user_variable && value.as_ref().is_some_and(Literal::is_null);
         if self.context.connection_variables.contains(name) {
             Rc::make_mut(&mut self.context.connection_variables).remove(name);
         }
@@ -382,16 +386,8 @@
         let name = VariableName::builtin("autocommit");
         variables.remove(&name);
         if commit_mode == CommitMode::Manual {
-            variables.insert(name, "0".into());
+            variables.insert(name, Literal::Plain("0".into()));
         }
         Ok(Validation::Done)
     }
 }
-
-/// Returns the modes that a literal for `sql_mode` may select: any, if it has an escape.
-fn modes_of_literal(literal: &str) -> LexicalModes {
-    if literal.contains('\\') {
-        return LexicalModes::all();
-    }
-    LexicalMode::of_sql_mode(literal.trim_matches(['\'', '"'])).into()
-}
--- a/src/protocol/mysql/session/set.rs
+++ b/src/protocol/mysql/session/set.rs
@@ -3,7 +3,8 @@
 
 mod parser;
 
-use super::{UnknownSystemVariable, VariableName};
+use super::{Literal, UnknownSystemVariable, VariableName};
+use crate::protocol::mysql::sql_mode::{LexicalMode, LexicalModes};
 use winnow::Parser;
 use winnow::error::{ContextError, ErrMode};
 
@@ -26,8 +27,8 @@
 /// The value of an assignment.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Value {
-    /// A literal that is valid on any engine.
-    Literal(String),
+    /// A value that is known here.
+    Literal(Literal),
     /// An expression that an engine has to evaluate.
     Expression(String),
     /// The keyword DEFAULT.
@@ -48,6 +49,9 @@
     /// No system variable can have this name.
     #[error(transparent)]
     UnknownVariable(#[from] UnknownSystemVariable),
+    /// The statement says different things in the modes in which an engine may read it.
+    #[error("the engines' default of sql_mode is not known: set sql_mode first")]
+    Ambiguous,
     /// The statement affects more than the session, or sets something that is not supported.
     #[error("{0}")]
     Unsupported(&'static str),
@@ -59,11 +63,23 @@
 /// Keywords after SET that do not name a variable.
 const ACCOUNT_KEYWORDS: [&str; 4] = ["password", "role", "default role", "resource group"];
 
-/// Parses a SET and returns its changes in their order.
+/// Parses a SET that an engine reads in one of these modes, and returns its changes in their order.
 ///
 /// # Errors
-/// The statement cannot be parsed, or affects more than the session: [`SetError`].
-pub fn parse(sql: &[u8]) -> Result<Vec<Change>, SetError> {
+/// The statement cannot be parsed, affects more than the session, or the mode makes a difference: [`SetError`].
+pub fn parse(sql: &[u8], modes: LexicalModes) -> Result<Vec<Change>, SetError> {
+    let mut readings = modes
+        .readings(sql)
+        .iter()
+        .map(|mode| parse_reading(sql, mode));
+    let likeliest = readings.next().ok_or(SetError::Ambiguous)?;
+    match readings.all(|reading| reading == likeliest) {
+        true => likeliest,
+        false => Err(SetError::Ambiguous),
+    }
+}
+
+fn parse_reading(sql: &[u8], mode: LexicalMode) -> Result<Vec<Change>, SetError> {
     if sql.len() > MAX_SET_BYTES {
         return Err(SetError::Unsupported(
             "a SET of more than 16 KB is not carried",
@@ -78,7 +94,7 @@
             "users, roles and resource groups are the engines' operators' own",
         ));
     }
-    let mut rest = text;
+    let mut rest = parser::input(text, mode);
     let changes = parser::statement
         .parse_next(&mut rest)
         .map_err(|error| set_error(&error, text.len() - rest.len() + 1))?;
--- a/src/protocol/mysql/session/set/parser.rs
+++ b/src/protocol/mysql/session/set/parser.rs
@@ -1,14 +1,28 @@
 //! The grammar of SET.
 
-use super::{Change, Value, VariableName};
+use super::{Change, Literal, Value, VariableName};
+use crate::protocol::mysql::session::literal::unquoted;
+use crate::protocol::mysql::sql_mode::{LexicalMode, SQL_MODE_VARIABLE};
 use winnow::ascii::{Caseless, digit1, multispace1};
 use winnow::combinator::{alt, delimited, eof, opt, peek, preceded, repeat, separated, terminated};
 use winnow::error::{ContextError, ErrMode, StrContext, StrContextValue};
 use winnow::prelude::*;
+use winnow::stream::Stateful;
 use winnow::token::{any, none_of, one_of, take_while};
 
 type Result<T> = winnow::Result<T, ErrMode<ContextError>>;
 
+/// The rest of a statement, and the mode in which it is read.
+pub(super) type Input<'s> = Stateful<&'s str, LexicalMode>;
+
+/// Returns the input of a parser.
+pub(super) fn input(text: &str, mode: LexicalMode) -> Input<'_> {
+    Stateful {
+        input: text,
+        state: mode,
+    }
+}
+
 /// Where a SET takes effect.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Scope {
@@ -21,7 +35,7 @@
 }
 
 /// Parses a SET with all its changes, up to the end of the input.
-pub(super) fn statement(input: &mut &str) -> Result<Vec<(Scope, Change)>> {
+pub(super) fn statement(input: &mut Input<'_>) -> Result<Vec<(Scope, Change)>> {
     (space, keyword("set")).parse_next(input)?;
     let mut all: Vec<(Scope, Change)> = vec![];
     loop {
@@ -38,7 +52,7 @@
     Ok(all)
 }
 
-fn changes(input: &mut &str) -> Result<Vec<(Scope, Change)>> {
+fn changes(input: &mut Input<'_>) -> Result<Vec<(Scope, Change)>> {
     let names = alt((
         preceded(keyword("names"), names),
         preceded((keyword("character"), keyword("set")), names),
@@ -60,11 +74,15 @@
         .try_map(|name| VariableName::system(&name))
         .parse_next(input)?;
     let value = preceded((assignment_operator, space), value).parse_next(input)?;
+    let value = match name.is_system(SQL_MODE_VARIABLE) {
+        true => readable_mode(value),
+        false => value,
+    };
     Ok(vec![(scope, Change::Assign { name, value })])
 }
 
 /// Parses what follows SET TRANSACTION.
-fn transaction(scope: Scope, input: &mut &str) -> Result<Vec<(Scope, Change)>> {
+fn transaction(scope: Scope, input: &mut Input<'_>) -> Result<Vec<(Scope, Change)>> {
     let all: Vec<Characteristic> =
         separated(1.., characteristic, (',', space)).parse_next(input)?;
     if scope == Scope::Unspecified {
@@ -73,7 +91,7 @@
     }
     let assign = |one: Characteristic| Change::Assign {
         name: VariableName::builtin(one.variable),
-        value: Value::Literal(one.value.into()),
+        value: Value::Literal(one.literal()),
     };
     Ok(all.into_iter().map(|one| (scope, assign(one))).collect())
 }
@@ -83,39 +101,57 @@
 struct Characteristic {
     /// The session variable that holds it.
     variable: &'static str,
-    /// The variable's value.
-    value: &'static str,
+    value: CharacteristicValue,
     /// The characteristic as SET TRANSACTION spells it.
     sql: &'static str,
 }
 
-const fn isolation(value: &'static str, sql: &'static str) -> Characteristic {
+/// The value of the variable that holds a transaction characteristic.
+#[derive(Clone, Copy)]
+enum CharacteristicValue {
+    Isolation(&'static str),
+    ReadOnly(bool),
+}
+
+impl Characteristic {
+    /// Returns the variable's value.
+    fn literal(self) -> Literal {
+        match self.value {
+            CharacteristicValue::Isolation(level) => Literal::Text(level.into()),
+            CharacteristicValue::ReadOnly(read_only) => {
+                Literal::Plain(u8::from(read_only).to_string())
+            }
+        }
+    }
+}
+
+const fn isolation(level: &'static str, sql: &'static str) -> Characteristic {
     Characteristic {
         variable: "transaction_isolation",
-        value,
+        value: CharacteristicValue::Isolation(level),
         sql,
     }
 }
 
-const fn access(value: &'static str, sql: &'static str) -> Characteristic {
+const fn access(read_only: bool, sql: &'static str) -> Characteristic {
     Characteristic {
         variable: "transaction_read_only",
-        value,
+        value: CharacteristicValue::ReadOnly(read_only),
         sql,
     }
 }
 
 const READ_UNCOMMITTED: Characteristic =
-    isolation("'READ-UNCOMMITTED'", "ISOLATION LEVEL READ UNCOMMITTED");
+    isolation("READ-UNCOMMITTED", "ISOLATION LEVEL READ UNCOMMITTED");
 const READ_COMMITTED: Characteristic =
-    isolation("'READ-COMMITTED'", "ISOLATION LEVEL READ COMMITTED");
+    isolation("READ-COMMITTED", "ISOLATION LEVEL READ COMMITTED");
 const REPEATABLE_READ: Characteristic =
-    isolation("'REPEATABLE-READ'", "ISOLATION LEVEL REPEATABLE READ");
-const SERIALIZABLE: Characteristic = isolation("'SERIALIZABLE'", "ISOLATION LEVEL SERIALIZABLE");
-const READ_ONLY: Characteristic = access("1", "READ ONLY");
-const READ_WRITE: Characteristic = access("0", "READ WRITE");
+    isolation("REPEATABLE-READ", "ISOLATION LEVEL REPEATABLE READ");
+const SERIALIZABLE: Characteristic = isolation("SERIALIZABLE", "ISOLATION LEVEL SERIALIZABLE");
+const READ_ONLY: Characteristic = access(true, "READ ONLY");
+const READ_WRITE: Characteristic = access(false, "READ WRITE");
 
-fn characteristic(input: &mut &str) -> Result<Characteristic> {
+fn characteristic(input: &mut Input<'_>) -> Result<Characteristic> {
     let level = alt((
         (keyword("read"), keyword("uncommitted")).value(READ_UNCOMMITTED),
         (keyword("read"), keyword("committed")).value(READ_COMMITTED),
@@ -133,7 +169,7 @@
         .parse_next(input)
 }
 
-fn scope(input: &mut &str) -> Result<Scope> {
+fn scope(input: &mut Input<'_>) -> Result<Scope> {
     let dotted = |prefix: &'static str| (Caseless(prefix), '.', space).void();
     let global_prefix = alt((
         dotted("@@global"),
@@ -157,9 +193,10 @@
 }
 
 /// Parses the operand of SET NAMES.
-fn names(input: &mut &str) -> Result<Change> {
-    let text = |input: &mut &str| -> Result<String> {
-        let quoted = string.map(|string: &str| string[1..string.len() - 1].to_string());
+fn names(input: &mut Input<'_>) -> Result<Change> {
+    let text = |input: &mut Input<'_>| -> Result<String> {
+        let mode = input.state;
+        let quoted = quoted_text.map(|quoted: &str| unquoted(quoted, mode));
         terminated(alt((quoted, name)), space).parse_next(input)
     };
     let (character_set, collation) =
@@ -170,7 +207,7 @@
     }))
 }
 
-fn assignment_operator(input: &mut &str) -> Result<()> {
+fn assignment_operator(input: &mut Input<'_>) -> Result<()> {
     alt((":=", "="))
         .void()
         .context(expected("= and a value"))
@@ -181,7 +218,7 @@
 const VALUE_KEYWORDS: [&str; 5] = ["on", "off", "true", "false", "null"];
 
 /// Parses a value up to the next comma or the end. MySQL treats words without quotes (`utf8mb4`) as strings.
-fn value(input: &mut &str) -> Result<Value> {
+fn value(input: &mut Input<'_>) -> Result<Value> {
     let text = repeat::<_, _, (), _, _>(1.., value_part)
         .take()
         .context(expected("a value"))
@@ -190,26 +227,46 @@
     if text.is_empty() {
         return Err(ErrMode::Cut(ContextError::new()));
     }
-    let is_literal = alt((string, number)).parse(text).is_ok();
+    Ok(value_of(text, input.state))
+}
+
+/// Returns a value of `sql_mode` as one that is read here: an engine evaluates a form of a number that is not decimal.
+fn readable_mode(value: Value) -> Value {
+    match value {
+        Value::Literal(Literal::Plain(text))
+            if text.parse::<u64>().is_err()
+                && text.starts_with(|first: char| first.is_ascii_digit()) =>
+        {
+            Value::Expression(text)
+        }
+        other => other,
+    }
+}
+
+/// Returns the value that this text stands for.
+fn value_of(text: &str, mode: LexicalMode) -> Value {
+    let is_quoted = quoted_text.parse(self::input(text, mode)).is_ok();
+    let is_number = number.parse(self::input(text, mode)).is_ok();
     let is_bare = text.chars().all(is_name_character);
-    Ok(match text.to_ascii_lowercase().as_str() {
+    match text.to_ascii_lowercase().as_str() {
         "default" => Value::Default,
-        word if VALUE_KEYWORDS.contains(&word) => Value::Literal(word.to_string()),
-        _ if is_literal => Value::Literal(text.to_string()),
-        _ if is_bare => Value::Literal(format!("'{text}'")),
-        _ => Value::Expression(text.to_string()),
-    })
+        word if VALUE_KEYWORDS.contains(&word) => Value::Literal(Literal::Plain(word.into())),
+        _ if is_quoted => Value::Literal(Literal::of_quoted(text, mode)),
+        _ if is_number => Value::Literal(Literal::Plain(text.into())),
+        _ if is_bare => Value::Literal(Literal::Text(text.into())),
+        _ => Value::Expression(text.into()),
+    }
 }
 
 /// Skips one part of a value: a string, a quoted name, a group in parentheses, or one other character.
-fn value_part(input: &mut &str) -> Result<()> {
+fn value_part(input: &mut Input<'_>) -> Result<()> {
     let plain = none_of([',', ';', '(', ')', '\'', '"', '`']).void();
-    alt((string.void(), quoted_name, parenthesized, plain)).parse_next(input)
+    alt((quoted_text.void(), quoted_name, parenthesized, plain)).parse_next(input)
 }
 
 /// Skips a group in parentheses, including the groups nested in it. It counts the open parentheses and does not
 /// call itself: the client chooses how deep they nest, and recursion would let it overflow the stack.
-fn parenthesized(input: &mut &str) -> Result<()> {
+fn parenthesized(input: &mut Input<'_>) -> Result<()> {
     '('.parse_next(input)?;
     let mut open_parentheses = 1_usize;
     while open_parentheses > 0 {
@@ -231,35 +288,40 @@
     Other,
 }
 
-fn group_part(input: &mut &str) -> Result<GroupPart> {
+fn group_part(input: &mut Input<'_>) -> Result<GroupPart> {
     let plain = none_of(['(', ')', '\'', '"', '`']).void();
     alt((
         '('.value(GroupPart::Opening),
         ')'.value(GroupPart::Closing),
-        alt((string.void(), quoted_name, plain)).value(GroupPart::Other),
+        alt((quoted_text.void(), quoted_name, plain)).value(GroupPart::Other),
     ))
     .parse_next(input)
 }
 
-fn quoted_name(input: &mut &str) -> Result<()> {
+fn quoted_name(input: &mut Input<'_>) -> Result<()> {
     ('`', take_while(0.., |character| character != '`'), '`')
         .void()
         .parse_next(input)
 }
 
-/// Parses a string and returns it as written, including the quotes.
-fn string<'s>(input: &mut &'s str) -> Result<&'s str> {
+/// Parses a string, or a name in double quotes, and returns it as written, including the quotes.
+fn quoted_text<'s>(input: &mut Input<'s>) -> Result<&'s str> {
+    let mode = input.state;
     let quoted_by = |quote: char| {
-        let escaped = ('\\', any).void();
+        let has_escapes = mode.has_escapes(quote);
+        let escape = any.verify(move |&character| has_escapes && character == '\\');
+        let escaped = (escape, any).void();
         let doubled = (quote, quote).void();
-        let plain = none_of([quote, '\\']).void();
+        let plain = any
+            .verify(move |&character| character != quote && !(has_escapes && character == '\\'))
+            .void();
         let inner = repeat::<_, _, (), _, _>(0.., alt((escaped, doubled, plain)));
         (quote, inner, quote).take()
     };
     alt((quoted_by('\''), quoted_by('"'))).parse_next(input)
 }
 
-fn number<'s>(input: &mut &'s str) -> Result<&'s str> {
+fn number<'s>(input: &mut Input<'s>) -> Result<&'s str> {
     let exponent = (one_of(['e', 'E']), opt(one_of(['+', '-'])), digit1);
     let decimal = (
         opt(one_of(['+', '-'])),
@@ -276,7 +338,7 @@
     alt((hex, decimal)).parse_next(input)
 }
 
-fn name(input: &mut &str) -> Result<String> {
+fn name(input: &mut Input<'_>) -> Result<String> {
     let bare = take_while(1.., is_name_character).map(str::to_string);
     let character = alt(("``".value('`'), none_of('`')));
     let quoted = delimited('`', repeat(1.., character), '`');
@@ -286,8 +348,8 @@
 }
 
 /// Parses a keyword and the white space and comments after it.
-fn keyword<'s>(text: &'static str) -> impl FnMut(&mut &'s str) -> Result<()> {
-    move |input: &mut &'s str| {
+fn keyword<'s>(text: &'static str) -> impl FnMut(&mut Input<'s>) -> Result<()> {
+    move |input: &mut Input<'s>| {
         let end = alt((
             eof.void(),
             one_of(|character| !is_name_character(character)).void(),
@@ -297,7 +359,7 @@
 }
 
 /// Skips white space and comments.
-fn space(input: &mut &str) -> Result<()> {
+fn space(input: &mut Input<'_>) -> Result<()> {
     let comment = ("/*", winnow::token::take_until(0.., "*/"), "*/").void();
     repeat::<_, _, (), _, _>(0.., alt((multispace1.void(), comment))).parse_next(input)
 }
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -1,6 +1,13 @@
-use super::set::parse;
 use super::*;
 
+fn parse(sql: &[u8]) -> Result<Vec<Change>, SetError> {
+    set::parse(sql, LexicalModes::default())
+}
+
+fn set_statement(from: &SessionVariables, to: &SessionVariables) -> Option<String> {
+    super::set_statement(from, to, true)
+}
+
 fn after(state: &SessionState, sql: &str) -> Result<SessionState, SetError> {
     match state.set(&parse(sql.as_bytes())?, &[])? {
         SetOutcome::Changed { state, .. } => Ok(state),
@@ -101,7 +108,7 @@
         ),
         (
             "SET @a := -1.5e3, @`b c` = 'it''s; \\' here'",
-            "SET @a = -1.5e3, @`b c` = 'it''s; \\' here'",
+            "SET @a = -1.5e3, @`b c` = 'it''s; '' here'",
         ),
         (
             "SET character_set_results = NULL",
@@ -157,7 +164,7 @@
         expressions,
         ["(SELECT CONCAT(@@sql_mode, ',PIPES_AS_CONCAT'))"]
     );
-    let value = sql_literal(Some(b"STRICT_TRANS_TABLES,PIPES_AS_CONCAT"), false);
+    let value = Literal::of_result(Some(b"STRICT_TRANS_TABLES,PIPES_AS_CONCAT"), false);
     let Ok(SetOutcome::Changed { state, validation }) =
         SessionState::default().set(&changes, &[value])
     else {
@@ -170,13 +177,17 @@
     );
     assert_eq!(
         state.context().variables[&system("sql_mode")],
-        "'STRICT_TRANS_TABLES,PIPES_AS_CONCAT'"
+        Literal::Text("STRICT_TRANS_TABLES,PIPES_AS_CONCAT".into())
+    );
+    assert_eq!(
+        state.context().variables[&system("time_zone")],
+        Literal::Text("+00:00".into())
     );
-    assert_eq!(state.context().variables[&system("time_zone")], "'+00:00'");
     assert!(state.context().names.is_some());
-    assert_eq!(sql_literal(Some(b"12"), true), "12");
-    assert_eq!(sql_literal(Some(b"it's \\ 1"), false), "'it''s \\\\ 1'");
-    assert_eq!(sql_literal(None, true), "NULL");
+    let in_sql = |value, numeric| Literal::of_result(value, numeric).to_sql(true);
+    assert_eq!(in_sql(Some(b"12"), true), "12");
+    assert_eq!(in_sql(Some(br"it's \ 1"), false), r"'it''s \\ 1'");
+    assert_eq!(in_sql(None, true), "null");
 }
 
 #[test]
@@ -202,7 +213,9 @@
     ] {
         match after(&SessionState::default(), sql) {
             Err(SetError::Syntax { .. }) => assert!(syntax, "{sql}"),
-            Err(SetError::UnknownVariable(name)) => panic!("{sql}: {name}"),
+            Err(error @ (SetError::UnknownVariable(_) | SetError::Ambiguous)) => {
+                panic!("{sql}: {error}")
+            }
             Err(SetError::Unsupported(_)) => assert!(!syntax, "{sql}"),
             Ok(state) => panic!("{sql}: {state:?}"),
         }
@@ -286,7 +299,7 @@
     state.record_insert_id(0);
     assert_eq!(
         state.context_with_insert_id().variables[&system(LAST_INSERT_ID_VARIABLE)],
-        "9"
+        Literal::Plain("9".into())
     );
     assert!(
         !state
@@ -320,3 +333,74 @@
     let long = format!("SET @a = '{}'", "x".repeat(MAX_VARIABLE_BYTES));
     assert!(after(&SessionState::default(), &long).is_err());
 }
+
+/// Guards against a value that is read otherwise than by the engine that the client believes to talk to.
+#[test]
+fn values_are_read_in_the_mode_of_the_session() {
+    let escapes = LexicalMode::default();
+    let no_escapes = LexicalMode {
+        no_backslash_escapes: true,
+        ansi_quotes: false,
+    };
+    let quoted_names = LexicalMode {
+        no_backslash_escapes: false,
+        ansi_quotes: true,
+    };
+    for (sql, mode, expected) in [
+        (r"SET @x = 'C:\new'", escapes, "C:\new"),
+        (r"SET @x = 'C:\new'", no_escapes, r"C:\new"),
+        (r"SET @x = 'D:\'", no_escapes, r"D:\"),
+        (r#"SET @x = "D:\""#, no_escapes, r"D:\"),
+        (r#"SET @x = "D:\""#, quoted_names, r"D:\"),
+        (
+            r"SET @x = 'it\'s \0\b\r\t\Z\%\q'",
+            escapes,
+            "it's \0\x08\r\t\x1a\\%q",
+        ),
+        ("SET @x = 'it''s'", no_escapes, "it's"),
+        (r#"SET @x = "it's ""so""""#, escapes, r#"it's "so""#),
+        ("SET @x = 'NULL'", escapes, "NULL"),
+        (r"SET time_zone = '\+00:00'", escapes, "+00:00"),
+    ] {
+        let changes = set::parse(sql.as_bytes(), mode.into()).unwrap();
+        let [
+            Change::Assign {
+                value: Value::Literal(value),
+                ..
+            },
+        ] = &changes[..]
+        else {
+            panic!("{sql}: {changes:?}")
+        };
+        assert_eq!(*value, Literal::Text(expected.into()), "{sql}");
+    }
+    let two = set::parse(br"SET @x = 'D:\', @y = 'E:\'", no_escapes.into()).unwrap();
+    assert_eq!(two.len(), 2);
+    for sql in [r"SET @x = 'C:\new'", r"SET @x = 'it\'s'", r"SET @x = 'D:\'"] {
+        let read = set::parse(sql.as_bytes(), LexicalModes::all());
+        assert_eq!(read, Err(SetError::Ambiguous), "{sql}");
+    }
+    for sql in ["SET @x = 'it''s'", "SET time_zone = \"+00:00\", @x = `a`"] {
+        assert!(
+            set::parse(sql.as_bytes(), LexicalModes::all()).is_ok(),
+            "{sql}"
+        );
+    }
+    // An engine tells what these numbers are; a text in escapes is read here.
+    let mode_of = |sql: &str| match state_after(sql).lexical_modes() {
+        Some(modes) => modes.iter().collect::<Vec<LexicalMode>>(),
+        None => vec![],
+    };
+    assert_eq!(
+        mode_of(r"SET sql_mode = '\NO_BACKSLASH_ESCAPES'"),
+        [no_escapes]
+    );
+    let hex = parse(b"SET sql_mode = 0x4e4f").unwrap();
+    assert!(matches!(
+        &hex[..],
+        [Change::Assign {
+            value: Value::Expression(_),
+            ..
+        }]
+    ));
+}
--- a/src/protocol/mysql/session/variables.rs
+++ b/src/protocol/mysql/session/variables.rs
@@ -1,10 +1,10 @@
 //! Session variables, and the statements that set them on an engine connection.
 
-use super::{ONLY_UNICODE, VariableName};
+use super::{Literal, ONLY_UNICODE, VariableName};
 use std::collections::BTreeMap;
 
-/// Variables by name. The values are SQL literals that are valid on any engine.
-pub type SessionVariables = BTreeMap<VariableName, String>;
+/// Variables by name.
+pub type SessionVariables = BTreeMap<VariableName, Literal>;
 
 /// The system variable that sets LAST_INSERT_ID().
 pub const LAST_INSERT_ID_VARIABLE: &str = "last_insert_id";
@@ -50,8 +50,13 @@
 }
 
 /// Returns a single SET that changes the variables of a connection from `from` to `to`; `None` if
-/// they are equal.
-pub fn set_statement(from: &SessionVariables, to: &SessionVariables) -> Option<String> {
+/// they are equal. `has_escapes` states whether strings have escapes on the connection: an engine reads the whole
+/// SET in the mode of its beginning.
+pub fn set_statement(
+    from: &SessionVariables,
+    to: &SessionVariables,
+    has_escapes: bool,
+) -> Option<String> {
     let removed = from.keys().filter(|name| !to.contains_key(*name));
     let resets = removed.map(|name| match name.is_user() {
         true => assignment(name, "NULL"),
@@ -60,7 +65,7 @@
     let set = to
         .iter()
         .filter(|(name, value)| from.get(*name) != Some(value))
-        .map(|(name, value)| assignment(name, value));
+        .map(|(name, value)| assignment(name, &value.to_sql(has_escapes)));
     let assignments: Vec<String> = resets.chain(set).collect();
     (!assignments.is_empty()).then(|| format!("SET {}", assignments.join(", ")))
 }
@@ -71,16 +76,3 @@
         false => format!("SESSION {name} = {value}"),
     }
 }
-
-/// Formats a value that an engine evaluated as an SQL literal; `None` is NULL. `numeric` states
-/// whether its column is numeric.
-pub fn sql_literal(value: Option<&[u8]>, numeric: bool) -> String {
-    let Some(value) = value else {
-        return "NULL".into();
-    };
-    let text = String::from_utf8_lossy(value);
-    match numeric && text.parse::<f64>().is_ok() {
-        true => text.into_owned(),
-        false => format!("'{}'", text.replace('\\', "\\\\").replace('\'', "''")),
-    }
-}
--- a/src/protocol/mysql/sql_mode.rs
+++ b/src/protocol/mysql/sql_mode.rs
@@ -53,6 +53,15 @@
         mode
     }
 
+    /// Returns whether a backslash escapes the character after it within these quotes.
+    pub fn has_escapes(self, quote: char) -> bool {
+        match quote {
+            '`' => false,
+            '"' if self.ansi_quotes => false,
+            _ => !self.no_backslash_escapes,
+        }
+    }
+
     /// Returns the mode in which text without some characters is read in the same way.
     fn reduced_to(self, has_backslash: bool, has_double_quote: bool) -> Self {
         LexicalMode {
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -165,10 +165,9 @@
 
     /// Returns what a backslash means within these quotes.
     fn escapes(&self, quote: u8) -> Escapes {
-        let encloses_name = quote == b'`' || quote == b'"' && self.mode.ansi_quotes;
-        match encloses_name || self.mode.no_backslash_escapes {
-            true => Escapes::None,
-            false => Escapes::Backslash,
+        match self.mode.has_escapes(quote.into()) {
+            true => Escapes::Backslash,
+            false => Escapes::None,
         }
     }
 
--- a/src/upstream/mysql/connection.rs
+++ b/src/upstream/mysql/connection.rs
@@ -84,18 +84,22 @@
 }
 
 impl Connection {
+    /// Creates a connection whose login was answered with these status flags.
     pub(super) fn new(
         wire: FramedConnection<PacketCodec>,
         id: ConnectionId,
         opened: Millis,
+        status: u16,
     ) -> Self {
+        let mut context = ConnectionContext::default();
+        context.observe_status(status);
         Connection {
             live: None,
             wire,
             id,
-            status: 0,
+            status,
             warnings: 0,
-            context: ConnectionContext::default(),
+            context,
             is_unpredictable: false,
             statements: PreparedStatements::default(),
             opened,
--- a/src/upstream/mysql/executor.rs
+++ b/src/upstream/mysql/executor.rs
@@ -370,6 +370,7 @@
             client.ensure_waiting().await?;
             self.expect_ok(connection, COM_QUERY, &set).await?;
             connection.context.variables_set(target);
+            connection.context.observe_status(connection.status);
         }
         Ok(())
     }
--- a/src/upstream/mysql/login.rs
+++ b/src/upstream/mysql/login.rs
@@ -35,6 +35,14 @@
     pub(super) observed_defaults: Cell<ObservedDefaults>,
 }
 
+/// The answer to a login.
+struct LoggedIn {
+    /// Connection number that the engine assigned.
+    number: u32,
+    /// Status flags of the session.
+    status: u16,
+}
+
 impl Connector {
     /// Connects and logs in; each step may take at most the configured connect timeout.
     pub(super) async fn open(&self, address: SocketAddr) -> Result<Connection, PacketError> {
@@ -50,7 +58,7 @@
             memory: Reservation::default(),
         };
         let mut wire = FramedConnection::new(&self.buffers, tcp.into(), codec);
-        let number = tokio::time::timeout(limit, self.log_in(&mut wire))
+        let LoggedIn { number, status } = tokio::time::timeout(limit, self.log_in(&mut wire))
             .await
             .map_err(io::Error::from)??;
         Ok(Connection::new(
@@ -61,6 +69,7 @@
                 opened,
             },
             opened,
+            status,
         ))
     }
 
@@ -69,9 +78,11 @@
         duration_from_millis(4.0 * self.sockets.connect_timeout)
     }
 
-    /// Answers the greeting of the engine and completes the authentication. Returns the connection
-    /// number that the engine assigned.
-    async fn log_in(&self, wire: &mut FramedConnection<PacketCodec>) -> Result<u32, PacketError> {
+    /// Answers the greeting of the engine and completes the authentication.
+    async fn log_in(
+        &self,
+        wire: &mut FramedConnection<PacketCodec>,
+    ) -> Result<LoggedIn, PacketError> {
         let greeting = Greeting::read(read_packet(&mut **wire).await?)?;
         let login = self.login(&greeting);
         wire.send(&login.write(self.credentials.max_packet as u32)[..])
@@ -80,8 +91,12 @@
             let packet = read_packet(&mut **wire).await?;
             match packet.first() {
                 Some(&OK_HEADER) => {
-                    self.observe_defaults(&packet);
-                    return Ok(greeting.connection);
+                    let status = parse_ok_status(&packet).map_or(0, |status| status.flags);
+                    self.observe_defaults(status);
+                    return Ok(LoggedIn {
+                        number: greeting.connection,
+                        status,
+                    });
                 }
                 Some(&ERR_HEADER) => return Err(PacketError::Server(parse_err_packet(&packet))),
                 Some(&EOF_HEADER) => {
@@ -99,12 +114,10 @@
     }
 
     /// Records what the answer to a login tells of the engine's defaults.
-    fn observe_defaults(&self, ok: &Bytes) {
-        if let Ok(status) = parse_ok_status(ok) {
-            let mut observed = self.observed_defaults.get();
-            observed.record(status.flags);
-            self.observed_defaults.set(observed);
-        }
+    fn observe_defaults(&self, status: u16) {
+        let mut observed = self.observed_defaults.get();
+        observed.record(status);
+        self.observed_defaults.set(observed);
     }
 
     /// Returns a login for the authentication plugin that the engine suggests, or for
--- a/tests/mysql_session_text.rs
+++ b/tests/mysql_session_text.rs
@@ -195,3 +195,94 @@
         }
     });
 }
+
+const PATH: &str = r"C:\new\table";
+const NO_ESCAPES: &str = "SET sql_mode = 'NO_BACKSLASH_ESCAPES'";
+
+async fn assert_directory(session: &mut Session, expected: &str) {
+    let rows = query_rows(session, "select @dir").await;
+    assert_eq!(rows, [[expected]]);
+}
+
+/// Guards against a user variable that gets another value when its session moves: its literal was set anew as the client
+/// had written it, on a connection that reads text in another mode.
+#[test]
+fn user_variable_keeps_its_value_on_another_engine() {
+    run(async {
+        let fixture = start("moves", 2, "", "").await;
+        let [first, second] = &fixture.engines[..] else {
+            panic!("two engines")
+        };
+        for (set_mode, value) in [
+            (NO_ESCAPES, PATH),
+            ("SET sql_mode = 1048576", PATH),
+            ("SET sql_mode = ''", "C:\new\table"),
+        ] {
+            fixture.call_operator_action("detach", second).await;
+            let mut session = fixture.session().await;
+            query_rows(&mut session, set_mode).await;
+            query_rows(&mut session, &format!("SET @dir = '{PATH}'")).await;
+            assert_directory(&mut session, value).await;
+            fixture.call_operator_action("attach", second).await;
+            fixture.call_operator_action("detach", first).await;
+            assert_directory(&mut session, value).await;
+            fixture.call_operator_action("attach", first).await;
+        }
+    });
+}
+
+/// Guards against the same between sessions of different modes that take turns on one engine connection, whatever the
+/// engine's default is.
+#[test]
+fn values_of_sessions_in_different_modes_do_not_mix_on_one_connection() {
+    run(async {
+        for default in ["", "NO_BACKSLASH_ESCAPES"] {
+            let fixture = start(&format!("turns{}", default.len()), 1, "", "").await;
+            fixture.engines[0].set_default_sql_mode(default);
+            let by_default = match default {
+                "" => "C:\new\table",
+                _ => PATH,
+            };
+            let mut sessions = vec![];
+            for (set_mode, value) in [
+                ("SET @y = 1", by_default),
+                (NO_ESCAPES, PATH),
+                ("SET sql_mode = ''", "C:\new\table"),
+                ("SET sql_mode = DEFAULT", by_default),
+            ] {
+                let mut session = fixture.session().await;
+                query_rows(&mut session, set_mode).await;
+                // The whole statement is read in the mode of its beginning.
+                let set = format!("SET sql_mode = @@sql_mode, @dir = '{PATH}', @z = 'it''s'");
+                query_rows(&mut session, &set).await;
+                sessions.push((session, value));
+            }
+            for _ in 0..3 {
+                for (session, value) in &mut sessions {
+                    assert_directory(session, value).await;
+                    query_rows(session, "SET @turn = 'a\\\\b'").await;
+                }
+            }
+            let (session, _) = &mut sessions[1];
+            query_rows(session, r"SET @dir = 'D:\', @x = '\'").await;
+            assert_directory(session, r"D:\").await;
+            query_rows(session, "begin").await;
+            query_rows(session, r"SET @dir = 'E:\'").await;
+            assert_directory(session, r"E:\").await;
+        }
+    });
+}
+
+/// Guards against a value that is refused or misread before any engine has told its default mode.
+#[test]
+fn first_statement_of_a_process_is_read_in_the_default_mode_of_the_engines() {
+    run(async {
+        for (default, value) in [("", "C:\new\table"), ("NO_BACKSLASH_ESCAPES", PATH)] {
+            let fixture = start(&format!("first{}", default.len()), 1, "", "").await;
+            fixture.engines[0].set_default_sql_mode(default);
+            let mut session = fixture.session().await;
+            query_rows(&mut session, &format!("SET @dir = '{PATH}'")).await;
+            assert_directory(&mut session, value).await;
+        }
+    });
+}
