Tell an engine's shutdown in a transaction as the end of the transaction

An engine that shut down in order while a statement of a transaction ran told 1053, and so was the client, for whom it means that the dispatcher shuts down and that the statement is to be sent again on a new connection: it was committed without what had been answered before it.

Cause: within a sticky session each error packet of the engine was the answer of the statement.

Change: errors by which an engine tells that it or the connection ends (1053, 3168, 3169, 4031, MariaDB's 1927) count as the loss of the connection there: 1213 where a transaction is surely rolled back, 1317 elsewhere, OK for a ROLLBACK.

--- a/src/upstream/mysql/sticky.rs
+++ b/src/upstream/mysql/sticky.rs
@@ -3,6 +3,7 @@
 //! the connection breaks. [`crate::sticky_sessions`] decides when the session ends.
 
 use super::connection::{Connection, WaitingClient};
+use super::errors::ends_connection;
 use super::executor::{AttemptEvents, Execution, Executor, WriteGate, WrittenOn};
 use super::kill::Killer;
 use super::work::{Output, Work};
@@ -260,7 +261,7 @@
         result: Result<Output, PacketError>,
     ) -> Result<SessionAnswer, PacketError> {
         open.last_contact = process_clock_millis();
-        let (output, response) = match result {
+        let (output, response) = match without_end_of_connection(result)? {
             Ok(output) => {
                 let response = response_of(&output, open.connection);
                 (output, response)
@@ -282,6 +283,22 @@
     }
 }
 
+/// Returns the result of a statement. An error means that the engine has told the end of the connection: the session is
+/// lost, and its client is told what became of its transaction in place of what the engine has told the dispatcher.
+fn without_end_of_connection(
+    result: Result<Output, PacketError>,
+) -> Result<Result<Output, PacketError>, PacketError> {
+    let told = match &result {
+        Ok(output) => output.sql_error(),
+        Err(PacketError::Server(error)) => Some(error.clone()),
+        Err(_) => None,
+    };
+    match told {
+        Some(error) if ends_connection(error.code) => Err(PacketError::Server(error)),
+        _ => Ok(result),
+    }
+}
+
 /// Returns the part of the engine's answer that matters to the session.
 fn response_of(output: &Output, connection: &Connection) -> EngineResponse {
     match output.sql_error() {
