Tell the meaning of a backslash in every answer of the dispatcher

Drivers take the status flags of the last answer, whatever it answers: after SHOW WARNINGS, a list of stored results, a cursor's rows or COM_SET_OPTION a client in NO_BACKSLASH_ESCAPES was told that backslashes escape, and would double them in its next statement.

Cause: these answers had the autocommit flag as a constant. Change: they have the session's status flags, and the answer to a login that of the engines' default mode; a stored result has the session's mode in place of that in which it was stored.

--- a/src/frontend/mysql/commands.rs
+++ b/src/frontend/mysql/commands.rs
@@ -11,8 +11,8 @@
 use crate::protocol::mysql::packet::{
     COM_CHANGE_USER, COM_INIT_DB, COM_PING, COM_QUERY, COM_QUIT, COM_RESET_CONNECTION,
     COM_SET_OPTION, COM_STATISTICS, COM_STMT_CLOSE, COM_STMT_EXECUTE, COM_STMT_FETCH,
-    COM_STMT_PREPARE, COM_STMT_RESET, COM_STMT_SEND_LONG_DATA, Login, PayloadReader,
-    SERVER_STATUS_AUTOCOMMIT, eof_packet, read_packet,
+    COM_STMT_PREPARE, COM_STMT_RESET, COM_STMT_SEND_LONG_DATA, Login, PayloadReader, eof_packet,
+    read_packet,
 };
 use crate::protocol::mysql::session::SessionState;
 use crate::protocol::statement::{self, StatementKind};
@@ -87,7 +87,7 @@
     /// no effect and turning them on is an error.
     async fn set_option(&mut self, body: &[u8]) -> Result<(), SessionEnd> {
         if body == MULTI_STATEMENTS_OFF {
-            let packet = eof_packet(SERVER_STATUS_AUTOCOMMIT);
+            let packet = eof_packet(self.status_flags());
             return self.send_packet(&packet).await;
         }
         let message = "several statements at once are not carried";
@@ -188,6 +188,7 @@
                 &["Level", "Code", "Message"],
                 rows,
                 text_result::RowFormat::Text,
+                self.status_flags(),
             ))
         });
         self.send_result(result).await
--- a/src/frontend/mysql/cursor.rs
+++ b/src/frontend/mysql/cursor.rs
@@ -6,8 +6,8 @@
 use super::session::{Session, SessionEnd};
 use crate::protocol::mysql::error::{SqlError, code};
 use crate::protocol::mysql::packet::{
-    ERR_HEADER, OK_HEADER, PayloadReader, SERVER_STATUS_AUTOCOMMIT, SERVER_STATUS_CURSOR_EXISTS,
-    SERVER_STATUS_LAST_ROW_SENT, eof_status,
+    ERR_HEADER, OK_HEADER, PayloadReader, SERVER_STATUS_CURSOR_EXISTS, SERVER_STATUS_LAST_ROW_SENT,
+    eof_status,
 };
 use crate::spool_io::{ResultReader, SpoolError, packets};
 use crate::upstream::mysql::work::Output;
@@ -169,7 +169,7 @@
         }
         let mut all: Vec<Vec<u8>> = packets(&header).map(<[u8]>::to_vec).collect();
         let _eof = all.pop();
-        let status = SERVER_STATUS_AUTOCOMMIT | SERVER_STATUS_CURSOR_EXISTS;
+        let status = self.status_flags() | SERVER_STATUS_CURSOR_EXISTS;
         all.push(self.result_format.last(status, None));
         self.send_packets(all.iter().map(Vec::as_slice)).await
     }
@@ -196,7 +196,7 @@
         for page in fetched.pages {
             self.send_rows(&page, stall_timeout).await?;
         }
-        let mut status = SERVER_STATUS_AUTOCOMMIT | SERVER_STATUS_CURSOR_EXISTS;
+        let mut status = self.status_flags() | SERVER_STATUS_CURSOR_EXISTS;
         if fetched.more {
             if let Ok(statement) = self.statements.get(&body) {
                 statement.cursor = Some(cursor);
--- a/src/frontend/mysql/login.rs
+++ b/src/frontend/mysql/login.rs
@@ -1,13 +1,14 @@
 //! Login of a client: greeting, TLS and authentication.
 
 use super::accept::ClientConnection;
+use super::replies::mode_flag;
 use super::session::SessionEnd;
 use super::{Frontend, StatementUpstream};
 use crate::protocol::mysql::auth::{self, CACHING_SHA2_PASSWORD, MYSQL_NATIVE_PASSWORD};
 use crate::protocol::mysql::error::{SqlError, code};
 use crate::protocol::mysql::packet::{
     CLIENT_SSL, EOF_HEADER, FRONTEND_CAPABILITIES, Greeting, Login, PacketError, ResultFormat,
-    err_packet, ok_packet, read_packet,
+    SERVER_STATUS_AUTOCOMMIT, err_packet, ok_packet_with_status, read_packet,
 };
 use crate::transport::tls::{self, TlsKeys};
 use bytes::{Bytes, BytesMut};
@@ -104,7 +105,9 @@
         if plugin == CACHING_SHA2_PASSWORD && !response.is_empty() {
             connection.send(&FAST_AUTH_SUCCESS[..]).await?;
         }
-        connection.send(&ok_packet()[..]).await?;
+        let defaults = self.router.upstream().default_lexical_modes();
+        let status = SERVER_STATUS_AUTOCOMMIT | mode_flag(defaults);
+        connection.send(&ok_packet_with_status(status)[..]).await?;
         Ok(Some(VerifiedUser {
             tenant: user.tenant,
         }))
--- a/src/frontend/mysql/replies.rs
+++ b/src/frontend/mysql/replies.rs
@@ -11,6 +11,7 @@
     OK_HEADER, PacketError, ResultFormat, SERVER_STATUS_AUTOCOMMIT, SERVER_STATUS_IN_TRANS,
     SERVER_STATUS_NO_BACKSLASH_ESCAPES, eof_status, err_packet, ok_packet_with_status,
 };
+use crate::protocol::mysql::sql_mode::LexicalModes;
 use crate::spool_io::{ResultReader, SpoolError, packets};
 use crate::upstream::mysql::work::{Output, error_of_reply};
 use bytes::{Buf, Bytes, BytesMut};
@@ -36,9 +37,17 @@
     )
 }
 
+/// Returns the status flag that tells the meaning of a backslash: drivers escape the text in statements by it.
+pub(super) fn mode_flag(modes: LexicalModes) -> u16 {
+    match modes.no_backslash_escapes() {
+        true => SERVER_STATUS_NO_BACKSLASH_ESCAPES,
+        false => 0,
+    }
+}
+
 impl<U: StatementUpstream> Session<'_, U> {
-    /// Returns an OK packet with the session's status, for commands that the frontend answers itself.
-    pub(super) fn ok_packet(&self) -> Vec<u8> {
+    /// Returns the status flags of the session, for answers of the frontend itself.
+    pub(super) fn status_flags(&self) -> u16 {
         let in_transaction = self
             .sticky
             .as_ref()
@@ -50,11 +59,12 @@
         if in_transaction {
             status |= SERVER_STATUS_IN_TRANS;
         }
-        // Drivers escape the text in statements by this flag.
-        if self.lexical_modes().no_backslash_escapes() {
-            status |= SERVER_STATUS_NO_BACKSLASH_ESCAPES;
-        }
-        ok_packet_with_status(status)
+        status | mode_flag(self.lexical_modes())
+    }
+
+    /// Returns an OK packet with the session's status, for commands that the frontend answers itself.
+    pub(super) fn ok_packet(&self) -> Vec<u8> {
+        ok_packet_with_status(self.status_flags())
     }
 
     pub(super) async fn send_ok(&mut self) -> Result<(), SessionEnd> {
@@ -125,7 +135,7 @@
         let Some(parts) = split_result(&result) else {
             return self.send_without_rows(&result).await;
         };
-        let status = eof_status(&parts.last).unwrap_or(SERVER_STATUS_AUTOCOMMIT);
+        let status = eof_status(&parts.last).unwrap_or(self.status_flags());
         let last = format.last(status, None);
         let header = self.header_packets(&parts.header);
         let all = header
@@ -189,10 +199,12 @@
             }
         }
         let status = trailer.as_deref().and_then(eof_status);
-        let last = self.result_format.last(
-            status.unwrap_or(SERVER_STATUS_AUTOCOMMIT),
-            spools.handle(id).as_deref(),
-        );
+        // The session may have another mode than when the result was stored.
+        let status = status.unwrap_or(self.status_flags()) & !SERVER_STATUS_NO_BACKSLASH_ESCAPES
+            | mode_flag(self.lexical_modes());
+        let last = self
+            .result_format
+            .last(status, spools.handle(id).as_deref());
         self.send_packet(&last).await
     }
 
--- a/src/frontend/mysql/stored_results.rs
+++ b/src/frontend/mysql/stored_results.rs
@@ -41,7 +41,7 @@
         match statement {
             AdministrativeStatement::ListResults => {
                 let results = self.frontend.spools.list(&self.user).await;
-                let listing = listing_packets(&results, row_format(binary));
+                let listing = listing_packets(&results, row_format(binary), self.status_flags());
                 self.send_result(join_packets(&listing)).await
             }
             AdministrativeStatement::FetchResult { handle, from_page } => {
@@ -102,10 +102,12 @@
         statement: &AdministrativeStatement,
     ) -> Result<Vec<Vec<u8>>, SqlError> {
         let header: Vec<Vec<u8>> = match statement {
-            AdministrativeStatement::ListResults => listing_packets(&[], RowFormat::Binary)
-                .into_iter()
-                .take(LISTING_COLUMNS.len() + COUNT_AND_EOF_PACKETS)
-                .collect(),
+            AdministrativeStatement::ListResults => {
+                listing_packets(&[], RowFormat::Binary, self.status_flags())
+                    .into_iter()
+                    .take(LISTING_COLUMNS.len() + COUNT_AND_EOF_PACKETS)
+                    .collect()
+            }
             AdministrativeStatement::FetchResult { handle, .. } => {
                 let id = self.resume_result(handle).await?;
                 let header = self
@@ -135,8 +137,8 @@
     packet
 }
 
-/// Returns the packets of a list of stored results.
-fn listing_packets(results: &[ResultListing], format: RowFormat) -> Vec<Vec<u8>> {
+/// Returns the packets of a list of stored results, with these status flags.
+fn listing_packets(results: &[ResultListing], format: RowFormat, status: u16) -> Vec<Vec<u8>> {
     let rows = results.iter().map(|result| {
         let expires = match result.expires_in_s {
             Some(seconds) => format!("{:.1}", seconds.max(0.0)),
@@ -152,5 +154,5 @@
             expires,
         ]
     });
-    text_table(&LISTING_COLUMNS, rows, format)
+    text_table(&LISTING_COLUMNS, rows, format, status)
 }
--- a/src/frontend/mysql/text_result.rs
+++ b/src/frontend/mysql/text_result.rs
@@ -1,8 +1,6 @@
 //! Results with text columns that the frontend builds itself.
 
-use crate::protocol::mysql::packet::{
-    SERVER_STATUS_AUTOCOMMIT, UTF8MB4_GENERAL_CI, eof_packet, put_length_encoded_integer,
-};
+use crate::protocol::mysql::packet::{UTF8MB4_GENERAL_CI, eof_packet, put_length_encoded_integer};
 use crate::spool_io::put_packet;
 use bytes::{Bytes, BytesMut};
 
@@ -23,17 +21,18 @@
     Binary,
 }
 
-/// Returns the packets of a result with text columns.
+/// Returns the packets of a result with text columns and these status flags.
 pub(super) fn text_table(
     columns: &[&str],
     rows: impl Iterator<Item = Vec<String>>,
     format: RowFormat,
+    status: u16,
 ) -> Vec<Vec<u8>> {
     let mut packets = vec![vec![columns.len() as u8]];
     packets.extend(columns.iter().map(|name| column_definition(name)));
-    packets.push(eof_packet(SERVER_STATUS_AUTOCOMMIT).to_vec());
+    packets.push(eof_packet(status).to_vec());
     packets.extend(rows.map(|fields| row(&fields, format)));
-    packets.push(eof_packet(SERVER_STATUS_AUTOCOMMIT).to_vec());
+    packets.push(eof_packet(status).to_vec());
     packets
 }
 
--- a/tests/mysql_session_text.rs
+++ b/tests/mysql_session_text.rs
@@ -6,7 +6,7 @@
 mod session_fixture;
 
 use query_dispatcher::protocol::mysql::packet::{
-    SERVER_STATUS_NO_BACKSLASH_ESCAPES, parse_ok_status,
+    SERVER_STATUS_NO_BACKSLASH_ESCAPES, eof_status, parse_ok_status,
 };
 use session_fixture::{Fixture, query_error, query_rows, run, start};
 use testbed::clients::mysql::{Session, error, text};
@@ -192,6 +192,15 @@
                 expected,
                 "{sql}"
             );
+            for listing in ["SHOW HITCHWINCH RESULTS", "SHOW WARNINGS"] {
+                let answer = session.query(listing).await.unwrap();
+                let flags = eof_status(&answer.last).unwrap();
+                assert_eq!(
+                    flags & SERVER_STATUS_NO_BACKSLASH_ESCAPES,
+                    expected,
+                    "{listing}"
+                );
+            }
         }
     });
 }
