--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -2,7 +2,13 @@
 //! committed changes. It shares no code with the dispatcher's own interpretation of statements, because
 //! tests check that interpretation against it.
 
+mod text;
+
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
+use text::{SqlMode, split_assignment, sql_mode_of_bits, strip_comments, unquote_name};
 
 pub const IN_TRANSACTION: u16 = 1;
 pub const AUTOCOMMIT: u16 = 2;
@@ -117,23 +123,15 @@
         let autocommit = self.variables["autocommit"] == "1";
         u16::from(self.in_transaction) * IN_TRANSACTION
             + u16::from(autocommit) * AUTOCOMMIT
-            + u16::from(has_mode(
-                &self.variables["sql_mode"],
-                "NO_BACKSLASH_ESCAPES",
-            )) * NO_BACKSLASH_ESCAPES
-    }
-
-    /// Returns whether a backslash in a string escapes the character after it.
-    fn has_escapes(&self) -> bool {
-        !self.has_mode("NO_BACKSLASH_ESCAPES")
+            + u16::from(!SqlMode(self.sql_mode()).has_escapes()) * NO_BACKSLASH_ESCAPES
     }
 
-    /// Returns whether statements are read in this mode.
-    fn has_mode(&self, name: &str) -> bool {
-        let session_mode = &self.variables["sql_mode"];
-        has_mode(
-            self.mode_of_preparation.as_ref().unwrap_or(session_mode),
-            name,
+    /// Returns the mode in which statements are read.
+    fn reading_mode(&self) -> SqlMode<'_> {
+        SqlMode(
+            self.mode_of_preparation
+                .as_deref()
+                .unwrap_or(self.sql_mode()),
         )
     }
 
@@ -150,11 +148,6 @@
         response
     }
 
-    /// Returns whether double quotes enclose a name.
-    fn has_quoted_names(&self) -> bool {
-        self.has_mode("ANSI_QUOTES") || self.has_mode("ANSI")
-    }
-
     fn commit(&mut self) {
         self.in_transaction = false;
         self.committed.append(&mut self.pending);
@@ -275,7 +268,7 @@
     fn set(&mut self, list: &str) -> SessionResponse {
         let mut new = (self.variables.clone(), self.user_variables.clone());
         // The whole statement is read in the mode of its beginning.
-        for assignment in self.split_at_commas(list) {
+        for assignment in self.reading_mode().split_at_commas(list) {
             let Some((name, value)) = split_assignment(&assignment) else {
                 return SessionResponse::Error(1064, "42000", format!("near {assignment}"));
             };
@@ -335,60 +328,6 @@
         SessionResponse::Ok
     }
 
-    /// Returns the text of a string literal in the session's mode; `None` if it does not end with the closing quote.
-    fn text_of_literal(&self, literal: &str) -> Option<String> {
-        let mut characters = literal.chars().peekable();
-        let quote = characters.next()?;
-        let mut text = String::new();
-        while let Some(character) = characters.next() {
-            if character == quote {
-                if characters.next_if_eq(&quote).is_none() {
-                    return characters.next().is_none().then_some(text);
-                }
-                text.push(quote);
-            } else if character == '\\' && self.has_escapes() {
-                let escaped = characters.next()?;
-                // Kept for the patterns of LIKE.
-                if matches!(escaped, '%' | '_') {
-                    text.push(character);
-                }
-                text.push(unescaped(escaped));
-            } else {
-                text.push(character);
-            }
-        }
-        None
-    }
-
-    /// Splits a list at the commas outside strings, quoted names and parentheses.
-    fn split_at_commas(&self, list: &str) -> Vec<String> {
-        let (mut all, mut item) = (vec![], String::new());
-        let (mut depth, mut quote) = (0, None);
-        let mut characters = list.chars();
-        while let Some(character) = characters.next() {
-            match (quote, character) {
-                (Some('\'' | '"'), '\\') if self.has_escapes() => {
-                    item.push(character);
-                    item.extend(characters.next());
-                    continue;
-                }
-                (Some(open), character) if character == open => quote = None,
-                (Some(_), _) => {}
-                (None, '\'' | '"' | '`') => quote = Some(character),
-                (None, '(') => depth += 1,
-                (None, ')') => depth -= 1,
-                (None, ',') if depth == 0 => {
-                    all.push(std::mem::take(&mut item));
-                    continue;
-                }
-                _ => {}
-            }
-            item.push(character);
-        }
-        all.push(item);
-        all
-    }
-
     /// Executes a SELECT that assigns user variables: `@x := EXPRESSION, ...`, for each of
     /// [`ROWS_OF_A_TABLE`] rows if it has a FROM, or `EXPRESSION INTO @x`. Returns `None` if it is not supported.
     fn assign_in_select(&mut self, list: &str) -> Option<SessionResponse> {
@@ -401,7 +340,7 @@
             self.assign_user_variable(name, value);
             return Some(SessionResponse::Ok);
         }
-        let items = self.split_at_commas(list);
+        let items = self.reading_mode().split_at_commas(list);
         let mut all = vec![];
         for _ in 0..rows {
             let mut row = vec![];
@@ -445,6 +384,7 @@
             .then(|| &text[7..text.len() - 1])
         {
             let all: Option<Vec<Option<String>>> = self
+                .reading_mode()
                 .split_at_commas(args)
                 .iter()
                 .map(|a| self.evaluate(a))
@@ -482,8 +422,10 @@
                     .flatten(),
             );
         }
-        if text.starts_with('\'') || text.starts_with('"') && !self.has_quoted_names() {
-            return Some(Some(self.text_of_literal(text)?));
+        if text.starts_with('\'')
+            || text.starts_with('"') && !self.reading_mode().has_quoted_names()
+        {
+            return Some(Some(self.reading_mode().text_of_literal(text)?));
         }
         match lower.as_str() {
             "null" => Some(None),
@@ -518,7 +460,7 @@
             .or_else(|| list.strip_suffix("limit 1"))
             .unwrap_or(list);
         let (mut names, mut row) = (vec![], vec![]);
-        for item in self.split_at_commas(list) {
+        for item in self.reading_mode().split_at_commas(list) {
             let item = item.trim();
             let at = item.to_ascii_lowercase().rfind(" as ");
             let (value, name) = at.map_or((item, item), |at| (&item[..at], item[at + 4..].trim()));
@@ -528,161 +470,3 @@
         Some(SessionResponse::Row(names, row))
     }
 }
-
-/// Returns the names of the modes in a numeric value, of those that tests use.
-fn sql_mode_of_bits(value: &str) -> String {
-    let bits: u64 = value.parse().unwrap_or(0);
-    let names: Vec<&str> = [(4, "ANSI_QUOTES"), (1 << 20, "NO_BACKSLASH_ESCAPES")]
-        .iter()
-        .filter(|(bit, _)| bits & bit != 0)
-        .map(|(_, name)| *name)
-        .collect();
-    names.join(",")
-}
-
-/// Returns whether a value of `sql_mode` has this mode.
-fn has_mode(sql_mode: &str, name: &str) -> bool {
-    sql_mode
-        .split(',')
-        .any(|mode| mode.trim().eq_ignore_ascii_case(name))
-}
-
-/// Removes leading comments and the semicolon at the end. The content of a leading `/*!40101 ... */` stays.
-fn strip_comments(sql: &str) -> String {
-    let mut text = sql.trim();
-    while let Some(rest) = text.strip_prefix("/*") {
-        let (comment, after) = rest.split_once("*/").unwrap_or((rest, ""));
-        if let Some(executed) = comment.strip_prefix('!') {
-            let executed = executed.trim_start_matches(|c: char| c.is_ascii_digit());
-            return executed.trim().to_string();
-        }
-        text = after.trim_start();
-    }
-    text.trim_end_matches(';').trim().to_string()
-}
-
-/// Splits `NAME = VALUE` at the first equals sign outside quotes.
-fn split_assignment(assignment: &str) -> Option<(&str, &str)> {
-    let mut quote = None;
-    let position = assignment.find(|character| match (quote, character) {
-        (Some(open), character) if open == character => {
-            quote = None;
-            false
-        }
-        (Some(_), _) => false,
-        (None, '\'' | '"' | '`') => {
-            quote = Some(character);
-            false
-        }
-        (None, character) => character == '=',
-    })?;
-    Some((&assignment[..position], &assignment[position + 1..]))
-}
-
-/// Returns a name without its quotes; a doubled quote within stands for one.
-fn unquote_name(name: &str) -> String {
-    for quote in ['`', '\'', '"'] {
-        let inner = name
-            .strip_prefix(quote)
-            .and_then(|name| name.strip_suffix(quote));
-        if let Some(inner) = inner {
-            return inner.replace(&format!("{quote}{quote}"), &quote.to_string());
-        }
-    }
-    name.to_string()
-}
-
-/// Returns the character that this one stands for behind a backslash.
-fn unescaped(character: char) -> char {
-    match character {
-        '0' => '\0',
-        'b' => '\x08',
-        'n' => '\n',
-        'r' => '\r',
-        't' => '\t',
-        'Z' => '\x1a',
-        other => other,
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn variables_are_set_read_and_reset() {
-        let mut s = Session::new(7, "e", INSTALLED_SQL_MODE);
-        assert_eq!(
-            s.execute("SET SESSION time_zone = '+02:00', @x = 'it''s'"),
-            Some(SessionResponse::Ok)
-        );
-        let row = SessionResponse::Row(
-            vec!["@@time_zone".into(), "x".into(), "n".into()],
-            vec![Some("+02:00".into()), Some("it's".into()), Some("7".into())],
-        );
-        assert_eq!(
-            s.execute("select @@time_zone, @x as x, connection_id() as n"),
-            Some(row)
-        );
-        assert!(matches!(
-            s.execute("SET SESSION nonsense = 1, time_zone = 'x'"),
-            Some(SessionResponse::Error(1193, ..))
-        ));
-        assert_eq!(
-            s.variables["time_zone"], "+02:00",
-            "an invalid assignment cancels the whole statement"
-        );
-        s.execute(
-            "SET SESSION time_zone = DEFAULT, sql_mode = (SELECT CONCAT(@@sql_mode, ',ANSI'))",
-        );
-        assert_eq!(s.variables["time_zone"], "SYSTEM");
-        assert_eq!(
-            s.variables["sql_mode"],
-            "ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES,ANSI"
-        );
-    }
-
-    #[test]
-    fn text_is_read_in_the_mode_of_the_session() {
-        let mut s = Session::new(7, "e", INSTALLED_SQL_MODE);
-        s.execute(r"SET @a = 'C:\new\', x', @b = 'y'");
-        assert_eq!(s.user_variables["a"].as_deref(), Some("C:\new', x"));
-        assert_eq!(s.user_variables["b"].as_deref(), Some("y"));
-        s.execute("SET SESSION sql_mode = 'NO_BACKSLASH_ESCAPES'");
-        assert_eq!(s.status(), AUTOCOMMIT | NO_BACKSLASH_ESCAPES);
-        s.execute(r"SET @a = 'C:\new\', @b = 'it''s'");
-        assert_eq!(s.user_variables["a"].as_deref(), Some(r"C:\new\"));
-        assert_eq!(s.user_variables["b"].as_deref(), Some("it's"));
-        s.execute("SET SESSION sql_mode = DEFAULT");
-        assert_eq!(s.status(), AUTOCOMMIT);
-    }
-
-    #[test]
-    fn changes_are_recorded_once_they_are_committed() {
-        let mut s = Session::new(7, "e", INSTALLED_SQL_MODE);
-        s.execute("insert into t values (1)");
-        assert_eq!((s.committed.len(), s.status()), (1, AUTOCOMMIT));
-        s.execute("begin");
-        s.execute("insert into t values (2)");
-        assert_eq!(
-            (s.committed.len(), s.status()),
-            (1, AUTOCOMMIT | IN_TRANSACTION)
-        );
-        s.execute("rollback");
-        s.execute("SET SESSION autocommit = 0");
-        s.execute("select 1");
-        assert_eq!(
-            s.status(),
-            0,
-            "a SELECT without a table begins no transaction"
-        );
-        s.execute("select a from t");
-        s.execute("insert into t values (3)");
-        assert_eq!((s.committed.len(), s.status()), (1, IN_TRANSACTION));
-        s.execute("create table u (a int)");
-        assert_eq!(
-            s.committed,
-            ["insert into t values (1)", "insert into t values (3)"]
-        );
-    }
-}
--- a/src/protocol/mysql/mod.rs
+++ b/src/protocol/mysql/mod.rs
@@ -3,6 +3,7 @@
 pub mod auth;
 pub mod error;
 pub mod packet;
+pub mod quoted_text;
 pub mod session;
 pub mod sql_mode;
 pub mod values;
--- a/src/protocol/mysql/session/literal.rs
+++ b/src/protocol/mysql/session/literal.rs
@@ -1,12 +1,9 @@
 //! Values of session variables, and their form in SQL. A value is kept apart from the `sql_mode` in which a client has
 //! written it, and is written anew for the mode of each connection that it is set on.
 
+use crate::protocol::mysql::quoted_text::QuotedText;
 use crate::protocol::mysql::sql_mode::LexicalMode;
 
-const BACKSPACE: char = '\x08';
-/// Control-Z, which ends a file on some systems.
-const END_OF_FILE: char = '\x1a';
-
 /// The value of a variable.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Literal {
@@ -19,7 +16,7 @@
 impl Literal {
     /// Returns the value of a string literal that is complete in this mode.
     pub(super) fn of_quoted(literal: &str, mode: LexicalMode) -> Self {
-        Literal::Text(unquoted(literal, mode))
+        Literal::Text(QuotedText::read(literal.as_bytes(), mode).into_text())
     }
 
     /// Returns the value as an engine has computed it; `None` is NULL. `numeric` states whether its column is numeric.
@@ -65,38 +62,3 @@
         }
     }
 }
-
-/// Returns the characters within the quotes of a string or, in ANSI_QUOTES, of a name.
-pub(super) fn unquoted(quoted: &str, mode: LexicalMode) -> String {
-    let mut characters = quoted.chars();
-    let quote = characters.next().unwrap_or('\'');
-    let has_escapes = mode.has_escapes(quote);
-    let mut text = String::with_capacity(quoted.len());
-    while let Some(character) = characters.next() {
-        if character == quote {
-            // The first one of two, or the end.
-            text.extend(characters.next());
-        } else if character == '\\' && has_escapes {
-            push_unescaped(&mut text, characters.next());
-        } else {
-            text.push(character);
-        }
-    }
-    text
-}
-
-/// Adds what this character stands for behind a backslash.
-fn push_unescaped(text: &mut String, character: Option<char>) {
-    match character {
-        Some('0') => text.push('\0'),
-        Some('b') => text.push(BACKSPACE),
-        Some('n') => text.push('\n'),
-        Some('r') => text.push('\r'),
-        Some('t') => text.push('\t'),
-        Some('Z') => text.push(END_OF_FILE),
-        // Kept for the patterns of LIKE.
-        Some(wildcard @ ('%' | '_')) => text.extend(['\\', wildcard]),
-        Some(other) => text.push(other),
-        None => {}
-    }
-}
--- a/src/protocol/mysql/session/set/parser.rs
+++ b/src/protocol/mysql/session/set/parser.rs
@@ -1,7 +1,7 @@
 //! The grammar of SET.
 
 use super::{Change, Literal, Value, VariableName};
-use crate::protocol::mysql::session::literal::unquoted;
+use crate::protocol::mysql::quoted_text::QuotedText;
 use crate::protocol::mysql::sql_mode::{LexicalMode, SQL_MODE_VARIABLE};
 use winnow::ascii::{Caseless, digit1, multispace1};
 use winnow::combinator::{alt, delimited, eof, opt, peek, preceded, repeat, separated, terminated};
@@ -196,7 +196,8 @@
 fn names(input: &mut Input<'_>) -> Result<Change> {
     let text = |input: &mut Input<'_>| -> Result<String> {
         let mode = input.state;
-        let quoted = quoted_text.map(|quoted: &str| unquoted(quoted, mode));
+        let content = |quoted: &str| QuotedText::read(quoted.as_bytes(), mode).into_text();
+        let quoted = quoted_text.map(content);
         terminated(alt((quoted, name)), space).parse_next(input)
     };
     let (character_set, collation) =
@@ -307,8 +308,7 @@
 /// Parses a string, or a name in double quotes, and returns it as written, including the quotes.
 fn quoted_text<'s>(input: &mut Input<'s>) -> Result<&'s str> {
     let mode = input.state;
-    let quoted_by = |quote: char| {
-        let has_escapes = mode.has_escapes(quote);
+    let quoted_by = |quote: char, has_escapes: bool| {
         let escape = any.verify(move |&character| has_escapes && character == '\\');
         let escaped = (escape, any).void();
         let doubled = (quote, quote).void();
@@ -318,7 +318,11 @@
         let inner = repeat::<_, _, (), _, _>(0.., alt((escaped, doubled, plain)));
         (quote, inner, quote).take()
     };
-    alt((quoted_by('\''), quoted_by('"'))).parse_next(input)
+    alt((
+        quoted_by('\'', mode.has_escapes(b'\'')),
+        quoted_by('"', mode.has_escapes(b'"')),
+    ))
+    .parse_next(input)
 }
 
 fn number<'s>(input: &mut Input<'s>) -> Result<&'s str> {
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -1,4 +1,6 @@
+use super::set::{Change, Value};
 use super::*;
+use crate::protocol::mysql::sql_mode::LexicalMode;
 
 fn parse(sql: &[u8]) -> Result<Vec<Change>, SetError> {
     set::parse(sql, LexicalModes::default())
--- a/src/protocol/mysql/sql_mode.rs
+++ b/src/protocol/mysql/sql_mode.rs
@@ -54,10 +54,10 @@
     }
 
     /// Returns whether a backslash escapes the character after it within these quotes.
-    pub fn has_escapes(self, quote: char) -> bool {
+    pub fn has_escapes(self, quote: u8) -> bool {
         match quote {
-            '`' => false,
-            '"' if self.ansi_quotes => false,
+            b'`' => false,
+            b'"' if self.ansi_quotes => false,
             _ => !self.no_backslash_escapes,
         }
     }
--- a/src/protocol/statement/scanner.rs
+++ b/src/protocol/statement/scanner.rs
@@ -1,5 +1,6 @@
 //! Lexical scanner of SQL statements.
 
+use crate::protocol::mysql::quoted_text::QuotedText;
 use crate::protocol::mysql::sql_mode::LexicalMode;
 
 /// A token of a statement.
@@ -38,9 +39,6 @@
 }
 
 const VERTICAL_TAB: u8 = 0x0b;
-const BACKSPACE: u8 = 0x08;
-/// Control-Z, which ends a file on some systems.
-const END_OF_FILE: u8 = 0x1a;
 /// The beginning of an executable comment.
 const EXECUTABLE_COMMENT: &[u8] = b"/*!";
 /// The highest version of an executable comment that every engine executes: 8.0.0.
@@ -99,28 +97,6 @@
     byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'$' || byte >= 0x80
 }
 
-/// Adds what this byte stands for behind a backslash.
-fn push_unescaped(text: &mut Vec<u8>, byte: u8) {
-    match byte {
-        b'0' => text.push(0),
-        b'b' => text.push(BACKSPACE),
-        b'n' => text.push(b'\n'),
-        b'r' => text.push(b'\r'),
-        b't' => text.push(b'\t'),
-        b'Z' => text.push(END_OF_FILE),
-        // Kept for the patterns of LIKE.
-        b'%' | b'_' => text.extend([b'\\', byte]),
-        other => text.push(other),
-    }
-}
-
-/// Whether a backslash escapes the byte after it.
-#[derive(Clone, Copy, PartialEq)]
-enum Escapes {
-    Backslash,
-    None,
-}
-
 /// A token, and whether it follows the previous one without anything between them.
 pub(super) struct SpacedToken {
     pub(super) token: Token,
@@ -138,43 +114,18 @@
         })
     }
 
-    /// Reads a quoted string or name and returns its content. A doubled or escaped quote is part of
-    /// the content.
-    fn quoted(&mut self, quote: u8, escapes: Escapes) -> String {
-        let mut text = vec![];
-        self.position += 1;
-        while let Some(&byte) = self.sql.get(self.position) {
-            self.position += 1;
-            if byte == b'\\' && escapes == Escapes::Backslash {
-                if let Some(&escaped) = self.sql.get(self.position) {
-                    push_unescaped(&mut text, escaped);
-                }
-                self.position += 1;
-            } else if byte == quote {
-                if self.sql.get(self.position) != Some(&quote) {
-                    break;
-                }
-                text.push(quote);
-                self.position += 1;
-            } else {
-                text.push(byte);
-            }
-        }
-        String::from_utf8_lossy(&text).into_owned()
-    }
-
-    /// Returns what a backslash means within these quotes.
-    fn escapes(&self, quote: u8) -> Escapes {
-        match self.mode.has_escapes(quote.into()) {
-            true => Escapes::Backslash,
-            false => Escapes::None,
-        }
+    /// Reads the quoted string or name at the position and returns its content.
+    fn quoted(&mut self) -> String {
+        let rest = self.sql.get(self.position..).unwrap_or_default();
+        let quoted = QuotedText::read(rest, self.mode);
+        self.position += quoted.length;
+        quoted.into_text()
     }
 
     /// Reads a double-quoted token: a string in MySQL, a name with ANSI_QUOTES and in other dialects. Only a name has
     /// a dot next to it.
     fn double_quoted(&mut self, after_dot: bool) -> Token {
-        let text = self.quoted(b'"', self.escapes(b'"'));
+        let text = self.quoted();
         if self.mode.ansi_quotes {
             return Token::Name { text, quoted: true };
         }
@@ -211,9 +162,9 @@
                 self.position += 2;
                 Token::SystemVariablePrefix
             }
-            Some(&quote @ (b'\'' | b'"' | b'`')) => {
+            Some(b'\'' | b'"' | b'`') => {
                 self.position += 1;
-                Token::UserVariable(self.quoted(quote, self.escapes(quote)))
+                Token::UserVariable(self.quoted())
             }
             Some(&byte) if is_variable_byte(byte) => {
                 let name = &rest[1..];
@@ -300,13 +251,13 @@
             } else if begins_line_comment(rest) {
                 self.skip_past(b"\n");
             } else if byte == b'\'' {
-                self.quoted(byte, self.escapes(byte));
+                self.quoted();
                 return Some(Token::Text);
             } else if byte == b'"' {
                 return Some(self.double_quoted(after_dot));
             } else if byte == b'`' {
                 return Some(Token::Name {
-                    text: self.quoted(byte, Escapes::None),
+                    text: self.quoted(),
                     quoted: true,
                 });
             } else if byte == b'@' {
