Know a mode that is set by a number with a fraction, and say a mode where flags stood

Change: numbers in sql_mode are read as a server does. A session has one mode or none, no set of modes; the SET for a connection is written for a LexicalMode in place of a bare flag; the end of a connection is asked for by name.

Measured: the new row of write_behind_a_backslash_is_sent_once_in_a_mode_without_escapes fails on the code before (the statement is served in place of 1317) and passes.

--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -309,7 +309,7 @@
                 _ => self.evaluate(value).flatten(),
             };
             let mut value = value.unwrap_or_default();
-            if name == "sql_mode" && value.parse::<u64>().is_ok() {
+            if name == "sql_mode" && value.parse::<f64>().is_ok() {
                 value = sql_mode_of_bits(&value);
             }
             if name == "sql_mode" && value.split(',').any(|m| m == "NONSENSE") {
--- a/crates/testbed/src/fakes/engine_session/text.rs
+++ b/crates/testbed/src/fakes/engine_session/text.rs
@@ -78,7 +78,7 @@
 
 /// Returns the names of the modes in a numeric value, of those that tests use.
 pub(super) fn sql_mode_of_bits(value: &str) -> String {
-    let bits: u64 = value.parse().unwrap_or(0);
+    let bits = value.parse::<f64>().unwrap_or(0.0).round() as u64;
     let names: Vec<&str> = [(4, "ANSI_QUOTES"), (1 << 20, "NO_BACKSLASH_ESCAPES")]
         .iter()
         .filter(|(bit, _)| bits & bit != 0)
--- a/src/frontend/mysql/settings.rs
+++ b/src/frontend/mysql/settings.rs
@@ -151,7 +151,9 @@
     /// Returns the modes in which an engine may read the session's statements.
     pub(super) fn lexical_modes(&self) -> LexicalModes {
         let defaults = || self.frontend.router.upstream().default_lexical_modes();
-        self.state.lexical_modes().unwrap_or_else(defaults)
+        self.state
+            .lexical_mode()
+            .map_or_else(defaults, LexicalModes::from)
     }
 
     /// Returns the context of a statement, with the session's LAST_INSERT_ID if the statement reads it.
--- a/src/protocol/mysql/session/changes.rs
+++ b/src/protocol/mysql/session/changes.rs
@@ -119,9 +119,9 @@
             None => {}
         }
         if name.is_system(SQL_MODE_VARIABLE) {
-            self.lexical_modes = value
+            self.lexical_mode = value
                 .as_ref()
-                .map(|value| LexicalMode::of_sql_mode(value.text()).into());
+                .map(|value| LexicalMode::of_sql_mode(value.text()));
         }
         let is_user_variable = name.is_user();
         // A user variable that was never set is NULL.
--- a/src/protocol/mysql/session/connection_context.rs
+++ b/src/protocol/mysql/session/connection_context.rs
@@ -48,8 +48,8 @@
     variables: Rc<SessionVariables>,
     /// Variables that a statement has assigned, so that only the engine knows their values.
     unknown: BTreeSet<VariableName>,
-    /// Strings have no escapes by the engine's default of `sql_mode`.
-    no_escapes_by_default: bool,
+    /// The mode by the engine's default of `sql_mode`, of which the meaning of double quotes is not known.
+    default_mode: LexicalMode,
 }
 
 impl ConnectionContext {
@@ -112,20 +112,21 @@
     pub fn set_statement(&self, target: &SessionContext) -> Option<String> {
         let is_known = self.unknown.is_subset(&target.connection_variables);
         if is_known {
-            return set_statement(&self.variables, &target.variables, self.has_escapes());
+            return set_statement(&self.variables, &target.variables, self.lexical_mode());
         }
         let mut current = SessionVariables::clone(&self.variables);
         for name in self.unknown.difference(&target.connection_variables) {
             current.insert(name.clone(), unknown_value());
         }
-        set_statement(&current, &target.variables, self.has_escapes())
+        set_statement(&current, &target.variables, self.lexical_mode())
     }
 
     /// Records the status flags of an answer: while no `sql_mode` is set on the connection, they tell of the engine's
     /// default.
     pub fn observe_status(&mut self, flags: u16) {
         if self.sql_mode().is_none() {
-            self.no_escapes_by_default = flags & SERVER_STATUS_NO_BACKSLASH_ESCAPES != 0;
+            self.default_mode.no_backslash_escapes =
+                flags & SERVER_STATUS_NO_BACKSLASH_ESCAPES != 0;
         }
     }
 
@@ -134,11 +135,11 @@
             .get(&VariableName::builtin(SQL_MODE_VARIABLE))
     }
 
-    /// Returns whether strings have escapes on the connection.
-    fn has_escapes(&self) -> bool {
+    /// Returns the mode in which an engine reads strings in single quotes on the connection.
+    fn lexical_mode(&self) -> LexicalMode {
         match self.sql_mode() {
-            Some(value) => !LexicalMode::of_sql_mode(value.text()).no_backslash_escapes,
-            None => !self.no_escapes_by_default,
+            Some(value) => LexicalMode::of_sql_mode(value.text()),
+            None => self.default_mode,
         }
     }
 
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -200,7 +200,10 @@
         {
             for no_escapes_by_default in [false, true] {
                 let mut connection = ConnectionContext {
-                    no_escapes_by_default,
+                    default_mode: LexicalMode {
+                        no_backslash_escapes: no_escapes_by_default,
+                        ansi_quotes: false,
+                    },
                     ..ConnectionContext::default()
                 };
                 let mut state = SessionState::default();
@@ -216,8 +219,12 @@
                 let Ok(SetOutcome::Changed { state, .. }) = state.set(&[assignment], &[]) else {
                     panic!("{text}");
                 };
+                // The mode in which an engine reads the SET: that of the connection before it.
                 let mode = LexicalMode {
-                    no_backslash_escapes: !connection.has_escapes(),
+                    no_backslash_escapes: match before {
+                        "" => no_escapes_by_default,
+                        set => set == NO_ESCAPES,
+                    },
                     ansi_quotes: before.contains("ANSI"),
                 };
                 let sql = connection.set_statement(state.context()).unwrap();
@@ -234,15 +241,16 @@
 #[test]
 fn mode_of_a_connection_is_that_of_its_session_or_of_the_engine() {
     const FLAG: u16 = 0x200;
+    let has_escapes = |connection: &ConnectionContext| connection.lexical_mode().has_escapes(b'\'');
     let mut connection = ConnectionContext::default();
     connection.observe_status(FLAG);
-    assert!(!connection.has_escapes());
+    assert!(!has_escapes(&connection));
     let state = state_after(&SessionState::default(), "SET sql_mode = 'ANSI'");
     enter(&mut connection, state.context());
     connection.observe_status(0);
-    assert!(connection.has_escapes());
+    assert!(has_escapes(&connection));
     enter(&mut connection, SessionState::default().context());
-    assert!(!connection.has_escapes());
+    assert!(!has_escapes(&connection));
     connection.observe_status(0);
-    assert!(connection.has_escapes());
+    assert!(has_escapes(&connection));
 }
--- a/src/protocol/mysql/session/literal.rs
+++ b/src/protocol/mysql/session/literal.rs
@@ -48,13 +48,13 @@
         }
     }
 
-    /// Returns the value in SQL, for a connection whose strings have escapes or not.
-    pub fn to_sql(&self, has_escapes: bool) -> String {
+    /// Returns the value in SQL, for a connection in this mode.
+    pub fn to_sql(&self, mode: LexicalMode) -> String {
         match self {
             Literal::Plain(text) => text.clone(),
             Literal::Text(text) => {
                 let doubled = text.replace('\'', "''");
-                match has_escapes {
+                match mode.has_escapes(b'\'') {
                     true => format!("'{}'", doubled.replace('\\', "\\\\")),
                     false => format!("'{doubled}'"),
                 }
--- a/src/protocol/mysql/session/mod.rs
+++ b/src/protocol/mysql/session/mod.rs
@@ -17,7 +17,7 @@
 pub use variable_name::{UnknownSystemVariable, VariableName};
 pub use variables::{LAST_INSERT_ID_VARIABLE, SessionVariables, set_statement};
 
-use super::sql_mode::{LexicalModes, SQL_MODE_VARIABLE};
+use super::sql_mode::{LexicalMode, SQL_MODE_VARIABLE};
 use set::SetError;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -120,8 +120,8 @@
     /// The value of LAST_INSERT_ID().
     last_insert_id: u64,
     commit_mode: CommitMode,
-    /// The modes in which an engine may read the session's statements; `None` if the session has not set `sql_mode`.
-    lexical_modes: Option<LexicalModes>,
+    /// The mode in which an engine reads the session's statements; `None` if the session has not set `sql_mode`.
+    lexical_mode: Option<LexicalMode>,
 }
 
 impl SessionState {
@@ -151,10 +151,9 @@
         context
     }
 
-    /// Returns the modes in which an engine may read the session's statements; `None` if they are those of engines'
-    /// defaults.
-    pub fn lexical_modes(&self) -> Option<LexicalModes> {
-        self.lexical_modes
+    /// Returns the mode in which an engine reads the session's statements; `None` if it is the engine's default.
+    pub fn lexical_mode(&self) -> Option<LexicalMode> {
+        self.lexical_mode
     }
 
     /// Returns whether each statement is committed automatically.
--- a/src/protocol/mysql/session/set/parser.rs
+++ b/src/protocol/mysql/session/set/parser.rs
@@ -235,7 +235,7 @@
 fn readable_mode(value: Value) -> Value {
     match value {
         Value::Literal(Literal::Plain(text))
-            if text.parse::<u64>().is_err()
+            if text.parse::<f64>().is_err()
                 && text.starts_with(|first: char| first.is_ascii_digit()) =>
         {
             Value::Expression(text)
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -1,13 +1,13 @@
 use super::set::{Change, Value};
 use super::*;
-use crate::protocol::mysql::sql_mode::LexicalMode;
+use crate::protocol::mysql::sql_mode::{LexicalMode, LexicalModes};
 
 fn parse(sql: &[u8]) -> Result<Vec<Change>, SetError> {
     set::parse(sql, LexicalModes::default())
 }
 
 fn set_statement(from: &SessionVariables, to: &SessionVariables) -> Option<String> {
-    super::set_statement(from, to, true)
+    super::set_statement(from, to, LexicalMode::default())
 }
 
 fn after(state: &SessionState, sql: &str) -> Result<SessionState, SetError> {
@@ -186,7 +186,7 @@
         Literal::Text("+00:00".into())
     );
     assert!(state.context().names.is_some());
-    let in_sql = |value, numeric| Literal::of_result(value, numeric).to_sql(true);
+    let in_sql = |value, numeric| Literal::of_result(value, numeric).to_sql(LexicalMode::default());
     assert_eq!(in_sql(Some(b"12"), true), "12");
     assert_eq!(in_sql(Some(br"it's \ 1"), false), r"'it''s \\ 1'");
     assert_eq!(in_sql(None, true), "null");
@@ -389,13 +389,10 @@
         );
     }
     // An engine tells what these numbers are; a text in escapes is read here.
-    let mode_of = |sql: &str| match state_after(sql).lexical_modes() {
-        Some(modes) => modes.iter().collect::<Vec<LexicalMode>>(),
-        None => vec![],
-    };
+    let mode_of = |sql: &str| state_after(sql).lexical_mode();
     assert_eq!(
         mode_of(r"SET sql_mode = '\NO_BACKSLASH_ESCAPES'"),
-        [no_escapes]
+        Some(no_escapes)
     );
     let hex = parse(b"SET sql_mode = 0x4e4f").unwrap();
     assert!(matches!(
--- a/src/protocol/mysql/session/variables.rs
+++ b/src/protocol/mysql/session/variables.rs
@@ -1,6 +1,7 @@
 //! Session variables, and the statements that set them on an engine connection.
 
 use super::{Literal, ONLY_UNICODE, VariableName};
+use crate::protocol::mysql::sql_mode::LexicalMode;
 use std::collections::BTreeMap;
 
 /// Variables by name.
@@ -50,12 +51,11 @@
 }
 
 /// Returns a single SET that changes the variables of a connection from `from` to `to`; `None` if
-/// they are equal. `has_escapes` states whether strings have escapes on the connection: an engine reads the whole
-/// SET in the mode of its beginning.
+/// they are equal. `mode` is that of the connection: an engine reads the whole SET in the mode of its beginning.
 pub fn set_statement(
     from: &SessionVariables,
     to: &SessionVariables,
-    has_escapes: bool,
+    mode: LexicalMode,
 ) -> Option<String> {
     let removed = from.keys().filter(|name| !to.contains_key(*name));
     let resets = removed.map(|name| match name.is_user() {
@@ -65,7 +65,7 @@
     let set = to
         .iter()
         .filter(|(name, value)| from.get(*name) != Some(value))
-        .map(|(name, value)| assignment(name, &value.to_sql(has_escapes)));
+        .map(|(name, value)| assignment(name, &value.to_sql(mode)));
     let assignments: Vec<String> = resets.chain(set).collect();
     (!assignments.is_empty()).then(|| format!("SET {}", assignments.join(", ")))
 }
--- a/src/protocol/mysql/sql_mode.rs
+++ b/src/protocol/mysql/sql_mode.rs
@@ -34,15 +34,20 @@
 impl LexicalMode {
     /// Returns the mode that a value of `sql_mode` selects, given as text or as a number.
     pub fn of_sql_mode(value: &str) -> Self {
-        match value.trim().parse::<u64>() {
-            Ok(bits) => LexicalMode {
-                no_backslash_escapes: bits & NO_BACKSLASH_ESCAPES_BIT != 0,
-                ansi_quotes: bits & QUOTING_NAMES_BITS != 0,
-            },
+        // A server rounds a number that is not whole.
+        match value.trim().parse::<f64>() {
+            Ok(number) => Self::of_bits(number.round() as u64),
             Err(_) => Self::of_names(value),
         }
     }
 
+    fn of_bits(bits: u64) -> Self {
+        LexicalMode {
+            no_backslash_escapes: bits & NO_BACKSLASH_ESCAPES_BIT != 0,
+            ansi_quotes: bits & QUOTING_NAMES_BITS != 0,
+        }
+    }
+
     fn of_names(value: &str) -> Self {
         let mut mode = LexicalMode::default();
         for name in value.split(',') {
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -415,6 +415,9 @@
         ("REAL_AS_FLOAT,ANSI_QUOTES", ANSI_QUOTES),
         ("4", ANSI_QUOTES),
         ("262144", ANSI_QUOTES),
+        ("1048576.0", NO_BACKSLASH_ESCAPES),
+        ("+1.048576e6", NO_BACKSLASH_ESCAPES),
+        ("3.6", ANSI_QUOTES),
         ("2097152", LexicalMode::default()),
     ] {
         assert_eq!(LexicalMode::of_sql_mode(value), expected, "{value}");
--- a/src/upstream/mysql/sticky.rs
+++ b/src/upstream/mysql/sticky.rs
@@ -261,7 +261,10 @@
         result: Result<Output, PacketError>,
     ) -> Result<SessionAnswer, PacketError> {
         open.last_contact = process_clock_millis();
-        let (output, response) = match without_end_of_connection(result)? {
+        if let Some(error) = end_of_connection(&result) {
+            return Err(PacketError::Server(error));
+        }
+        let (output, response) = match result {
             Ok(output) => {
                 let response = response_of(&output, open.connection);
                 (output, response)
@@ -283,20 +286,15 @@
     }
 }
 
-/// Returns the result of a statement. An error means that the engine has told the end of the connection: the session is
-/// lost, and its client is told what became of its transaction in place of what the engine has told the dispatcher.
-fn without_end_of_connection(
-    result: Result<Output, PacketError>,
-) -> Result<Result<Output, PacketError>, PacketError> {
-    let told = match &result {
+/// Returns the error by which the engine reports the end of the connection, if it has answered with one. The session is
+/// lost then, and its client is told what became of its transaction instead.
+fn end_of_connection(result: &Result<Output, PacketError>) -> Option<SqlError> {
+    let error = match result {
         Ok(output) => output.sql_error(),
         Err(PacketError::Server(error)) => Some(error.clone()),
         Err(_) => None,
     };
-    match told {
-        Some(error) if ends_connection(error.code) => Err(PacketError::Server(error)),
-        _ => Ok(result),
-    }
+    error.filter(|error| ends_connection(error.code))
 }
 
 /// Returns the part of the engine's answer that matters to the session.
--- a/tests/mysql_session_text.rs
+++ b/tests/mysql_session_text.rs
@@ -102,6 +102,8 @@
             "SET SESSION sql_mode = 'STRICT_TRANS_TABLES,no_backslash_escapes'",
             "SET @@sql_mode = concat(@@sql_mode, ',NO_BACKSLASH_ESCAPES')",
             "SET sql_mode = 1048576",
+            "SET sql_mode = 1048576.0",
+            "SET sql_mode = 1048575 + 1",
             r"SET sql_mode = 'NO\_BACKSLASH_ESCAPES', sql_mode = '\NO_BACKSLASH_ESCAPES'",
             "/*!40101 SET sql_mode = 'NO_BACKSLASH_ESCAPES' */",
         ] {
