Name what a prepared statement's text depends on, and split functions that had grown

The same assertions stand; the tests of MySQL sessions, the unit tests, recorded_state and the conformance suite pass.

--- a/crates/testbed/src/fakes/engine_session.rs
+++ b/crates/testbed/src/fakes/engine_session.rs
@@ -12,6 +12,7 @@
 
 pub const IN_TRANSACTION: u16 = 1;
 pub const AUTOCOMMIT: u16 = 2;
+/// Status flag: a backslash in a string stands for itself.
 pub const NO_BACKSLASH_ESCAPES: u16 = 0x200;
 
 /// The `sql_mode` of a server as it is installed.
@@ -81,6 +82,7 @@
 }
 
 impl Session {
+    /// Creates the session of a connection to an engine with this default `sql_mode`.
     pub fn new(number: u32, name: &str, sql_mode: &str) -> Self {
         let mut variables: BTreeMap<String, String> = VARIABLES
             .iter()
@@ -294,31 +296,10 @@
                 "identity" => "last_insert_id".to_string(),
                 _ => name,
             };
-            let Some((_, default)) = VARIABLES.iter().find(|v| v.0 == name) else {
-                return SessionResponse::Error(
-                    1193,
-                    "HY000",
-                    format!("Unknown system variable '{name}'"),
-                );
+            let value = match self.system_value(&name, value) {
+                Ok(value) => value,
+                Err(response) => return response,
             };
-            let value = match value.to_ascii_lowercase().as_str() {
-                "default" if name == "sql_mode" => Some(self.default_sql_mode.clone()),
-                "default" => Some((*default).to_string()),
-                "on" | "true" => Some("1".into()),
-                "off" | "false" => Some("0".into()),
-                _ => self.evaluate(value).flatten(),
-            };
-            let mut value = value.unwrap_or_default();
-            if name == "sql_mode" && value.parse::<f64>().is_ok() {
-                value = sql_mode_of_bits(&value);
-            }
-            if name == "sql_mode" && value.split(',').any(|m| m == "NONSENSE") {
-                return SessionResponse::Error(
-                    1231,
-                    "42000",
-                    format!("Variable 'sql_mode' can't be set to '{value}'"),
-                );
-            }
             new.0.insert(name, value);
         }
         (self.variables, self.user_variables) = new;
@@ -328,6 +309,39 @@
         SessionResponse::Ok
     }
 
+    /// Returns the value that a SET gives a system variable, or the response to a SET that is rejected.
+    fn system_value(&self, name: &str, value: &str) -> Result<String, SessionResponse> {
+        let Some((_, default)) = VARIABLES.iter().find(|v| v.0 == name) else {
+            return Err(SessionResponse::Error(
+                1193,
+                "HY000",
+                format!("Unknown system variable '{name}'"),
+            ));
+        };
+        let value = match value.to_ascii_lowercase().as_str() {
+            "default" if name == "sql_mode" => Some(self.default_sql_mode.clone()),
+            "default" => Some((*default).to_string()),
+            "on" | "true" => Some("1".into()),
+            "off" | "false" => Some("0".into()),
+            _ => self.evaluate(value).flatten(),
+        };
+        let value = value.unwrap_or_default();
+        if name != "sql_mode" {
+            return Ok(value);
+        }
+        if value.split(',').any(|m| m == "NONSENSE") {
+            return Err(SessionResponse::Error(
+                1231,
+                "42000",
+                format!("Variable 'sql_mode' can't be set to '{value}'"),
+            ));
+        }
+        Ok(match value.parse::<f64>().is_ok() {
+            true => sql_mode_of_bits(&value),
+            false => value,
+        })
+    }
+
     /// Executes a SELECT that assigns user variables: `@x := EXPRESSION, ...`, for each of
     /// [`ROWS_OF_A_TABLE`] rows if it has a FROM, or `EXPRESSION INTO @x`. Returns `None` if it is not supported.
     fn assign_in_select(&mut self, list: &str) -> Option<SessionResponse> {
--- a/src/frontend/mysql/prepared_statements.rs
+++ b/src/frontend/mysql/prepared_statements.rs
@@ -31,14 +31,20 @@
 /// columns and of parameters, filler and warning count.
 const PREPARE_OK_BYTES: usize = 12;
 
-/// A statement that the session has prepared.
-pub(super) struct PreparedStatement {
-    /// Schema of the session when the statement was prepared, in which its names are resolved.
+/// The settings of the session when it prepared a statement on which the meaning of its text depends.
+#[derive(Clone)]
+struct Preparation {
+    /// The schema in which names are resolved.
     schema: Option<String>,
-    /// Modes in which an engine may have read the statement then.
+    /// The modes in which an engine may have read the statement.
     modes: LexicalModes,
-    /// The session's `sql_mode` then, if it had set one.
+    /// The `sql_mode`, if the session had set one.
     sql_mode: Option<Literal>,
+}
+
+/// A statement that the session has prepared.
+pub(super) struct PreparedStatement {
+    preparation: Preparation,
     sql: Bytes,
     kind: StatementKind,
     parameter_count: usize,
@@ -122,9 +128,7 @@
     Administrative(AdministrativeStatement),
     Engine {
         kind: StatementKind,
-        schema: Option<String>,
-        modes: LexicalModes,
-        sql_mode: Option<Literal>,
+        preparation: Preparation,
         sql: Bytes,
         execute: Execute,
     },
@@ -173,9 +177,7 @@
             Some(statement) => ExecutionRequest::Administrative(statement.clone()),
             None => ExecutionRequest::Engine {
                 kind: self.kind.clone(),
-                schema: self.schema.clone(),
-                modes: self.modes,
-                sql_mode: self.sql_mode.clone(),
+                preparation: self.preparation.clone(),
                 sql: self.sql.clone(),
                 execute,
             },
@@ -230,10 +232,7 @@
             let error = SqlError::new(code::ER_MAX_PREPARED_STMT_COUNT_REACHED, message);
             return self.send_error(&error).await;
         }
-        let statement_bytes = statement_memory_bytes(&sql);
-        let purpose = complete_purpose(statement_bytes);
-        let budget = &self.frontend.statement_memory;
-        let Some(memory) = budget.reserve(statement_bytes, purpose) else {
+        let Some(memory) = self.reserve_statement(&sql) else {
             let message = "there is no memory for another prepared statement now";
             let error = SqlError::new(code::ER_OUT_OF_RESOURCES, message);
             return self.send_error(&error).await;
@@ -256,9 +255,7 @@
             }
         };
         let statement = PreparedStatement {
-            schema: self.state.context().schema.clone(),
-            modes,
-            sql_mode: self.state.context().sql_mode().cloned(),
+            preparation: self.preparation(modes),
             sql,
             kind,
             parameter_count: 0,
@@ -272,6 +269,13 @@
         self.send_prepared(statement, description).await
     }
 
+    /// Reserves the memory of a prepared statement; `None` if there is too little.
+    fn reserve_statement(&self, sql: &[u8]) -> Option<Reservation> {
+        let bytes = statement_memory_bytes(sql);
+        let budget = &self.frontend.statement_memory;
+        budget.reserve(bytes, complete_purpose(bytes))
+    }
+
     /// Stores a statement if its preparation succeeded, and sends its description with the session's
     /// statement id.
     async fn send_prepared(
@@ -314,26 +318,10 @@
             }
             ExecutionRequest::Engine {
                 kind,
-                schema,
-                modes,
-                sql_mode,
+                preparation,
                 sql,
                 execute,
-            } => {
-                // The schema is that of the preparation, and so is the mode in which the text is read; the other
-                // settings are the session's current ones.
-                let context = SessionContext {
-                    schema,
-                    ..self.context_for(&sql)
-                };
-                let is_read_as_before = context.sql_mode() == sql_mode.as_ref()
-                    || modes.readings(&sql) == self.lexical_modes().readings(&sql);
-                let preparation = (!is_read_as_before).then(|| context.with_sql_mode(sql_mode));
-                let job = Job::Execute(execute);
-                let mut request = StatementRequest::new(kind, context, sql, modes, job);
-                request.preparation = preparation;
-                request
-            }
+            } => self.execution_request(kind, preparation, sql, execute),
         };
         match self.execute(request).await? {
             Ok(Reply::Served(output)) if with_cursor => self.open_cursor(&body, output).await,
@@ -341,6 +329,45 @@
         }
     }
 
+    /// Returns the settings that the meaning of a statement depends on that is prepared now.
+    fn preparation(&self, modes: LexicalModes) -> Preparation {
+        let context = self.state.context();
+        Preparation {
+            schema: context.schema.clone(),
+            modes,
+            sql_mode: context.sql_mode().cloned(),
+        }
+    }
+
+    /// Returns the request to execute a prepared statement. The schema is that of the preparation, and so is the mode
+    /// in which the text is read; the other settings are the session's current ones.
+    fn execution_request(
+        &self,
+        kind: StatementKind,
+        preparation: Preparation,
+        sql: Bytes,
+        execute: Execute,
+    ) -> StatementRequest {
+        let Preparation {
+            schema,
+            modes,
+            sql_mode,
+        } = preparation;
+        let context = SessionContext {
+            schema,
+            ..self.context_for(&sql)
+        };
+        let is_read_as_before = context.sql_mode() == sql_mode.as_ref()
+            || modes.readings(&sql) == self.lexical_modes().readings(&sql);
+        let reading_context = (!is_read_as_before).then(|| context.with_sql_mode(sql_mode));
+        let job = Job::Execute(execute);
+        let request = StatementRequest::new(kind, context, sql, modes, job);
+        StatementRequest {
+            preparation: reading_context,
+            ..request
+        }
+    }
+
     /// Executes COM_STMT_SEND_LONG_DATA, which has no answer.
     pub(super) fn add_long_data(&mut self, body: &Bytes) {
         let max_packet = self.frontend.config().max_packet;
--- a/src/frontend/mysql/sticky.rs
+++ b/src/frontend/mysql/sticky.rs
@@ -318,7 +318,9 @@
             end = self.connection.read_ahead(MAX_READ_AHEAD_BYTES, contains_quit) => {
                 return Err(end_of_read_ahead(end));
             }
-            () = not_begun_by(sticky.begin_deadline, &sticky.channel) => Ok(Reply::TimedOut { retry_safe: true }),
+            () = not_begun_by(sticky.begin_deadline, &sticky.channel) => {
+                Ok(Reply::TimedOut { retry_safe: true })
+            }
         };
         Ok(WaitOutcome::Ended(result))
     }
--- a/src/protocol/mysql/session/connection_context/tests.rs
+++ b/src/protocol/mysql/session/connection_context/tests.rs
@@ -179,11 +179,61 @@
     ));
 }
 
+const NO_ESCAPES: &str = "SET sql_mode = 'NO_BACKSLASH_ESCAPES'";
+const ANSI_QUOTES: &str = "SET sql_mode = 'ANSI_QUOTES'";
+
+/// Returns the state of a session that has executed this SET, if it is not empty.
+fn state_in_mode(set: &str) -> SessionState {
+    match set {
+        "" => SessionState::default(),
+        set => state_after(&SessionState::default(), set),
+    }
+}
+
+/// Returns the state after a SET of `@x` to this text.
+fn with_text(state: &SessionState, text: &str) -> SessionState {
+    let assignment = set::Change::Assign {
+        name: VariableName::user("x"),
+        value: set::Value::Literal(Literal::Text(text.into())),
+    };
+    match state.set(&[assignment], &[]) {
+        Ok(SetOutcome::Changed { state, .. }) => state,
+        other => panic!("{text}: {other:?}"),
+    }
+}
+
+fn assigns_text(change: &set::Change, expected: &str) -> bool {
+    let set::Change::Assign { value, .. } = change else {
+        return false;
+    };
+    *value == set::Value::Literal(Literal::Text(expected.into()))
+}
+
+/// Asserts that the SET for a session of mode `after`, on a connection that the mode `before` was set on, assigns the
+/// text that the session has set.
+fn assert_text_is_kept(text: &str, before: &str, after: &str, default_mode: LexicalMode) {
+    let mut connection = ConnectionContext {
+        default_mode,
+        ..ConnectionContext::default()
+    };
+    enter(&mut connection, state_in_mode(before).context());
+    let state = with_text(&state_in_mode(after), text);
+    let sql = connection.set_statement(state.context()).unwrap();
+    // An engine reads it in the mode of the connection before it.
+    let mode = match before {
+        NO_ESCAPES => LexicalMode::of_sql_mode("NO_BACKSLASH_ESCAPES"),
+        ANSI_QUOTES => LexicalMode::of_sql_mode("ANSI_QUOTES"),
+        _ => default_mode,
+    };
+    let read = changes(&sql, mode.into());
+    let is_kept = read.iter().any(|change| assigns_text(change, text));
+    assert!(is_kept, "{sql} in {mode:?}: {read:?}");
+}
+
 /// Guards against a value that changes on another connection: an engine reads the SET of the dispatcher in the mode that
 /// the connection has then, which need not be that in which the client wrote the value.
 #[test]
 fn values_mean_the_same_in_each_mode_of_a_connection() {
-    const NO_ESCAPES: &str = "SET sql_mode = 'NO_BACKSLASH_ESCAPES'";
     const TEXTS: [&str; 6] = [
         r"C:\new\table",
         r"D:\",
@@ -192,45 +242,14 @@
         r"50\% of \_",
         "",
     ];
-    let session_modes = ["", NO_ESCAPES, "SET sql_mode = 'ANSI_QUOTES'"];
+    const SETS: [&str; 3] = ["", NO_ESCAPES, ANSI_QUOTES];
     for text in TEXTS {
-        for (before, after) in session_modes
-            .into_iter()
-            .flat_map(|before| session_modes.map(|after| (before, after)))
-        {
-            for no_escapes_by_default in [false, true] {
-                let mut connection = ConnectionContext {
-                    default_mode: LexicalMode {
-                        no_backslash_escapes: no_escapes_by_default,
-                        ansi_quotes: false,
-                    },
-                    ..ConnectionContext::default()
-                };
-                let mut state = SessionState::default();
-                if !before.is_empty() {
-                    enter(&mut connection, state_after(&state, before).context());
-                }
-                if !after.is_empty() {
-                    state = state_after(&state, after);
+        for before in SETS {
+            for after in SETS {
+                for default_mode in ["", "NO_BACKSLASH_ESCAPES"] {
+                    let default_mode = LexicalMode::of_sql_mode(default_mode);
+                    assert_text_is_kept(text, before, after, default_mode);
                 }
-                let name = VariableName::user("x");
-                let value = set::Value::Literal(Literal::Text(text.into()));
-                let assignment = set::Change::Assign { name, value };
-                let Ok(SetOutcome::Changed { state, .. }) = state.set(&[assignment], &[]) else {
-                    panic!("{text}");
-                };
-                // The mode in which an engine reads the SET: that of the connection before it.
-                let mode = LexicalMode {
-                    no_backslash_escapes: match before {
-                        "" => no_escapes_by_default,
-                        set => set == NO_ESCAPES,
-                    },
-                    ansi_quotes: before.contains("ANSI"),
-                };
-                let sql = connection.set_statement(state.context()).unwrap();
-                let read = changes(&sql, mode.into());
-                let is_value = |change: &set::Change| matches!(change, set::Change::Assign { value: set::Value::Literal(Literal::Text(read)), .. } if read == text);
-                assert!(read.iter().any(is_value), "{sql} in {mode:?}: {read:?}");
             }
         }
     }
--- a/src/protocol/mysql/session/tests.rs
+++ b/src/protocol/mysql/session/tests.rs
@@ -336,18 +336,16 @@
     assert!(after(&SessionState::default(), &long).is_err());
 }
 
+fn in_mode(sql: &str, mode: LexicalMode) -> Result<Vec<Change>, SetError> {
+    set::parse(sql.as_bytes(), mode.into())
+}
+
 /// Guards against a value that is read otherwise than by the engine that the client believes to talk to.
 #[test]
 fn values_are_read_in_the_mode_of_the_session() {
     let escapes = LexicalMode::default();
-    let no_escapes = LexicalMode {
-        no_backslash_escapes: true,
-        ansi_quotes: false,
-    };
-    let quoted_names = LexicalMode {
-        no_backslash_escapes: false,
-        ansi_quotes: true,
-    };
+    let no_escapes = LexicalMode::of_sql_mode("NO_BACKSLASH_ESCAPES");
+    let quoted_names = LexicalMode::of_sql_mode("ANSI_QUOTES");
     for (sql, mode, expected) in [
         (r"SET @x = 'C:\new'", escapes, "C:\new"),
         (r"SET @x = 'C:\new'", no_escapes, r"C:\new"),
@@ -364,7 +362,7 @@
         ("SET @x = 'NULL'", escapes, "NULL"),
         (r"SET time_zone = '\+00:00'", escapes, "+00:00"),
     ] {
-        let changes = set::parse(sql.as_bytes(), mode.into()).unwrap();
+        let changes = in_mode(sql, mode).unwrap();
         let [
             Change::Assign {
                 value: Value::Literal(value),
@@ -376,8 +374,12 @@
         };
         assert_eq!(*value, Literal::Text(expected.into()), "{sql}");
     }
-    let two = set::parse(br"SET @x = 'D:\', @y = 'E:\'", no_escapes.into()).unwrap();
+    let two = in_mode(r"SET @x = 'D:\', @y = 'E:\'", no_escapes).unwrap();
     assert_eq!(two.len(), 2);
+}
+
+#[test]
+fn set_that_means_different_things_is_ambiguous() {
     for sql in [r"SET @x = 'C:\new'", r"SET @x = 'it\'s'", r"SET @x = 'D:\'"] {
         let read = set::parse(sql.as_bytes(), LexicalModes::all());
         assert_eq!(read, Err(SetError::Ambiguous), "{sql}");
@@ -388,12 +390,17 @@
             "{sql}"
         );
     }
-    // An engine tells what these numbers are; a text in escapes is read here.
+}
+
+/// Guards against a mode that is set in a form that is not understood, so that the session's text is read wrongly.
+#[test]
+fn mode_of_a_session_is_known_in_each_form_of_its_value() {
     let mode_of = |sql: &str| state_after(sql).lexical_mode();
     assert_eq!(
         mode_of(r"SET sql_mode = '\NO_BACKSLASH_ESCAPES'"),
-        Some(no_escapes)
+        Some(LexicalMode::of_sql_mode("NO_BACKSLASH_ESCAPES"))
     );
+    // An engine evaluates it.
     let hex = parse(b"SET sql_mode = 0x4e4f").unwrap();
     assert!(matches!(
         &hex[..],
--- a/src/protocol/statement/tests.rs
+++ b/src/protocol/statement/tests.rs
@@ -402,7 +402,7 @@
 }
 
 #[test]
-fn modes_of_sessions_are_those_that_they_set_or_that_engines_tell() {
+fn modes_of_sessions_are_those_that_they_set_or_that_engines_report() {
     const FLAG: u16 = 0x200;
     for (value, expected) in [
         ("", LexicalMode::default()),
--- a/tests/mysql_engine_shutdown.rs
+++ b/tests/mysql_engine_shutdown.rs
@@ -1,4 +1,4 @@
-//! Engines that end in order in the middle of a sticky session, and tell so.
+//! Engines that end in order in the middle of a sticky session, and report it.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -11,7 +11,7 @@
 const ROLLED_BACK: u16 = 1213;
 /// MySQL's error for an interrupted query: the statement may have run.
 const MAY_HAVE_RUN: u16 = 1317;
-/// An engine's errors that tell the end of its process or of the connection: shutdown, not available, killed (MySQL and
+/// An engine's errors that report the end of its process or of the connection: shutdown, not available, killed (MySQL and
 /// MariaDB), idle for too long.
 const ENDS: [u16; 5] = [1053, 3168, 3169, 1927, 4031];
 
@@ -20,12 +20,17 @@
 
 /// Executes `earlier` in a new session, then `last`, which the engine answers with this error, and returns the number of
 /// the error that the client gets. The session can be used afterwards.
-async fn error_of_client(fixture: &Fixture, earlier: &[&str], last: &str, told: u16) -> u16 {
+async fn error_of_client(
+    fixture: &Fixture,
+    earlier: &[&str],
+    last: &str,
+    engine_error: u16,
+) -> u16 {
     let mut session = fixture.session().await;
     for sql in earlier {
         query_rows(&mut session, sql).await;
     }
-    fixture.engines[0].fail_next(last, told);
+    fixture.engines[0].fail_next(last, engine_error);
     let (number, _) = query_error(&mut session, last).await;
     query_rows(&mut session, "select 1").await;
     number
@@ -34,10 +39,10 @@
 /// Guards against an engine's error that reaches the client of a transaction with another meaning: 1053 is the
 /// dispatcher's own shutdown, whose client sends the statement again without what came before it.
 #[test]
-fn end_of_an_engine_is_told_as_the_end_of_the_transaction() {
+fn shutdown_of_an_engine_is_reported_as_the_end_of_the_transaction() {
     run(async {
         let fixture = start("shutdown", 1, "", "").await;
-        for told in ENDS {
+        for engine_error in ENDS {
             for (earlier, last, expected) in [
                 (&["begin", INSERT][..], UPDATE, ROLLED_BACK),
                 (&["begin", INSERT], "select a from t", ROLLED_BACK),
@@ -46,8 +51,8 @@
                 (&["begin", INSERT], "create table u (a int)", MAY_HAVE_RUN),
                 (&["begin"], "commit", MAY_HAVE_RUN),
             ] {
-                let number = error_of_client(&fixture, earlier, last, told).await;
-                assert_eq!(number, expected, "{told}: {earlier:?}, {last}");
+                let number = error_of_client(&fixture, earlier, last, engine_error).await;
+                assert_eq!(number, expected, "{engine_error}: {earlier:?}, {last}");
             }
         }
     });
@@ -55,7 +60,7 @@
 
 /// Guards against the same for prepared statements, and against a client that is told an error for what it has asked for.
 #[test]
-fn end_of_an_engine_is_told_to_prepared_statements_and_not_to_a_rollback() {
+fn shutdown_of_an_engine_is_reported_for_prepared_statements_and_not_for_a_rollback() {
     run(async {
         let fixture = start("shutdown-prepared", 1, "", "").await;
         let mut session = fixture.session().await;
@@ -74,14 +79,14 @@
 
 /// Guards against a write outside of a sticky session that is told as refused: the engine may have run it.
 #[test]
-fn end_of_an_engine_leaves_a_write_unknown_and_a_read_is_sent_again() {
+fn shutdown_of_an_engine_makes_a_write_unknown_and_a_read_is_retried() {
     run(async {
         let fixture = start("shutdown-plain", 1, "", "").await;
-        for told in ENDS {
-            let number = error_of_client(&fixture, &[], INSERT, told).await;
-            assert_eq!(number, MAY_HAVE_RUN, "{told}");
+        for engine_error in ENDS {
+            let number = error_of_client(&fixture, &[], INSERT, engine_error).await;
+            assert_eq!(number, MAY_HAVE_RUN, "{engine_error}");
             let mut session = fixture.session().await;
-            fixture.engines[0].fail_next("select a from t", told);
+            fixture.engines[0].fail_next("select a from t", engine_error);
             query_rows(&mut session, "select a from t").await;
         }
     });
--- a/tests/mysql_session_deadlines.rs
+++ b/tests/mysql_session_deadlines.rs
@@ -17,7 +17,15 @@
 
 const DEADLINE: Duration = Duration::from_millis(400);
 const TRANSACTION_CLASS: &str = "transaction_class = \"transaction\"";
-const CLASS_TABLE: &str = "[[class]]\nname = \"transaction\"\nworth = 4.0\naim_ms = 100.0\ndeadline_ms = 400.0\nthreads = 2\nunsafe = true\n";
+const CLASS_TABLE: &str = r#"
+[[class]]
+name = "transaction"
+worth = 4.0
+aim_ms = 100.0
+deadline_ms = 400.0
+threads = 2
+unsafe = true
+"#;
 
 /// First statements on a held connection, each after a statement that is answered without one.
 const FIRST_STATEMENTS: [(&str, &str); 5] = [
@@ -42,7 +50,7 @@
 /// Guards against a statement that its engine has begun and that is told as harmless to repeat at its class's deadline:
 /// its client sent it again, and both took effect.
 #[test]
-fn first_statement_that_an_engine_has_begun_is_waited_for_beyond_its_deadline() {
+fn first_statement_that_an_engine_has_begun_is_awaited_beyond_its_deadline() {
     run(async {
         let fixture = start_slow("first", 2 * DEADLINE, "").await;
         for (earlier, first) in FIRST_STATEMENTS {
--- a/tests/mysql_session_text.rs
+++ b/tests/mysql_session_text.rs
@@ -174,7 +174,7 @@
 
 /// Guards against a client that escapes its text for another mode than that of its session: drivers go by a status flag.
 #[test]
-fn answers_of_the_dispatcher_tell_the_meaning_of_a_backslash() {
+fn answers_of_the_dispatcher_have_the_status_flag_of_the_mode() {
     run(async {
         let fixture = start("flag", 1, "", "").await;
         let mut session = fixture.session().await;
