--- a/crates/testbed/src/platform/hostile_clients.rs
+++ b/crates/testbed/src/platform/hostile_clients.rs
@@ -97,15 +97,29 @@
         counts
     }
 
+    /// Returns the longest time between a deadline of the usual client's requests and the answer; zero if all answers
+    /// came before.
+    fn latest_answer(&self) -> Duration {
+        let late_by = |request: &Request| {
+            let answered = request.answers.iter().map(|answer| answer.at);
+            answered
+                .map(|at| at.saturating_duration_since(request.deadline()))
+                .max()
+        };
+        let late = self.usual.iter().filter_map(late_by);
+        late.max().unwrap_or_default()
+    }
+
     /// Formats the result as one line.
     pub fn summary(&self) -> String {
         let first = self.violations.first();
         format!(
-            "peak memory {:.1} MB, {} of {} usual requests served, others {:?}, ended: {}, judge late by {:?}, {} violations {first:?}",
+            "peak memory {:.1} MB, {} of {} usual requests served, others {:?}, latest {:?} after its deadline, ended: {}, judge late by {:?}, {} violations {first:?}",
             self.peak_memory_mb,
             self.served(),
             self.usual.len(),
             self.other_answers(),
+            self.latest_answer(),
             self.has_ended,
             self.lag,
             self.violations.len()
