Look for the insert id of a prepared statement in the mode of its preparation

Seen: a statement prepared with NO_BACKSLASH_ESCAPES, select 'D:\', @@last_insert_id, 'x', and executed after the session had gone back to the default mode gave the insert id that another session had left on the engine connection.

Cause: context_for asked for the insert id in the session's present mode, in which the variable is within a string. Everything else about a prepared statement goes by the mode of its preparation.

Change: context_for takes the modes in which the engine reads the statement, as the other queries about a statement do.

Every other use of the session's present mode was read: each is for a statement that is read now, or for the status flag of an answer.

--- a/src/frontend/mysql/commands.rs
+++ b/src/frontend/mysql/commands.rs
@@ -166,7 +166,7 @@
                 self.send_ok().await
             }
             kind => {
-                let context = self.context_for(&sql);
+                let context = self.context_for(&sql, modes);
                 let request = StatementRequest::new(kind, context, sql, modes, Job::Query);
                 self.execute_and_reply(request).await
             }
--- a/src/frontend/mysql/prepared_statements.rs
+++ b/src/frontend/mysql/prepared_statements.rs
@@ -355,7 +355,7 @@
         } = preparation;
         let context = SessionContext {
             schema,
-            ..self.context_for(&sql)
+            ..self.context_for(&sql, modes)
         };
         let is_read_as_before = context.sql_mode() == sql_mode.as_ref()
             || modes.readings(&sql) == self.lexical_modes().readings(&sql);
--- a/src/frontend/mysql/settings.rs
+++ b/src/frontend/mysql/settings.rs
@@ -141,7 +141,7 @@
             let reason = "SET takes values that can be read without leaving anything behind";
             return Ok(Err(SqlError::new(code::ER_NOT_SUPPORTED_YET, reason)));
         }
-        let context = self.context_for(&select);
+        let context = self.context_for(&select, modes);
         let request =
             StatementRequest::new(StatementKind::Read, context, select, modes, Job::Query);
         let result = self.execute(request).await?;
@@ -156,9 +156,10 @@
             .map_or_else(defaults, LexicalModes::from)
     }
 
-    /// Returns the context of a statement, with the session's LAST_INSERT_ID if the statement reads it.
-    pub(super) fn context_for(&self, sql: &[u8]) -> SessionContext {
-        match statement::reads_last_insert_id(sql, self.lexical_modes()) {
+    /// Returns the context of a statement that an engine reads in one of these modes, with the session's LAST_INSERT_ID
+    /// if the statement reads it.
+    pub(super) fn context_for(&self, sql: &[u8], modes: LexicalModes) -> SessionContext {
+        match statement::reads_last_insert_id(sql, modes) {
             true => self.state.context_with_insert_id(),
             false => self.state.context().clone(),
         }
--- a/tests/mysql_session_text.rs
+++ b/tests/mysql_session_text.rs
@@ -9,13 +9,15 @@
     SERVER_STATUS_NO_BACKSLASH_ESCAPES, eof_status, parse_ok_status,
 };
 use session_fixture::{Fixture, query_error, query_rows, run, start};
-use testbed::clients::mysql::{Session, error, text};
+use testbed::clients::mysql::{Session, error, text, texts};
 
 /// MySQL's error for a name that no system variable has.
 const UNKNOWN_SYSTEM_VARIABLE: u16 = 1193;
 const SYNTAX_ERROR: u16 = 1064;
 /// MySQL's error for an interrupted query: the statement may have run.
 const MAY_HAVE_RUN: u16 = 1317;
+/// Bytes of a row in the binary protocol before its values: the header and a NULL bitmap of a few columns.
+const BINARY_ROW_HEADER_BYTES: usize = 2;
 
 /// Guards against a quoted name that becomes SQL in a SET of the dispatcher: what it held after a comma was assigned on
 /// a pooled connection, unknown here, and stayed there for other users' sessions.
@@ -172,6 +174,25 @@
     });
 }
 
+/// Guards against a prepared statement that reads the insert id of another session, for its text was read in the mode of
+/// its execution.
+#[test]
+fn prepared_statement_reads_the_insert_id_of_its_session() {
+    run(async {
+        let fixture = start("prepared-id", 1, "", "").await;
+        let mut session = fixture.session().await;
+        query_rows(&mut session, "SET sql_mode = 'NO_BACKSLASH_ESCAPES'").await;
+        let reading = r"select 'D:\', @@last_insert_id, 'x'";
+        let (id, _) = session.prepare(reading).await.unwrap();
+        query_rows(&mut session, "SET sql_mode = DEFAULT").await;
+        query_rows(&mut session, "SET last_insert_id = 7").await;
+        query_rows(&mut fixture.session().await, "select @@last_insert_id").await;
+        let answer = session.execute(id, false).await.unwrap();
+        let row = texts(&answer.rows[0].slice(BINARY_ROW_HEADER_BYTES..));
+        assert_eq!(row, [r"D:\", "7", "x"]);
+    });
+}
+
 /// Guards against a client that escapes its text for another mode than that of its session: drivers go by a status flag.
 #[test]
 fn answers_of_the_dispatcher_have_the_status_flag_of_the_mode() {
